Set up the workspace, the kernel packages and the protocol schemas

Cause: the repository was empty. Change: npm workspace with generated references, formatter and linter set to Google style, error kinds, lifecycle, micro-kernel, logger, document and command schemas, RPC schema with committed generated code, and the design page.

--- /dev/null
+++ b/kernel/errors/src/medlarlaneError.ts
@@ -0,0 +1,73 @@
+import {ERROR_ANSWERS, isErrorCode} from './errorKinds.js';
+import type {ErrorAnswer, ErrorCode, Ran} from './errorKinds.js';
+
+export interface MedlarlaneErrorOptions {
+  /** Structured facts for logs and problem documents. */
+  readonly details?: Readonly<Record<string, unknown>>;
+  readonly cause?: unknown;
+  /** Overrides the table when the failing step knows better than the kind. */
+  readonly ran?: Ran;
+}
+
+/** The one error class. Callers test `code`; the message is for people. */
+export class MedlarlaneError extends Error {
+  override readonly name = 'MedlarlaneError';
+  readonly code: ErrorCode;
+  readonly details: Readonly<Record<string, unknown>>;
+  readonly ran: Ran;
+
+  constructor(code: ErrorCode, message?: string, opts: MedlarlaneErrorOptions = {}) {
+    super(message ?? ERROR_ANSWERS[code].title, {cause: opts.cause});
+    this.code = code;
+    this.details = opts.details ?? {};
+    this.ran = opts.ran ?? ERROR_ANSWERS[code].ran;
+  }
+
+  get answer(): ErrorAnswer {
+    return ERROR_ANSWERS[this.code];
+  }
+}
+
+/** Wraps anything thrown; an unknown value becomes `INTERNAL` with the value as its cause. */
+export function toMedlarlaneError(thrown: unknown): MedlarlaneError {
+  if (thrown instanceof MedlarlaneError) return thrown;
+  const message = thrown instanceof Error ? thrown.message : String(thrown);
+  return new MedlarlaneError('INTERNAL', message, {cause: thrown});
+}
+
+/** A problem document (RFC 9457) with the error code and whether the request ran. */
+export interface ProblemDocument {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly detail: string;
+  readonly code: ErrorCode;
+  readonly ran: Ran;
+  readonly nextStep: string;
+  readonly details?: Readonly<Record<string, unknown>>;
+}
+
+export function toProblemDocument(error: MedlarlaneError): ProblemDocument {
+  const {status, title, nextStep} = error.answer;
+  return {
+    type: `urn:medlarlane:error:${error.code}`,
+    title,
+    status,
+    detail: error.message,
+    code: error.code,
+    ran: error.ran,
+    nextStep,
+    ...(Object.keys(error.details).length > 0 ? {details: error.details} : {}),
+  };
+}
+
+/** Rebuilds the error from a problem document of another process; `undefined` when it is none. */
+export function fromProblemDocument(body: unknown): MedlarlaneError | undefined {
+  if (typeof body !== 'object' || body === null) return undefined;
+  const {code, detail, ran, details} = body as Partial<ProblemDocument>;
+  if (typeof code !== 'string' || !isErrorCode(code)) return undefined;
+  return new MedlarlaneError(code, detail, {
+    ...(ran === 'no' || ran === 'unknown' ? {ran} : {}),
+    ...(details ? {details} : {}),
+  });
+}
--- /dev/null
+++ b/kernel/kernel/src/index.ts
@@ -0,0 +1,2 @@
+export {Kernel} from './kernel.js';
+export type {ServiceFactory, ServiceName, ServiceRegistry} from './kernel.js';
--- /dev/null
+++ b/kernel/lifecycle/src/index.ts
@@ -0,0 +1,5 @@
+export {BackgroundTasks} from './backgroundTasks.js';
+export type {BackgroundTasksOptions} from './backgroundTasks.js';
+export {ManualClock, systemClock} from './clock.js';
+export type {Clock} from './clock.js';
+export {DisposableStore} from './disposableStore.js';
--- /dev/null
+++ b/protocol/control-rpc/src/index.ts
@@ -0,0 +1,1 @@
+export * from './gen/medlarlane/control/v1/control_pb.js';
--- /dev/null
+++ b/scripts/syncWorkspace.mjs
@@ -0,0 +1,116 @@
+/**
+ * Writes the generated parts of each package: `dependencies` (from the imports in its sources, with
+ * the versions of the root package.json) and `tsconfig.json` with its project references.
+ * With `--check` it writes nothing and exits 1 when a file is out of date.
+ */
+import {existsSync, readFileSync, readdirSync, writeFileSync} from 'node:fs';
+import {builtinModules} from 'node:module';
+import path from 'node:path';
+
+const SCOPE = '@medlarlane/';
+const check = process.argv.includes('--check');
+const root = path.resolve(import.meta.dirname, '..');
+const rootManifest = readJson(path.join(root, 'package.json'));
+const catalog = {...rootManifest.dependencies, ...rootManifest.devDependencies};
+const stale = [];
+
+const packages = findPackages();
+const folderByName = new Map(packages.map(({folder, manifest}) => [manifest.name, folder]));
+for (const entry of packages) syncPackage(entry);
+writeJson(path.join(root, 'tsconfig.json'), {
+  files: [],
+  references: packages.map(({folder}) => ({path: `./${path.relative(root, folder)}`})),
+});
+if (stale.length > 0) {
+  console.error(`Out of date, run "npm run workspace:sync":\n  ${stale.join('\n  ')}`);
+  process.exit(1);
+}
+
+function findPackages() {
+  return rootManifest.workspaces
+    .flatMap((pattern) => expand(pattern))
+    .filter((folder) => existsSync(path.join(folder, 'package.json')))
+    .sort()
+    .map((folder) => ({folder, manifest: readJson(path.join(folder, 'package.json'))}));
+}
+
+function expand(pattern) {
+  if (!pattern.endsWith('/*')) return [path.join(root, pattern)];
+  const parent = path.join(root, pattern.slice(0, -2));
+  if (!existsSync(parent)) return [];
+  return readdirSync(parent, {withFileTypes: true})
+    .filter((entry) => entry.isDirectory())
+    .map((entry) => path.join(parent, entry.name));
+}
+
+function syncPackage({folder, manifest}) {
+  const used = importedPackages(path.join(folder, 'src'));
+  const usedInTests = importedPackages(path.join(folder, 'test'));
+  used.delete(manifest.name);
+  usedInTests.delete(manifest.name);
+  const {dependencies, devDependencies, ...rest} = manifest;
+  const testOnly = [...usedInTests].filter((name) => !used.has(name));
+  writeJson(path.join(folder, 'package.json'), {
+    ...rest,
+    ...section('dependencies', [...used]),
+    ...section('devDependencies', testOnly),
+  });
+  const references = [...new Set([...used, ...usedInTests])]
+    .filter((name) => folderByName.has(name))
+    .sort()
+    .map((name) => ({path: path.relative(folder, folderByName.get(name))}));
+  writeJson(path.join(folder, 'tsconfig.json'), {
+    extends: path.relative(folder, path.join(root, 'tsconfig.base.json')),
+    compilerOptions: {rootDir: '.', outDir: 'lib'},
+    include: ['src', 'test'],
+    references,
+  });
+}
+
+function importedPackages(folder) {
+  const names = new Set();
+  if (!existsSync(folder)) return names;
+  for (const file of readdirSync(folder, {recursive: true})) {
+    if (!file.endsWith('.ts')) continue;
+    const text = readFileSync(path.join(folder, file), 'utf8');
+    for (const match of text.matchAll(/(?:\bfrom\s+|\bimport\s+|\bimport\()'([^'.\s][^'\s]*)'/g)) {
+      const name = packageName(match[1]);
+      if (name) names.add(name);
+    }
+  }
+  return names;
+}
+
+function packageName(specifier) {
+  if (specifier.startsWith('node:') || builtinModules.includes(specifier)) return undefined;
+  const parts = specifier.split('/');
+  return specifier.startsWith('@') ? parts.slice(0, 2).join('/') : parts[0];
+}
+
+function section(key, names) {
+  if (names.length === 0) return {};
+  return {[key]: Object.fromEntries(names.sort().map((name) => [name, versionOf(name)]))};
+}
+
+function versionOf(name) {
+  if (name.startsWith(SCOPE)) return '*';
+  const version = catalog[name];
+  if (!version) throw new Error(`${name} is not listed in the root package.json`);
+  return version;
+}
+
+function readJson(file) {
+  return JSON.parse(readFileSync(file, 'utf8'));
+}
+
+function writeJson(file, value) {
+  const text = `${JSON.stringify(value, null, 2)}\n`;
+  if (existsSync(file) && sameJson(readFileSync(file, 'utf8'), text)) return;
+  if (check) stale.push(path.relative(root, file));
+  else writeFileSync(file, text);
+}
+
+// Prettier lays out short arrays on one line, so files are compared by content.
+function sameJson(a, b) {
+  return JSON.stringify(JSON.parse(a)) === JSON.stringify(JSON.parse(b));
+}
