--- /dev/null
+++ b/control/control-service/src/controlStateMachine.ts
@@ -0,0 +1,61 @@
+import {EventEmitter, once} from 'node:events';
+import type {LogEntry} from '@medlarlane/consensus';
+import type {CommandResult, ControlState} from '@medlarlane/control-state';
+import {toMedlarlaneError} from '@medlarlane/errors';
+import type {LeaseTable} from '@medlarlane/leases';
+import {commandSchema, decodeValue} from '@medlarlane/model';
+import type {Command} from '@medlarlane/model';
+
+/** Applies log entries to the control state and tells watchers and the lease table. */
+export class ControlStateMachine {
+  private readonly events = new EventEmitter().setMaxListeners(0);
+
+  constructor(
+    readonly state: ControlState,
+    private readonly leases: LeaseTable,
+  ) {}
+
+  apply(entry: LogEntry): CommandResult | undefined {
+    const result = entry.kind === 'command' ? this.applyCommand(entry) : undefined;
+    if (result === undefined) this.state.skip(entry.index);
+    this.events.emit('applied');
+    return result;
+  }
+
+  snapshot(): Uint8Array {
+    return this.state.snapshot();
+  }
+
+  restore(payload: Uint8Array): void {
+    this.state.restore(payload);
+    this.events.emit('applied');
+  }
+
+  /** Resolves at the next applied entry; rejects when `signal` aborts. */
+  async nextApplied(signal: AbortSignal): Promise<void> {
+    await once(this.events, 'applied', {signal});
+  }
+
+  private applyCommand({index, payload}: LogEntry): CommandResult {
+    let command: Command;
+    try {
+      command = decodeValue(commandSchema, payload);
+    } catch (thrown) {
+      // Every replica decodes the same bytes with the same schema, so all reject the entry alike.
+      const {code, message} = toMedlarlaneError(thrown);
+      this.state.skip(index);
+      return {ok: false, code, message};
+    }
+    const result = this.state.apply(index, command);
+    this.updateLeases(command, result);
+    return result;
+  }
+
+  private updateLeases(command: Command, result: CommandResult): void {
+    if (!result.ok) return;
+    if (command.kind === 'registerSession' && result.sessionId !== undefined) {
+      this.leases.grant(result.sessionId);
+    }
+    if (command.kind === 'endSession') this.leases.remove(command.sessionId);
+  }
+}
--- /dev/null
+++ b/control/control-service/src/leaderTasks.ts
@@ -0,0 +1,77 @@
+import type {BackgroundTasks, Clock} from '@medlarlane/lifecycle';
+import type {LeaseTable} from '@medlarlane/leases';
+import type {Logger} from '@medlarlane/logger';
+import {planMoves} from '@medlarlane/placement';
+import type {LoadAggregator} from '@medlarlane/placement';
+import type {ControlStateMachine} from './controlStateMachine.js';
+import type {Leadership} from './leadership.js';
+
+export interface LeaderTasksOptions {
+  readonly leadership: Leadership;
+  readonly machine: ControlStateMachine;
+  readonly leases: LeaseTable;
+  readonly loads: LoadAggregator;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly tasks: BackgroundTasks;
+  readonly placementIntervalMs: number;
+}
+
+// A twentieth of the time in which a lost key must be served again.
+const EXPIRY_CHECK_INTERVAL_MS = 50;
+
+/** Starts the periodic tasks of the leader. They do nothing while another replica leads. */
+export function startLeaderTasks(opts: LeaderTasksOptions): void {
+  opts.tasks.run('lease expiry', (signal) => expireLeases(opts, signal));
+  opts.tasks.run('placement', (signal) => rebalance(opts, signal));
+}
+
+async function expireLeases(opts: LeaderTasksOptions, signal: AbortSignal): Promise<void> {
+  for (;;) {
+    await opts.clock.sleep(EXPIRY_CHECK_INTERVAL_MS, {signal});
+    if (!opts.leadership.isLeader()) continue;
+    const expired = opts.leases.expired();
+    await Promise.all(expired.map((sessionId) => endExpired(opts, sessionId)));
+  }
+}
+
+async function endExpired(opts: LeaderTasksOptions, sessionId: number): Promise<void> {
+  try {
+    await opts.leadership.endSession(sessionId, 'lease expired');
+    opts.logger.warn({sessionId}, 'Lease expired; its ranges have new owners.');
+  } catch (failure) {
+    // The next leader repeats it after one lease.
+    opts.logger.warn({sessionId, err: failure}, 'Ending an expired session failed.');
+  }
+}
+
+async function rebalance(opts: LeaderTasksOptions, signal: AbortSignal): Promise<void> {
+  for (;;) {
+    await opts.clock.sleep(opts.placementIntervalMs, {signal});
+    if (!opts.leadership.isLeader()) continue;
+    for (const service of opts.machine.state.services()) {
+      try {
+        await rebalanceService(opts, service);
+      } catch (failure) {
+        opts.logger.warn({service, err: failure}, 'Starting planned moves failed.');
+      }
+    }
+  }
+}
+
+async function rebalanceService(opts: LeaderTasksOptions, service: string): Promise<void> {
+  const {state} = opts.machine;
+  const table = state.ranges(service);
+  const document = state.currentRevision(service)?.document;
+  if (!table || !document) return;
+  const moves = planMoves({
+    ranges: table.all,
+    sessions: state.sessionsOf(service),
+    loads: opts.loads.loadsOf(service),
+    weighsMost: document.weighsMost,
+    elapsedMs: opts.placementIntervalMs,
+  });
+  if (moves.length === 0) return;
+  opts.logger.info({service, moves: moves.length}, 'Planned moves start.');
+  await opts.leadership.propose({kind: 'startMoves', service, moves});
+}
--- /dev/null
+++ b/control/control-service/src/sessionHandler.ts
@@ -0,0 +1,141 @@
+import type {MessageInitShape} from '@bufbuild/protobuf';
+import type {SessionRequest, SessionResponseSchema} from '@medlarlane/control-rpc';
+import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
+import {decodeValue, registrationSchema} from '@medlarlane/model';
+import type {Logger} from '@medlarlane/logger';
+import type {LoadAggregator} from '@medlarlane/placement';
+import type {ControlStateMachine} from './controlStateMachine.js';
+import type {Leadership} from './leadership.js';
+
+type Response = MessageInitShape<typeof SessionResponseSchema>;
+type Message = SessionRequest['message'];
+type MessageCase = NonNullable<Message['case']>;
+type ValueOf<C extends MessageCase> = Extract<Message, {case: C}>['value'];
+
+export interface SessionHandlerOptions {
+  readonly leadership: Leadership;
+  readonly machine: ControlStateMachine;
+  readonly loads: LoadAggregator;
+  readonly leaseTtlMs: number;
+  readonly logger: Logger;
+}
+
+/** The session that a stream has registered or resumed; 0 before that. */
+interface StreamState {
+  sessionId: number;
+}
+
+type Handlers = {
+  readonly [C in MessageCase]: (
+    value: ValueOf<C>,
+    stream: StreamState,
+  ) => Promise<Response | undefined>;
+};
+
+/** Serves lease sessions: one call per connected daemon. */
+export class SessionHandler {
+  private readonly handlers: Handlers = {
+    register: async ({registration}, stream) => {
+      const command = {
+        kind: 'registerSession',
+        registration: decodeValue(registrationSchema, registration),
+      } as const;
+      const result = await this.opts.leadership.propose(command);
+      if (!result.ok) throw new MedlarlaneError(result.code, result.message);
+      stream.sessionId = result.sessionId ?? 0;
+      this.opts.logger.info(
+        {sessionId: stream.sessionId, instanceId: command.registration.instanceId},
+        'Session registered.',
+      );
+      return this.registered(stream);
+    },
+    resume: async ({sessionId, incarnation}, stream) => {
+      const session = this.opts.machine.state.session(Number(sessionId));
+      if (session?.incarnation !== incarnation) return ended('unknown session');
+      stream.sessionId = session.sessionId;
+      return this.registered(stream);
+    },
+    renew: async (renewal, stream) => {
+      const appliedIndex = Number(renewal.appliedIndex);
+      const outcome = this.opts.leadership.renew(stream.sessionId, appliedIndex);
+      if (outcome === 'ended') return ended('lease expired');
+      if (outcome === 'no-quorum') return undefined;
+      this.opts.loads.report(stream.sessionId, renewal);
+      return {
+        message: {
+          case: 'renewAck',
+          value: {seq: renewal.seq, commitIndex: BigInt(this.opts.machine.state.appliedIndex)},
+        },
+      };
+    },
+    released: async ({ranges}, stream) => {
+      const service = this.opts.machine.state.session(stream.sessionId)?.service;
+      if (service === undefined) return ended('unknown session');
+      await this.opts.leadership.propose({
+        kind: 'finishMoves',
+        service,
+        ranges: ranges.map(({startPosition, epoch}) => ({startPosition, epoch: Number(epoch)})),
+      });
+      return undefined;
+    },
+    giveUp: async ({reason}, stream) => {
+      await this.opts.leadership.endSession(stream.sessionId, reason);
+      return ended(reason);
+    },
+    drain: async (_drain, stream) => {
+      await this.opts.leadership.propose({kind: 'drainSession', sessionId: stream.sessionId});
+      return undefined;
+    },
+  };
+
+  constructor(private readonly opts: SessionHandlerOptions) {}
+
+  async *session(requests: AsyncIterable<SessionRequest>): AsyncGenerator<Response> {
+    const stream: StreamState = {sessionId: 0};
+    for await (const {message} of requests) {
+      if (message.case === undefined) continue;
+      if (!this.opts.leadership.isLeader()) {
+        yield notLeader(this.opts.leadership.leaderAddress());
+        return;
+      }
+      const response = await this.handle(message, stream);
+      if (response) yield response;
+      if (response?.message?.case === 'sessionEnded') return;
+    }
+  }
+
+  private async handle(message: Message, stream: StreamState): Promise<Response | undefined> {
+    const handler = this.handlers[message.case as MessageCase] as (
+      value: unknown,
+      stream: StreamState,
+    ) => Promise<Response | undefined>;
+    try {
+      return await handler(message.value, stream);
+    } catch (thrown) {
+      const error = toMedlarlaneError(thrown);
+      if (error.code !== 'NOT_LEADER') throw error;
+      return notLeader(this.opts.leadership.leaderAddress());
+    }
+  }
+
+  private registered(stream: StreamState): Response {
+    return {
+      message: {
+        case: 'registered',
+        value: {
+          sessionId: BigInt(stream.sessionId),
+          leaseTtlMs: this.opts.leaseTtlMs,
+          commitIndex: BigInt(this.opts.machine.state.appliedIndex),
+        },
+      },
+    };
+  }
+}
+
+function ended(reason: string): Response {
+  return {message: {case: 'sessionEnded', value: {reason}}};
+}
+
+function notLeader(leaderAddress: string): Response {
+  return {message: {case: 'notLeader', value: {leaderAddress}}};
+}
--- /dev/null
+++ b/control/control-state/src/controlState.ts
@@ -0,0 +1,356 @@
+import {createHash} from 'node:crypto';
+import {evenRanges, RangeTable} from '@medlarlane/key-space';
+import type {RangeChange} from '@medlarlane/key-space';
+import {decodeValue, encodeValue, teamOf} from '@medlarlane/model';
+import type {
+  Command,
+  CommandOf,
+  DirectoryChange,
+  DirectorySnapshot,
+  Range,
+  Registration,
+  ServiceDocument,
+  Session,
+} from '@medlarlane/model';
+import {assignOrphans} from '@medlarlane/placement';
+import {ChangeHistory} from './changeHistory.js';
+import {ChangeMemory} from './changeMemory.js';
+import {checkSignature, failure, parseDocument} from './documentChecks.js';
+import type {VerifySignature} from './documentChecks.js';
+import {stateSnapshotSchema} from './stateSnapshot.js';
+import type {CommandResult, DocumentRevision, StateSnapshot} from './stateSnapshot.js';
+
+// Fine enough that moving one range shifts less than 2% of the load between five servers.
+const INITIAL_RANGES = 256;
+const KEPT_REVISIONS = 50;
+
+export interface ControlStateOptions {
+  readonly verifySignature: VerifySignature;
+}
+
+type Handlers = {
+  readonly [K in Command['kind']]: (index: number, command: CommandOf<K>) => CommandResult;
+};
+
+/**
+ * The deterministic state machine of the control side: documents, teams, sessions and ranges.
+ * It uses no clock and no randomness; every replica that applies the same log has the same state.
+ */
+export class ControlState {
+  private index = 0;
+  private teams = new Map<string, string>();
+  private revisions = new Map<string, DocumentRevision[]>();
+  private sessions = new Map<number, Session>();
+  private assignments = new Map<string, RangeTable>();
+  private changeMemory = new ChangeMemory();
+  private history = new ChangeHistory(0);
+  private pendingChanges: DirectoryChange[] = [];
+
+  private readonly handlers: Handlers = {
+    claimTeam: (index, command) => this.claimTeam(index, command),
+    applyDocument: (index, command) => this.applyDocument(index, command),
+    registerSession: (index, {registration}) => this.registerSession(index, registration),
+    endSession: (index, {sessionId}) => this.endSession(index, sessionId),
+    drainSession: (index, {sessionId}) => this.drainSession(index, sessionId),
+    startMoves: (index, command) => this.startMoves(index, command),
+    finishMoves: (index, command) => this.finishMoves(index, command),
+  };
+
+  constructor(private readonly opts: ControlStateOptions) {}
+
+  get appliedIndex(): number {
+    return this.index;
+  }
+
+  /** Applies the command of the log entry at `index`. A rejected command has a result too. */
+  apply(index: number, command: Command): CommandResult {
+    this.index = index;
+    this.pendingChanges = [];
+    const handle = this.handlers[command.kind] as (
+      index: number,
+      command: Command,
+    ) => CommandResult;
+    const result = handle(index, command);
+    this.history.add(index, this.pendingChanges);
+    return result;
+  }
+
+  /** Notes an entry that holds no command. */
+  skip(index: number): void {
+    this.index = index;
+  }
+
+  /** Directory changes after `index`, or `undefined` when a snapshot is needed. */
+  changesSince(index: number): DirectoryChange[] | undefined {
+    return this.history.since(index);
+  }
+
+  directorySnapshot(): DirectorySnapshot {
+    return {
+      documents: this.services().map((service) => {
+        const {revision, document} = this.currentRevision(service)!;
+        return {revision, document};
+      }),
+      sessions: [...this.sessions.values()],
+      assignments: this.assignmentList(),
+    };
+  }
+
+  snapshot(): Uint8Array {
+    const snapshot: StateSnapshot = {
+      index: this.index,
+      teams: [...this.teams].map(([team, publicKeyPem]) => ({team, publicKeyPem})),
+      documents: [...this.revisions].map(([service, revisions]) => ({service, revisions})),
+      sessions: [...this.sessions.values()],
+      assignments: this.assignmentList(),
+      changes: this.changeMemory.all(),
+    };
+    return encodeValue(snapshot);
+  }
+
+  restore(payload: Uint8Array): void {
+    const snapshot = decodeValue(stateSnapshotSchema, payload);
+    this.index = snapshot.index;
+    this.teams = new Map(snapshot.teams.map(({team, publicKeyPem}) => [team, publicKeyPem]));
+    this.revisions = new Map(
+      snapshot.documents.map(({service, revisions}) => [service, revisions]),
+    );
+    this.sessions = new Map(snapshot.sessions.map((session) => [session.sessionId, session]));
+    this.assignments = new Map(
+      snapshot.assignments.map(({service, ranges}) => [service, new RangeTable(ranges)]),
+    );
+    this.changeMemory = new ChangeMemory(snapshot.changes);
+    this.history = new ChangeHistory(snapshot.index);
+  }
+
+  services(): string[] {
+    return [...this.revisions.keys()];
+  }
+
+  currentRevision(service: string): DocumentRevision | undefined {
+    return this.revisions.get(service)?.at(-1);
+  }
+
+  /** The kept revisions of a service, oldest first. */
+  revisionsOf(service: string): readonly DocumentRevision[] {
+    return this.revisions.get(service) ?? [];
+  }
+
+  session(sessionId: number): Session | undefined {
+    return this.sessions.get(sessionId);
+  }
+
+  allSessions(): Session[] {
+    return [...this.sessions.values()];
+  }
+
+  sessionsOf(service: string): Session[] {
+    return this.allSessions().filter((session) => session.service === service);
+  }
+
+  ranges(service: string): RangeTable | undefined {
+    return this.assignments.get(service);
+  }
+
+  hasTeam(team: string): boolean {
+    return this.teams.has(team);
+  }
+
+  private claimTeam(index: number, command: CommandOf<'claimTeam'>): CommandResult {
+    const {changeId, team, publicKeyPem} = command;
+    return this.changeMemory.once(changeId, fingerprintOf(command), () => {
+      const owner = this.teams.get(team);
+      if (owner !== undefined && owner !== publicKeyPem) {
+        return failure('TEAM_TAKEN', `Team ${team} is claimed by another key`);
+      }
+      this.teams.set(team, publicKeyPem);
+      return {ok: true, index};
+    });
+  }
+
+  private applyDocument(index: number, command: CommandOf<'applyDocument'>): CommandResult {
+    const {changeId, service} = command;
+    const publicKeyPem = this.teams.get(teamOf(service));
+    if (publicKeyPem === undefined) {
+      return failure('TEAM_UNKNOWN', `Team ${teamOf(service)} is not claimed`);
+    }
+    // The signature is checked first, so that nobody else can use up a change id of the team.
+    const forged = checkSignature(command, publicKeyPem, this.opts.verifySignature);
+    if (forged) return forged;
+    return this.changeMemory.once(changeId, fingerprintOf(command), () =>
+      this.commitDocument(index, command),
+    );
+  }
+
+  private commitDocument(index: number, command: CommandOf<'applyDocument'>): CommandResult {
+    const {service, baseRevision, changeId, proposedAtMs} = command;
+    const parsed = parseDocument(command);
+    if (!parsed.ok) return parsed;
+    const {document} = parsed;
+    const currentRevision = this.currentRevision(service)?.revision ?? 0;
+    if (baseRevision !== currentRevision) {
+      return failure('REVISION_CONFLICT', `Current revision is ${currentRevision}`, {
+        currentRevision,
+      });
+    }
+    const taken = document.hosts.find((host) => this.hostIsTaken(host, service));
+    if (taken !== undefined) {
+      return failure('DOCUMENT_INVALID', `Host ${taken} belongs to another service`);
+    }
+    const revision = currentRevision + 1;
+    const entry: DocumentRevision = {revision, index, changeId, proposedAtMs, document};
+    this.revisions.set(service, [...this.revisionsOf(service), entry].slice(-KEPT_REVISIONS));
+    this.pendingChanges.push({kind: 'document', revision, document});
+    this.adjustAssignment(index, document);
+    return {ok: true, index, revision};
+  }
+
+  private hostIsTaken(host: string, service: string): boolean {
+    return this.services().some(
+      (other) =>
+        other !== service && this.currentRevision(other)!.document.hosts.includes(host),
+    );
+  }
+
+  /** Creates the ranges when a service starts to be split by key, and drops them when it stops. */
+  private adjustAssignment(index: number, {service, splitByKey}: ServiceDocument): void {
+    if (!splitByKey) {
+      this.assignments.delete(service);
+      return;
+    }
+    if (this.assignments.has(service)) return;
+    const table = new RangeTable(evenRanges(INITIAL_RANGES));
+    this.assignments.set(service, table);
+    this.pendingChanges.push({
+      kind: 'ranges',
+      service,
+      fromPosition: 0,
+      toPosition: table.endOf(INITIAL_RANGES - 1),
+      ranges: [...table.all],
+    });
+    this.adoptOrphans(index, service);
+  }
+
+  private registerSession(index: number, registration: Registration): CommandResult {
+    const existing = this.allSessions().find(
+      ({incarnation}) => incarnation === registration.incarnation,
+    );
+    if (existing) return {ok: true, index, sessionId: existing.sessionId};
+    const session: Session = {...registration, sessionId: index, draining: false};
+    this.sessions.set(index, session);
+    this.pendingChanges.push({kind: 'session', session});
+    if (session.service !== undefined) this.adoptOrphans(index, session.service);
+    return {ok: true, index, sessionId: index};
+  }
+
+  private endSession(index: number, sessionId: number): CommandResult {
+    const session = this.sessions.get(sessionId);
+    if (!session) return failure('SESSION_ENDED', `Session ${sessionId} has ended`);
+    this.sessions.delete(sessionId);
+    const {service} = session;
+    if (service !== undefined) {
+      this.updateRanges(service, (range) => withoutSession(range, sessionId, index));
+      this.adoptOrphans(index, service);
+    }
+    // Sent after the ranges, so that a watcher never sees a range owned by an unknown session.
+    this.pendingChanges.push({kind: 'sessionEnded', sessionId});
+    return {ok: true, index, sessionId};
+  }
+
+  private drainSession(index: number, sessionId: number): CommandResult {
+    const session = this.sessions.get(sessionId);
+    if (!session) return failure('SESSION_ENDED', `Session ${sessionId} has ended`);
+    if (!session.draining) {
+      const draining = {...session, draining: true};
+      this.sessions.set(sessionId, draining);
+      this.pendingChanges.push({kind: 'session', session: draining});
+    }
+    return {ok: true, index, sessionId};
+  }
+
+  private startMoves(index: number, {service, moves}: CommandOf<'startMoves'>): CommandResult {
+    const table = this.assignments.get(service);
+    if (!table) return failure('SERVICE_UNKNOWN', `Service ${service} is not split by key`);
+    for (const {fromPosition, toPosition, fromSessionId, toSessionId} of moves) {
+      const destination = this.sessions.get(toSessionId);
+      if (!destination || destination.draining || destination.service !== service) continue;
+      table.splitAt(fromPosition);
+      table.splitAt(toPosition);
+      table.update((range) => {
+        const inside = range.startPosition >= fromPosition && range.startPosition < toPosition;
+        const movable = range.ownerSessionId === fromSessionId && range.nextSessionId === 0;
+        return inside && movable ? {...range, nextSessionId: toSessionId} : range;
+      });
+      this.publishSplit(service, fromPosition, toPosition);
+    }
+    return {ok: true, index};
+  }
+
+  /** Publishes the ranges around a moved stretch, whose edges a split may have made. */
+  private publishSplit(service: string, fromPosition: number, toPosition: number): void {
+    const table = this.assignments.get(service)!;
+    const first = Math.max(0, table.indexOf(fromPosition) - 1);
+    const last = Math.min(table.all.length - 1, table.indexOf(toPosition - 1) + 1);
+    this.pendingChanges.push({
+      kind: 'ranges',
+      service,
+      fromPosition: table.all[first]!.startPosition,
+      toPosition: table.endOf(last),
+      ranges: table.all.slice(first, last + 1),
+    });
+  }
+
+  private finishMoves(index: number, {service, ranges}: CommandOf<'finishMoves'>): CommandResult {
+    const epochByStart = new Map(ranges.map(({startPosition, epoch}) => [startPosition, epoch]));
+    this.updateRanges(service, (range) => {
+      const released = epochByStart.get(range.startPosition) === range.epoch;
+      if (!released || range.nextSessionId === 0) return range;
+      return {...range, ownerSessionId: range.nextSessionId, nextSessionId: 0, epoch: index};
+    });
+    return {ok: true, index};
+  }
+
+  /** Gives ranges without owner to the sessions that can serve them. */
+  private adoptOrphans(index: number, service: string): void {
+    const table = this.assignments.get(service);
+    const sessions = this.sessionsOf(service).filter(({draining}) => !draining);
+    if (!table || sessions.length === 0) return;
+    const orphanIndexes = table.all.flatMap(({ownerSessionId}, position) =>
+      ownerSessionId === 0 ? [position] : [],
+    );
+    if (orphanIndexes.length === 0) return;
+    const owners = assignOrphans(table.all, orphanIndexes, sessions);
+    const ownerByIndex = new Map(orphanIndexes.map((orphan, order) => [orphan, owners[order]!]));
+    this.updateRanges(service, (range, position) => {
+      const ownerSessionId = ownerByIndex.get(position);
+      return ownerSessionId === undefined ? range : {...range, ownerSessionId, epoch: index};
+    });
+  }
+
+  private updateRanges(
+    service: string,
+    transform: (range: Range, index: number) => Range,
+  ): void {
+    const changes: RangeChange[] = this.assignments.get(service)?.update(transform) ?? [];
+    for (const change of changes) this.pendingChanges.push({kind: 'ranges', service, ...change});
+  }
+
+  private assignmentList(): Array<{service: string; ranges: Range[]}> {
+    return [...this.assignments].map(([service, table]) => ({service, ranges: [...table.all]}));
+  }
+}
+
+/** A moving range whose owner ends goes to its destination at once. */
+function withoutSession(range: Range, sessionId: number, index: number): Range {
+  if (range.ownerSessionId === sessionId) {
+    return {...range, ownerSessionId: range.nextSessionId, nextSessionId: 0, epoch: index};
+  }
+  if (range.nextSessionId === sessionId) return {...range, nextSessionId: 0};
+  return range;
+}
+
+/** Identifies the content of a change, without the time at which a leader proposed it. */
+function fingerprintOf(command: CommandOf<'claimTeam'> | CommandOf<'applyDocument'>): string {
+  const content = JSON.stringify({...command, proposedAtMs: 0});
+  return createHash('sha256').update(content).digest('base64');
+}
--- /dev/null
+++ b/control/control-state/src/documentChecks.ts
@@ -0,0 +1,54 @@
+import {createHash} from 'node:crypto';
+import type {CommandOf, ServiceDocument} from '@medlarlane/model';
+import {serviceDocumentSchema, signedText, teamOf} from '@medlarlane/model';
+import type {CommandResult} from './stateSnapshot.js';
+
+type Failure = Extract<CommandResult, {ok: false}>;
+
+/** Checks an Ed25519 signature (base64) of `text` by the key `publicKeyPem`. */
+export type VerifySignature = (text: string, signature: string, publicKeyPem: string) => boolean;
+
+export function failure(
+  code: Failure['code'],
+  message: string,
+  details?: Record<string, unknown>,
+): Failure {
+  return {ok: false, code, message, ...(details ? {details} : {})};
+}
+
+/** Parses the document of a command, or returns every problem with its path. */
+export function parseDocument(
+  command: CommandOf<'applyDocument'>,
+): {ok: true; document: ServiceDocument} | Failure {
+  let json: unknown;
+  try {
+    json = JSON.parse(command.documentJson);
+  } catch {
+    return failure('DOCUMENT_INVALID', 'Document is not valid JSON');
+  }
+  const parsed = serviceDocumentSchema.safeParse(json);
+  if (!parsed.success) {
+    const problems = parsed.error.issues.map((issue) => ({
+      path: issue.path.join('.'),
+      message: issue.message,
+    }));
+    return failure('DOCUMENT_INVALID', 'Document does not match the schema', {problems});
+  }
+  if (parsed.data.service !== command.service) {
+    return failure('DOCUMENT_INVALID', `Document is for ${parsed.data.service}`);
+  }
+  return {ok: true, document: parsed.data};
+}
+
+/** Checks that the team's key signed this document on this base revision under this change id. */
+export function checkSignature(
+  command: CommandOf<'applyDocument'>,
+  publicKeyPem: string,
+  verify: VerifySignature,
+): Failure | undefined {
+  const {service, baseRevision, changeId, documentJson, signature} = command;
+  const documentSha256 = createHash('sha256').update(documentJson).digest('hex');
+  const text = signedText({service, baseRevision, changeId, documentSha256});
+  if (verify(text, signature, publicKeyPem)) return undefined;
+  return failure('SIGNATURE_INVALID', `Signature is not by the key of team ${teamOf(service)}`);
+}
--- /dev/null
+++ b/control/control-state/src/stateSnapshot.ts
@@ -0,0 +1,53 @@
+import {z} from 'zod';
+import {isErrorCode} from '@medlarlane/errors';
+import type {ErrorCode} from '@medlarlane/errors';
+import {nameSchema, rangeSchema, serviceDocumentSchema, serviceNameSchema, sessionSchema} from '@medlarlane/model';
+
+const errorCodeSchema = z.custom<ErrorCode>(
+  (value) => typeof value === 'string' && isErrorCode(value),
+);
+
+/** The result of a command. It is remembered for changes that carry a change id. */
+export const commandResultSchema = z.discriminatedUnion('ok', [
+  z.object({
+    ok: z.literal(true),
+    /** Index of the log entry that made the change. */
+    index: z.int(),
+    revision: z.int().optional(),
+    sessionId: z.int().optional(),
+  }),
+  z.object({
+    ok: z.literal(false),
+    code: errorCodeSchema,
+    message: z.string(),
+    details: z.record(z.string(), z.unknown()).optional(),
+  }),
+]);
+export type CommandResult = z.infer<typeof commandResultSchema>;
+
+export const documentRevisionSchema = z.object({
+  revision: z.int().positive(),
+  index: z.int(),
+  changeId: z.string(),
+  proposedAtMs: z.int(),
+  document: serviceDocumentSchema,
+});
+export type DocumentRevision = z.infer<typeof documentRevisionSchema>;
+
+const rememberedChangeSchema = z.object({
+  changeId: z.string(),
+  fingerprint: z.string(),
+  result: commandResultSchema,
+});
+export type RememberedChange = z.infer<typeof rememberedChangeSchema>;
+
+/** The whole control state as of one log index. */
+export const stateSnapshotSchema = z.object({
+  index: z.int(),
+  teams: z.array(z.object({team: nameSchema, publicKeyPem: z.string()})),
+  documents: z.array(z.object({service: serviceNameSchema, revisions: z.array(documentRevisionSchema)})),
+  sessions: z.array(sessionSchema),
+  assignments: z.array(z.object({service: serviceNameSchema, ranges: z.array(rangeSchema)})),
+  changes: z.array(rememberedChangeSchema),
+});
+export type StateSnapshot = z.infer<typeof stateSnapshotSchema>;
--- a/control/leases/src/index.ts
+++ b/control/leases/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export {LeaseTable} from './leaseTable.js';
+export type {LeaseState, LeaseTableOptions} from './leaseTable.js';
--- a/kernel/lifecycle/src/index.ts
+++ b/kernel/lifecycle/src/index.ts
@@ -3,3 +3,5 @@
 export {ManualClock, systemClock} from './clock.js';
 export type {Clock} from './clock.js';
 export {DisposableStore} from './disposableStore.js';
+export {createDeferred} from './deferred.js';
+export type {Deferred} from './deferred.js';
--- a/protocol/model/src/commands.ts
+++ b/protocol/model/src/commands.ts
@@ -23,6 +23,8 @@
   documentJson: z.string().max(262_144),
   /** Ed25519 signature, base64, over `signedText`. */
   signature: z.string().max(256),
+  /** Wall-clock time at which the leader proposed the change, for the history. */
+  proposedAtMs: z.int().min(0),
 });
 
 export const moveSchema = z.object({
--- /dev/null
+++ b/routing/control-client/src/controlClient.ts
@@ -0,0 +1,383 @@
+import {PassThrough} from 'node:stream';
+import type {SecureClientSessionOptions} from 'node:http2';
+import {create} from '@bufbuild/protobuf';
+import type {MessageInitShape} from '@bufbuild/protobuf';
+import {createClient} from '@connectrpc/connect';
+import type {Transport} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {
+  AdminService,
+  LeaseService,
+  SessionRequestSchema,
+  WatchService,
+} from '@medlarlane/control-rpc';
+import type {SessionRequest, SessionResponse} from '@medlarlane/control-rpc';
+import type {Directory} from '@medlarlane/directory';
+import {fromProblemDocument, MedlarlaneError} from '@medlarlane/errors';
+import {createDeferred} from '@medlarlane/lifecycle';
+import type {BackgroundTasks, Clock} from '@medlarlane/lifecycle';
+import type {Logger} from '@medlarlane/logger';
+import {
+  decodeValue,
+  directoryChangeSchema,
+  directorySnapshotSchema,
+  encodeValue,
+} from '@medlarlane/model';
+import type {Registration} from '@medlarlane/model';
+import type {Lease, ReleasedRange} from '@medlarlane/ownership';
+import {z} from 'zod';
+
+/** Load of the local target since the previous report. */
+export interface LoadReport {
+  readonly rangeLoads: ReadonlyArray<{readonly startPosition: number; readonly rateRps: number}>;
+  readonly keyLoads: ReadonlyArray<{readonly position: number; readonly rateRps: number}>;
+  readonly inFlight: number;
+}
+
+export interface ControlClientOptions {
+  /** Control addresses of the replicas to contact, `<ip>:<port>`. */
+  readonly replicaAddresses: readonly string[];
+  readonly tls?: () => SecureClientSessionOptions;
+  readonly lease: Lease;
+  readonly directory: Directory;
+  readonly clock: Clock;
+  readonly tasks: BackgroundTasks;
+  readonly logger: Logger;
+  readonly renewIntervalMs: number;
+  /** Share of the instance's watch streams by replica; daemons spread by it. */
+  readonly watchOffset: number;
+  readonly takeLoadReport: () => LoadReport;
+}
+
+const OPEN_TIMEOUT_MS = 1000;
+const RETRY_DELAY_MS = 50;
+const EXECUTE_TIMEOUT_MS = 5000;
+// Answers that a lagging directory may still confirm.
+const KEPT_ANSWERS = 64;
+const GIVE_UP_TIMEOUT_MS = 1000;
+// Renewals in a row that may stay unanswered before another replica is tried.
+const UNANSWERED_RENEWALS = 2;
+// A watch stream that lags behind the leader for longer is opened at another replica.
+const WATCH_LAG_LIMIT_MS = 400;
+
+const changesSchema = z.array(directoryChangeSchema);
+/** A session stream that the leader has accepted. */
+interface OpenSession {
+  readonly outbox: PassThrough;
+  readonly abort: AbortController;
+  readonly closed: Promise<void>;
+}
+
+/** The commit index that the leader named in its answer to a renewal. */
+interface RenewalAnswer {
+  readonly sentAtMs: number;
+  readonly commitIndex: number;
+}
+
+type RequestInit = MessageInitShape<typeof SessionRequestSchema>;
+
+/** The session, watch and operator calls of one daemon towards the control replicas. */
+export class ControlClient {
+  private registration: Registration | undefined;
+  private leaderHint = '';
+  private nextReplica = 0;
+  private openSession: OpenSession | undefined;
+  private watchAbort: AbortController | undefined;
+  private commitIndexSeen = 0;
+  private unconfirmed: RenewalAnswer[] = [];
+  private laggingSinceMs: number | undefined;
+  private currentAtMs = -Infinity;
+  private readonly transports = new Map<string, Transport>();
+  private readonly sentAtMsBySeq = new Map<number, number>();
+  private seq = 0;
+  private leaseTtlMs = 0;
+
+  constructor(private readonly opts: ControlClientOptions) {}
+
+  /** Starts the session and watch tasks. */
+  start(): void {
+    this.opts.tasks.run('lease session', (signal) => this.keepSession(signal));
+    this.opts.tasks.run('watch', (signal) => this.keepWatch(signal));
+    this.opts.directory.onChange(() => this.confirmCurrent());
+  }
+
+  /** Registers this daemon. An earlier session must have been given up. */
+  register(registration: Registration): void {
+    this.registration = registration;
+  }
+
+  /** Monotonic time at which this daemon last knew that its directory was current. */
+  get lastCurrentAtMs(): number {
+    return this.currentAtMs;
+  }
+
+  release(ranges: readonly ReleasedRange[]): void {
+    const keys = ranges.map(({range}) => ({
+      startPosition: range.startPosition,
+      epoch: BigInt(range.epoch),
+    }));
+    this.send({message: {case: 'released', value: {ranges: keys}}});
+  }
+
+  /** Asks the leader to move the ranges of this daemon away. */
+  drain(): void {
+    this.send({message: {case: 'drain', value: {}}});
+  }
+
+  /**
+   * Gives up the session: from now on this daemon serves nothing. Resolves when the leader has ended
+   * the session, or when the message cannot be sent and the lease must run out.
+   */
+  async giveUp(reason: string): Promise<void> {
+    this.opts.lease.end();
+    this.registration = undefined;
+    const open = this.openSession;
+    if (!open) return;
+    this.send({message: {case: 'giveUp', value: {reason}}});
+    const timer = setTimeout(() => open.abort.abort(), GIVE_UP_TIMEOUT_MS);
+    await open.closed;
+    clearTimeout(timer);
+  }
+
+  /** Whether a stream to the leader is open. */
+  get isConnected(): boolean {
+    return this.openSession !== undefined;
+  }
+
+  /**
+   * Runs an operator operation on the leader.
+   * @throws MedlarlaneError of the operation, `NO_LEADER` when no replica answers.
+   */
+  async execute(operation: string, args: unknown): Promise<unknown> {
+    const addresses = [this.leaderHint, ...this.opts.replicaAddresses].filter(Boolean);
+    for (const address of new Set(addresses)) {
+      const outcome = await this.executeAt(address, operation, args);
+      if (outcome) return outcome.result;
+    }
+    throw new MedlarlaneError('NO_LEADER');
+  }
+
+  /** Returns `undefined` when the replica cannot be reached or knows no leader. */
+  private async executeAt(
+    address: string,
+    operation: string,
+    args: unknown,
+  ): Promise<{result: unknown} | undefined> {
+    const client = createClient(AdminService, this.transport(address));
+    const request = {operation, argumentsJson: JSON.stringify(args ?? {})};
+    let response;
+    try {
+      response = await client.execute(request, {timeoutMs: EXECUTE_TIMEOUT_MS});
+    } catch (failure) {
+      this.opts.logger.debug({address, err: failure}, 'Operator call failed.');
+      return undefined;
+    }
+    if (!response.problemJson) return {result: JSON.parse(response.resultJson) as unknown};
+    const error =
+      fromProblemDocument(JSON.parse(response.problemJson)) ?? new MedlarlaneError('INTERNAL');
+    if (error.code === 'NOT_LEADER' || error.code === 'NO_LEADER') return undefined;
+    throw error;
+  }
+
+  private async keepSession(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.registration) await this.runSession(this.registration, signal);
+      await this.opts.clock.sleep(RETRY_DELAY_MS, {signal});
+    }
+  }
+
+  private async runSession(registration: Registration, signal: AbortSignal): Promise<void> {
+    const address = this.pickReplica();
+    const abort = new AbortController();
+    const outbox = new PassThrough({objectMode: true});
+    const closing = createDeferred();
+    const session: OpenSession = {outbox, abort, closed: closing.promise};
+    const openTimer = setTimeout(() => abort.abort(), OPEN_TIMEOUT_MS);
+    try {
+      outbox.write(this.firstMessage(registration));
+      const responses = createClient(LeaseService, this.transport(address)).session(
+        outbox as AsyncIterable<SessionRequest>,
+        {signal: AbortSignal.any([signal, abort.signal])},
+      );
+      for await (const response of responses) {
+        clearTimeout(openTimer);
+        if (this.handleResponse(response, session) === 'finished') return;
+      }
+    } catch (failure) {
+      this.opts.logger.debug({address, err: failure}, 'Lease session closed.');
+    } finally {
+      clearTimeout(openTimer);
+      abort.abort();
+      outbox.end();
+      if (this.openSession === session) this.openSession = undefined;
+      closing.resolve();
+    }
+  }
+
+  private firstMessage(registration: Registration): SessionRequest {
+    const {sessionId} = this.opts.lease;
+    const init: RequestInit =
+      sessionId === 0
+        ? {message: {case: 'register', value: {registration: encodeValue(registration)}}}
+        : {
+            message: {
+              case: 'resume',
+              value: {sessionId: BigInt(sessionId), incarnation: registration.incarnation},
+            },
+          };
+    return create(SessionRequestSchema, init);
+  }
+
+  private handleResponse(
+    {message}: SessionResponse,
+    session: OpenSession,
+  ): 'open' | 'finished' {
+    switch (message.case) {
+      case 'registered':
+        this.opts.lease.start(Number(message.value.sessionId));
+        this.leaseTtlMs = message.value.leaseTtlMs;
+        this.openSession = session;
+        this.opts.logger.info({sessionId: this.opts.lease.sessionId}, 'Session open.');
+        void this.renewPeriodically(session.abort);
+        return 'open';
+      case 'renewAck':
+        this.acknowledge(message.value.seq, Number(message.value.commitIndex));
+        return 'open';
+      case 'sessionEnded':
+        this.opts.logger.info({reason: message.value.reason}, 'Session ended.');
+        this.opts.lease.end();
+        return 'finished';
+      case 'notLeader':
+        this.leaderHint = message.value.leaderAddress;
+        return 'finished';
+      case undefined:
+        return 'open';
+    }
+  }
+
+  private async renewPeriodically(abort: AbortController): Promise<void> {
+    const {signal} = abort;
+    const {clock, renewIntervalMs} = this.opts;
+    this.sentAtMsBySeq.clear();
+    try {
+      while (!signal.aborted) {
+        if (this.sentAtMsBySeq.size > UNANSWERED_RENEWALS) return abort.abort();
+        this.renew();
+        this.switchLaggingWatch();
+        await clock.sleep(renewIntervalMs, {signal});
+      }
+    } catch {
+      // The stream has ended.
+    }
+  }
+
+  private renew(): void {
+    this.seq += 1;
+    this.sentAtMsBySeq.set(this.seq, this.opts.clock.nowMs());
+    const {rangeLoads, keyLoads, inFlight} = this.opts.takeLoadReport();
+    this.send({
+      message: {
+        case: 'renew',
+        value: {
+          seq: this.seq,
+          appliedIndex: BigInt(this.opts.directory.appliedIndex),
+          rangeLoads: [...rangeLoads],
+          keyLoads: [...keyLoads],
+          inFlight,
+        },
+      },
+    });
+  }
+
+  private acknowledge(seq: number, commitIndex: number): void {
+    const sentAtMs = this.sentAtMsBySeq.get(seq);
+    if (sentAtMs === undefined) return;
+    for (const sent of this.sentAtMsBySeq.keys()) {
+      if (sent <= seq) this.sentAtMsBySeq.delete(sent);
+    }
+    this.opts.lease.extend(sentAtMs, this.leaseTtlMs);
+    this.commitIndexSeen = Math.max(this.commitIndexSeen, commitIndex);
+    this.unconfirmed = [...this.unconfirmed, {sentAtMs, commitIndex}].slice(-KEPT_ANSWERS);
+    this.confirmCurrent();
+  }
+
+  /** The directory is current as of the latest renewal whose commit index it has reached. */
+  private confirmCurrent(): void {
+    const {appliedIndex} = this.opts.directory;
+    const confirmed = this.unconfirmed.filter(({commitIndex}) => commitIndex <= appliedIndex);
+    const latest = confirmed.at(-1);
+    if (!latest) return;
+    this.currentAtMs = latest.sentAtMs;
+    this.unconfirmed = this.unconfirmed.filter(({commitIndex}) => commitIndex > appliedIndex);
+  }
+
+  /** A watch stream can come from a frozen or isolated replica; the leader's index shows it. */
+  private switchLaggingWatch(): void {
+    const nowMs = this.opts.clock.nowMs();
+    if (this.opts.directory.appliedIndex >= this.commitIndexSeen) {
+      this.laggingSinceMs = undefined;
+      return;
+    }
+    this.laggingSinceMs ??= nowMs;
+    if (nowMs - this.laggingSinceMs < WATCH_LAG_LIMIT_MS) return;
+    this.laggingSinceMs = undefined;
+    this.watchAbort?.abort();
+  }
+
+  private async keepWatch(signal: AbortSignal): Promise<void> {
+    const {replicaAddresses, clock, watchOffset} = this.opts;
+    for (let attempt = watchOffset; !signal.aborted; attempt++) {
+      const address = replicaAddresses[attempt % replicaAddresses.length]!;
+      const abort = new AbortController();
+      this.watchAbort = abort;
+      try {
+        await this.runWatch(address, AbortSignal.any([signal, abort.signal]));
+      } catch (failure) {
+        this.opts.logger.debug({address, err: failure}, 'Watch closed.');
+      }
+      await clock.sleep(RETRY_DELAY_MS, {signal});
+    }
+  }
+
+  private async runWatch(address: string, signal: AbortSignal): Promise<void> {
+    const {directory} = this.opts;
+    const client = createClient(WatchService, this.transport(address));
+    const request = {fromIndex: BigInt(directory.appliedIndex)};
+    for await (const response of client.watch(request, {signal})) {
+      const index = Number(response.index);
+      if (response.snapshot.length > 0) {
+        directory.applySnapshot(index, decodeValue(directorySnapshotSchema, response.snapshot));
+      } else {
+        const changes =
+          response.changes.length > 0 ? decodeValue(changesSchema, response.changes) : [];
+        directory.applyChanges(index, changes);
+      }
+    }
+  }
+
+  private send(init: RequestInit): void {
+    this.openSession?.outbox.write(create(SessionRequestSchema, init));
+  }
+
+  /** The leader named by the last answer once, otherwise the replicas in turn. */
+  private pickReplica(): string {
+    const hint = this.leaderHint;
+    this.leaderHint = '';
+    if (hint) return hint;
+    const {replicaAddresses} = this.opts;
+    return replicaAddresses[this.nextReplica++ % replicaAddresses.length]!;
+  }
+
+  private transport(address: string): Transport {
+    const existing = this.transports.get(address);
+    if (existing) return existing;
+    const tls = this.opts.tls;
+    const transport = createConnectTransport({
+      httpVersion: '2',
+      baseUrl: `${tls ? 'https' : 'http'}://${address}`,
+      ...(tls ? {nodeOptions: tls()} : {}),
+    });
+    this.transports.set(address, transport);
+    return transport;
+  }
+}
--- a/routing/control-client/src/index.ts
+++ b/routing/control-client/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export {ControlClient} from './controlClient.js';
+export type {ControlClientOptions, LoadReport} from './controlClient.js';
--- a/routing/directory/src/index.ts
+++ b/routing/directory/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export {Directory} from './directory.js';
+export type {DocumentEntry} from './directory.js';
--- /dev/null
+++ b/routing/forwarder/src/exchange.ts
@@ -0,0 +1,91 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {v7 as createRequestId} from 'uuid';
+import type {Directory} from '@medlarlane/directory';
+import {MedlarlaneError} from '@medlarlane/errors';
+import {extractKey, hashKey} from '@medlarlane/key-space';
+import type {Clock} from '@medlarlane/lifecycle';
+import type {ServiceDocument} from '@medlarlane/model';
+import {HEADER, singleHeader} from './headers.js';
+import {RequestBody} from './requestBody.js';
+
+/** One request on its way through this daemon. */
+export interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly requestId: string;
+  readonly document: ServiceDocument;
+  /** Position of the key; `undefined` for a service that is not split by key. */
+  readonly position: number | undefined;
+  /** Whether the request may run more than once. */
+  readonly repeatable: boolean;
+  readonly idempotencyKey: string | undefined;
+  /** Monotonic time by which the answer must have started. */
+  readonly deadlineMs: number;
+  /** Who shares the queue fairly with others. */
+  readonly callerId: string;
+  readonly body: RequestBody;
+  /** Directory index of the daemon that forwarded the request; 0 for a caller's request. */
+  readonly senderIndex: number;
+}
+
+export interface OpenExchangeOptions {
+  readonly directory: Directory;
+  readonly clock: Clock;
+}
+
+/**
+ * Reads what routing needs from a request.
+ * @throws MedlarlaneError `SERVICE_UNKNOWN`, `KEY_MISSING`, `IDEMPOTENCY_KEY_REQUIRED`,
+ *     `REQUEST_INVALID`.
+ */
+export async function openExchange(
+  request: IncomingMessage,
+  response: ServerResponse,
+  opts: OpenExchangeOptions,
+): Promise<Exchange> {
+  const document = findDocument(request, opts.directory);
+  const method = request.method ?? 'GET';
+  const repeatable = (document.requests.repeatableMethods as readonly string[]).includes(method);
+  const idempotencyKey = singleHeader(request, HEADER.idempotencyKey);
+  if (!repeatable && idempotencyKey === undefined && document.requests.requireIdempotencyKey) {
+    throw new MedlarlaneError('IDEMPOTENCY_KEY_REQUIRED');
+  }
+  const position = positionOf(request, document);
+  const deadlineMs = opts.clock.nowMs() + remainingMs(request, document);
+  return {
+    request,
+    response,
+    requestId: singleHeader(request, HEADER.requestId) ?? createRequestId(),
+    document,
+    position,
+    repeatable,
+    idempotencyKey: repeatable ? undefined : idempotencyKey,
+    deadlineMs,
+    callerId: singleHeader(request, HEADER.callerId) ?? request.socket.remoteAddress ?? '',
+    body: await RequestBody.read(request),
+    senderIndex: Number(singleHeader(request, HEADER.index) ?? 0),
+  };
+}
+
+function findDocument(request: IncomingMessage, directory: Directory): ServiceDocument {
+  const service =
+    singleHeader(request, HEADER.service) ?? directory.serviceOfHost(request.headers.host ?? '');
+  const entry = service === undefined ? undefined : directory.document(service);
+  if (entry) return entry.document;
+  throw new MedlarlaneError('SERVICE_UNKNOWN', `Request names no known service: ${service ?? ''}`);
+}
+
+function positionOf(request: IncomingMessage, document: ServiceDocument): number | undefined {
+  if (!document.splitByKey || !document.key) return undefined;
+  const key = extractKey(document.key, {url: request.url ?? '/', headers: request.headers});
+  if (key === undefined) throw new MedlarlaneError('KEY_MISSING');
+  return hashKey(key);
+}
+
+function remainingMs(request: IncomingMessage, document: ServiceDocument): number {
+  const text = singleHeader(request, HEADER.deadlineMs);
+  if (text === undefined) return document.requests.defaultDeadlineMs;
+  const remaining = Number(text);
+  if (Number.isFinite(remaining) && remaining >= 0) return remaining;
+  throw new MedlarlaneError('REQUEST_INVALID', `Header ${HEADER.deadlineMs} is not a duration`);
+}
--- /dev/null
+++ b/routing/forwarder/src/localServer.ts
@@ -0,0 +1,297 @@
+import {createHash} from 'node:crypto';
+import {Either, Left, Right} from 'purify-ts/Either';
+import type {Dispatcher} from 'undici';
+import type {AdmissionOutcome, AdmissionQueue, Permit} from '@medlarlane/admission';
+import type {IdempotencyTable, RecordedResponse, Run} from '@medlarlane/dedupe';
+import type {Directory} from '@medlarlane/directory';
+import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
+import type {Clock} from '@medlarlane/lifecycle';
+import type {Ownership, RunningRequest} from '@medlarlane/ownership';
+import {requestFingerprints} from '@medlarlane/poison';
+import type {PoisonTable} from '@medlarlane/poison';
+import type {Exchange} from './exchange.js';
+import {endToEndHeaders, HEADER, targetResponseHeaders} from './headers.js';
+import type {ResponseHeaders} from './headers.js';
+import {relay, RelayFailure} from './relay.js';
+import type {RelayFailureReason, RelayOutcome} from './relay.js';
+import {ResponseRecorder} from './responseRecorder.js';
+
+/** The announced local target, with what this daemon holds for it. */
+export interface LocalTargetPort {
+  readonly address: string;
+  readonly dispatcher: Dispatcher;
+  readonly admission: AdmissionQueue;
+}
+
+/** What became of requests at the local target. */
+export interface TargetOutcomeObserver {
+  sent(requestId: string, fingerprints: () => string[]): void;
+  ended(requestId: string, outcome: AdmissionOutcome, durationMs: number): void;
+}
+
+export interface LocalServerOptions {
+  readonly ownership: Ownership;
+  readonly directory: Directory;
+  readonly idempotency: IdempotencyTable;
+  readonly poison: PoisonTable;
+  readonly clock: Clock;
+  /** The target that runs requests now; `undefined` while none is announced or it has failed. */
+  readonly target: () => LocalTargetPort | undefined;
+  readonly outcomes: TargetOutcomeObserver;
+  /** Asks the target to stop working on a request whose caller has gone. */
+  readonly cancel: (requestId: string) => void;
+  readonly loadHint: () => number;
+  readonly ownerAddress: () => string;
+}
+
+/** A response that has been passed on, or was cut after it had started. */
+export interface Served {
+  readonly status: number;
+  readonly isComplete: boolean;
+}
+
+// How long a daemon that was named as owner waits until its own directory says so.
+const CATCH_UP_LIMIT_MS = 1000;
+
+const ADMISSION_OUTCOMES: Readonly<Record<RelayFailureReason, AdmissionOutcome>> = {
+  connect: 'unsent',
+  timeout: 'timeout',
+  reset: 'failed',
+  cancelled: 'cancelled',
+};
+
+/** Runs requests on the local target, for which every request is checked twice. */
+export class LocalServer {
+  constructor(private readonly opts: LocalServerOptions) {}
+
+  /** Returns the error when the response has not started. */
+  async serve(exchange: Exchange): Promise<Either<MedlarlaneError, Served>> {
+    try {
+      return Right(await this.run(exchange));
+    } catch (thrown) {
+      return Left(toMedlarlaneError(thrown));
+    }
+  }
+
+  private async run(exchange: Exchange): Promise<Served> {
+    const running = await this.enter(exchange);
+    try {
+      this.opts.poison.check(this.opts.poison.isEmpty ? [] : fingerprintsOf(exchange));
+      if (exchange.idempotencyKey === undefined || exchange.position === undefined) {
+        return await this.admit(exchange, running, undefined);
+      }
+      return await this.runOnce(exchange, running, exchange.idempotencyKey, exchange.position);
+    } finally {
+      running.leave();
+    }
+  }
+
+  /** Enters once this daemon owns the position; waits while a planned move is under way. */
+  private async enter(exchange: Exchange): Promise<RunningRequest> {
+    const {ownership, directory, clock} = this.opts;
+    const service = exchange.document.service;
+    const signal = AbortSignal.timeout(Math.max(0, exchange.deadlineMs - clock.nowMs()));
+    const catchUpUntilMs = clock.nowMs() + CATCH_UP_LIMIT_MS;
+    for (;;) {
+      const entered = ownership.enter(service, exchange.position);
+      if (typeof entered !== 'string') return entered;
+      const mayCatchUp =
+        exchange.senderIndex > directory.appliedIndex && clock.nowMs() < catchUpUntilMs;
+      if (entered === 'LEASE_EXPIRED') throw new MedlarlaneError('LEASE_EXPIRED');
+      if (entered === 'NOT_OWNER' && !mayCatchUp) throw this.notOwner(exchange);
+      const waitSignal =
+        entered === 'NOT_OWNER'
+          ? AbortSignal.any([signal, AbortSignal.timeout(CATCH_UP_LIMIT_MS)])
+          : signal;
+      await directory.nextChange(waitSignal).catch(() => {
+        if (signal.aborted) throw new MedlarlaneError('DEADLINE_EXCEEDED');
+      });
+    }
+  }
+
+  private notOwner({document, position}: Exchange): MedlarlaneError {
+    const {directory} = this.opts;
+    const range = position === undefined ? undefined : directory.range(document.service, position);
+    const owner = directory.session(range?.ownerSessionId ?? 0);
+    return new MedlarlaneError('NOT_OWNER', undefined, {
+      details: {index: directory.appliedIndex, ownerAddress: owner?.callerAddress ?? ''},
+    });
+  }
+
+  private async runOnce(
+    exchange: Exchange,
+    running: RunningRequest,
+    id: string,
+    position: number,
+  ): Promise<Served> {
+    const {deadlineMs, document} = exchange;
+    const begun = await this.opts.idempotency.begin({
+      service: document.service,
+      position,
+      id,
+      digest: digestOf(exchange),
+      deadlineMs,
+    });
+    if (begun.kind === 'recorded') return this.replay(exchange, begun.response);
+    try {
+      return await this.admit(exchange, running, begun.run);
+    } catch (thrown) {
+      if (toMedlarlaneError(thrown).ran === 'no') begun.run.markNotRun();
+      else begun.run.markUnknown();
+      throw thrown;
+    }
+  }
+
+  private replay({response}: Exchange, recorded: RecordedResponse): Served {
+    response.writeHead(recorded.status, recorded.headers.flat());
+    response.end(recorded.body);
+    return {status: recorded.status, isComplete: true};
+  }
+
+  private async admit(
+    exchange: Exchange,
+    running: RunningRequest,
+    run: Run | undefined,
+  ): Promise<Served> {
+    const target = this.opts.target();
+    if (!target) throw new MedlarlaneError('NO_TARGET');
+    const {callerId, deadlineMs} = exchange;
+    const permit = await target.admission.acquire({callerId, deadlineMs});
+    const startedMs = this.opts.clock.nowMs();
+    let outcome: AdmissionOutcome = 'unsent';
+    try {
+      if (!running.isStillOwned()) throw new MedlarlaneError('LEASE_EXPIRED');
+      return await this.send(exchange, running, run, target, (ended) => (outcome = ended));
+    } finally {
+      this.end(exchange, permit, outcome, this.opts.clock.nowMs() - startedMs);
+    }
+  }
+
+  private end(
+    {requestId}: Exchange,
+    permit: Permit,
+    outcome: AdmissionOutcome,
+    durationMs: number,
+  ): void {
+    permit.release({durationMs, outcome});
+    this.opts.outcomes.ended(requestId, outcome, durationMs);
+  }
+
+  private async send(
+    exchange: Exchange,
+    running: RunningRequest,
+    run: Run | undefined,
+    target: LocalTargetPort,
+    report: (outcome: AdmissionOutcome) => void,
+  ): Promise<Served> {
+    const {request, response, document, requestId} = exchange;
+    const {requestTimeoutMs} = document.targets;
+    const recorder = run ? new ResponseRecorder() : undefined;
+    const remainingMs = exchange.deadlineMs - this.opts.clock.nowMs();
+    if (remainingMs <= 0) throw new MedlarlaneError('DEADLINE_EXCEEDED');
+    this.opts.outcomes.sent(requestId, () => fingerprintsOf(exchange));
+    let outcome: RelayOutcome;
+    try {
+      outcome = await relay({
+        dispatcher: target.dispatcher,
+        method: request.method ?? 'GET',
+        path: request.url ?? '/',
+        headers: this.targetHeaders(exchange, running, remainingMs),
+        body: exchange.body.open(),
+        response,
+        timeoutMs: Math.min(remainingMs, requestTimeoutMs),
+        intercepts: isTargetRefusal,
+        responseHeaders: (headers) => this.answerHeaders(exchange, headers),
+        observer: recorder,
+        outlivesCaller: run !== undefined,
+      });
+    } catch (thrown) {
+      if (!(thrown instanceof RelayFailure)) throw thrown;
+      report(ADMISSION_OUTCOMES[thrown.reason]);
+      if (thrown.reason === 'cancelled') this.opts.cancel(requestId);
+      throw targetError(thrown);
+    }
+    return this.conclude(outcome, run, recorder, report);
+  }
+
+  private conclude(
+    outcome: RelayOutcome,
+    run: Run | undefined,
+    recorder: ResponseRecorder | undefined,
+    report: (outcome: AdmissionOutcome) => void,
+  ): Served {
+    if (outcome.kind === 'intercepted') {
+      // A target that checks its grants, or sheds load, promises that it did not run the request.
+      report('shed');
+      throw new MedlarlaneError(outcome.status === 503 ? 'OVERLOADED' : 'LEASE_EXPIRED');
+    }
+    report(!outcome.isComplete || outcome.status >= 500 ? 'failed' : 'ok');
+    if (outcome.isComplete) run?.finish(recorder?.response);
+    else run?.markUnknown();
+    return {status: outcome.status, isComplete: outcome.isComplete};
+  }
+
+  private targetHeaders(
+    exchange: Exchange,
+    running: RunningRequest,
+    remainingMs: number,
+  ): string[] {
+    const headers = endToEndHeaders(exchange.request);
+    headers.push(HEADER.requestId, exchange.requestId);
+    headers.push(HEADER.deadlineMs, String(Math.floor(remainingMs)));
+    if (exchange.position !== undefined) {
+      headers.push(HEADER.epoch, String(running.epoch));
+      headers.push(HEADER.position, String(exchange.position));
+    }
+    return headers;
+  }
+
+  private answerHeaders(
+    exchange: Exchange,
+    headers: ResponseHeaders,
+  ): ReturnType<typeof targetResponseHeaders> {
+    return {
+      ...targetResponseHeaders(headers),
+      [HEADER.owner]: this.opts.ownerAddress(),
+      [HEADER.requestId]: exchange.requestId,
+      [HEADER.load]: String(this.opts.loadHint()),
+    };
+  }
+}
+
+function isTargetRefusal(status: number, headers: ResponseHeaders): boolean {
+  return (status === 409 || status === 503) && headers[HEADER.ran] === 'no';
+}
+
+function targetError(failure: RelayFailure): MedlarlaneError {
+  const code = ({
+    connect: 'TARGET_FAILED',
+    reset: 'TARGET_FAILED',
+    timeout: 'TARGET_TIMEOUT',
+    cancelled: 'CANCELLED',
+  } as const)[failure.reason];
+  return new MedlarlaneError(code, undefined, {ran: failure.ran, cause: failure});
+}
+
+/** The fingerprints under which a request that crashes targets is recognised. */
+function fingerprintsOf({request, document, position, body, idempotencyKey}: Exchange): string[] {
+  const contentLength = request.headers['content-length'];
+  return requestFingerprints({
+    method: request.method ?? 'GET',
+    service: document.service,
+    key: String(position ?? ''),
+    path: request.url ?? '/',
+    bodyPrefix: body.firstBytes,
+    ...(contentLength === undefined ? {} : {bodyBytes: Number(contentLength)}),
+    ...(idempotencyKey === undefined ? {} : {idempotencyKey}),
+  });
+}
+
+/** Identifies the content of a non-repeatable request, as far as it can be known before it streams. */
+function digestOf({request, body}: Exchange): string {
+  return createHash('sha256')
+    .update(`${request.method} ${request.url} ${request.headers['content-length'] ?? ''}\n`)
+    .update(body.firstBytes)
+    .digest('base64');
+}
+
--- /dev/null
+++ b/routing/forwarder/src/peers.ts
@@ -0,0 +1,82 @@
+import type {SecureContextOptions} from 'node:tls';
+import {Pool} from 'undici';
+import type {Session} from '@medlarlane/model';
+
+export interface PeersOptions {
+  /** Connections to one other daemon. */
+  readonly connections: number;
+  readonly tls?: () => SecureContextOptions;
+}
+
+const CONNECT_TIMEOUT_MS = 300;
+const KEEP_ALIVE_MS = 30_000;
+
+interface Peer {
+  readonly pool: Pool;
+  outstanding: number;
+  loadHint: number;
+}
+
+/** Connections to other daemons, and how busy each is as far as this daemon can see. */
+export class Peers {
+  private readonly peers = new Map<string, Peer>();
+
+  constructor(private readonly opts: PeersOptions) {}
+
+  pool({peerAddress}: Session): Pool {
+    return this.peer(peerAddress).pool;
+  }
+
+  /** Counts a request as outstanding at a peer until the returned function is called. */
+  begin({peerAddress}: Session): () => void {
+    const peer = this.peer(peerAddress);
+    peer.outstanding += 1;
+    return () => {
+      peer.outstanding -= 1;
+    };
+  }
+
+  /** Takes the load that a peer named in its answer. */
+  noteLoad({peerAddress}: Session, loadHint: number): void {
+    if (Number.isFinite(loadHint)) this.peer(peerAddress).loadHint = loadHint;
+  }
+
+  /** The larger of what the peer said and what this daemon has outstanding there. */
+  load({peerAddress}: Session): number {
+    const peer = this.peers.get(peerAddress);
+    return peer ? Math.max(peer.outstanding, peer.loadHint) : 0;
+  }
+
+  /** Closes the connections to daemons that have no session any more. */
+  async retain(addresses: ReadonlySet<string>): Promise<void> {
+    const gone = [...this.peers].filter(([address]) => !addresses.has(address));
+    for (const [address] of gone) this.peers.delete(address);
+    await Promise.all(gone.map(([, {pool}]) => pool.close()));
+  }
+
+  /** Opens new connections with the present TLS material; running requests finish. */
+  async reconnect(): Promise<void> {
+    await this.retain(new Set());
+  }
+
+  async close(): Promise<void> {
+    const pools = [...this.peers.values()].map(({pool}) => pool.destroy());
+    this.peers.clear();
+    await Promise.all(pools);
+  }
+
+  private peer(address: string): Peer {
+    const existing = this.peers.get(address);
+    if (existing) return existing;
+    const {tls, connections} = this.opts;
+    const pool = new Pool(`${tls ? 'https' : 'http'}://${address}`, {
+      connections,
+      pipelining: 1,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      connect: {...(tls ? tls() : {}), timeout: CONNECT_TIMEOUT_MS},
+    });
+    const peer: Peer = {pool, outstanding: 0, loadHint: 0};
+    this.peers.set(address, peer);
+    return peer;
+  }
+}
--- /dev/null
+++ b/routing/forwarder/src/problem.ts
@@ -0,0 +1,27 @@
+import type {ServerResponse} from 'node:http';
+import {toProblemDocument} from '@medlarlane/errors';
+import type {MedlarlaneError} from '@medlarlane/errors';
+import {HEADER} from './headers.js';
+
+const RETRY_AFTER_S = '1';
+
+/** Answers with problem+json, or resets the connection when a response has started. */
+export function answerProblem(response: ServerResponse, error: MedlarlaneError): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  if (response.destroyed) return;
+  const {status} = error.answer;
+  const body = JSON.stringify(toProblemDocument(error));
+  response.writeHead(status, {
+    'content-type': 'application/problem+json',
+    'content-length': Buffer.byteLength(body),
+    [HEADER.ran]: error.ran,
+    [HEADER.code]: error.code,
+    ...(status === 503 ? {'retry-after': RETRY_AFTER_S} : {}),
+    // The rest of a body that was not read would be taken for the next request.
+    ...(response.req.complete ? {} : {connection: 'close'}),
+  });
+  response.end(body);
+}
--- /dev/null
+++ b/routing/key-space/src/rangeTable.ts
@@ -0,0 +1,100 @@
+import {POSITION_END} from '@medlarlane/model';
+import type {Range} from '@medlarlane/model';
+
+/** The sorted ranges of one service. They cover [0, POSITION_END) without gaps. */
+export class RangeTable {
+  private ranges: readonly Range[];
+
+  constructor(ranges: readonly Range[]) {
+    this.ranges = ranges;
+  }
+
+  get all(): readonly Range[] {
+    return this.ranges;
+  }
+
+  find(position: number): Range | undefined {
+    return this.ranges[this.indexOf(position)];
+  }
+
+  /** End of the range at `index`, exclusive. */
+  endOf(index: number): number {
+    return this.ranges[index + 1]?.startPosition ?? POSITION_END;
+  }
+
+  /** Index of the range that holds `position`, or -1 in an empty table. */
+  indexOf(position: number): number {
+    let low = 0;
+    let high = this.ranges.length - 1;
+    while (low <= high) {
+      const middle = (low + high) >>> 1;
+      if (this.ranges[middle]!.startPosition <= position) low = middle + 1;
+      else high = middle - 1;
+    }
+    return high;
+  }
+
+  /** Makes `position` the start of a range. Both halves keep owner and epoch. */
+  splitAt(position: number): void {
+    if (position <= 0 || position >= POSITION_END) return;
+    const index = this.indexOf(position);
+    const range = this.ranges[index];
+    if (!range || range.startPosition === position) return;
+    this.ranges = this.ranges.toSpliced(index + 1, 0, {...range, startPosition: position});
+  }
+
+  /** Replaces all ranges that start in [fromPosition, toPosition). */
+  replace(fromPosition: number, toPosition: number, replacement: readonly Range[]): void {
+    const first = this.ranges.findIndex(({startPosition}) => startPosition >= fromPosition);
+    const from = first < 0 ? this.ranges.length : first;
+    let to = from;
+    while (to < this.ranges.length && this.ranges[to]!.startPosition < toPosition) to++;
+    this.ranges = this.ranges.toSpliced(from, to - from, ...replacement);
+  }
+
+  /**
+   * Replaces ranges by the result of `transform`, which returns the same object for a range that stays.
+   * Returns the changed stretches.
+   */
+  update(transform: (range: Range, index: number) => Range): RangeChange[] {
+    const changes: RangeChange[] = [];
+    let previousChangedIndex = -2;
+    const updated = this.ranges.map((range, index) => {
+      const next = transform(range, index);
+      if (next === range) return range;
+      const endPosition = this.endOf(index);
+      const last = changes.at(-1);
+      if (last && previousChangedIndex === index - 1) {
+        last.ranges.push(next);
+        last.toPosition = endPosition;
+      } else {
+        changes.push({
+          fromPosition: range.startPosition,
+          toPosition: endPosition,
+          ranges: [next],
+        });
+      }
+      previousChangedIndex = index;
+      return next;
+    });
+    this.ranges = updated;
+    return changes;
+  }
+}
+
+/** A stretch of positions and the ranges that now cover it. */
+export interface RangeChange {
+  fromPosition: number;
+  toPosition: number;
+  ranges: Range[];
+}
+
+/** Even ranges over the whole position space, without owner. */
+export function evenRanges(count: number): Range[] {
+  return Array.from({length: count}, (_, index) => ({
+    startPosition: Math.floor((POSITION_END / count) * index),
+    ownerSessionId: 0,
+    nextSessionId: 0,
+    epoch: 0,
+  }));
+}
--- /dev/null
+++ b/routing/ownership/src/lease.ts
@@ -0,0 +1,37 @@
+import type {Clock} from '@medlarlane/lifecycle';
+
+/** The lease of this daemon. It is counted from the time at which the renewal was sent. */
+export class Lease {
+  private currentSessionId = 0;
+  private validUntilMs = -Infinity;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** The registered session, or 0. Its lease may have run out. */
+  get sessionId(): number {
+    return this.currentSessionId;
+  }
+
+  get remainingMs(): number {
+    return Math.max(0, this.validUntilMs - this.clock.nowMs());
+  }
+
+  /** Reads the clock on every call, so that a resumed process notices first that time has passed. */
+  isValid(): boolean {
+    return this.currentSessionId !== 0 && this.clock.nowMs() < this.validUntilMs;
+  }
+
+  start(sessionId: number): void {
+    if (sessionId !== this.currentSessionId) this.validUntilMs = -Infinity;
+    this.currentSessionId = sessionId;
+  }
+
+  extend(sentAtMs: number, leaseTtlMs: number): void {
+    this.validUntilMs = Math.max(this.validUntilMs, sentAtMs + leaseTtlMs);
+  }
+
+  end(): void {
+    this.currentSessionId = 0;
+    this.validUntilMs = -Infinity;
+  }
+}
