--- /dev/null
+++ b/control/placement/src/loadModel.ts
@@ -0,0 +1,210 @@
+import {POSITION_END, type Range} from '@medlarlane/model';
+import type {HotKey, PlacementInput, PlacementSession} from './placementInput.js';
+
+/** A part of one range: one hot position, or the positions between hot ones. */
+export interface Piece {
+  readonly fromPosition: number;
+  readonly toPosition: number;
+  readonly loadRps: number;
+  readonly rangeIndex: number;
+}
+
+/** What the planner knows about a service. Servers are sessions ordered by id. */
+export interface LoadModel {
+  readonly servers: readonly PlacementSession[];
+  /** Destination server of each range, or -1 when no known session owns it. */
+  readonly serverOfRange: Int32Array;
+  /** Load of each range without its hot keys. */
+  readonly restRps: Float64Array;
+  readonly widths: Float64Array;
+  /** Hot keys of each range that has some, by position. */
+  readonly hotKeysOfRange: ReadonlyMap<number, readonly HotKey[]>;
+  /** Load of each server, in-progress moves counted at their destination. */
+  readonly serverRps: Float64Array;
+}
+
+/** A reported density this far below the median of the servers counts as a missing report. */
+const LYING_DENSITY_SHARE = 0.02;
+
+/**
+ * Turns reports into a load per range. A range without a usable report, and every range of a
+ * server whose reports are near zero while the others are loaded, counts with the median density
+ * of the other servers. Without any load the width in positions counts.
+ */
+export function buildLoadModel(input: PlacementInput): LoadModel {
+  const servers = [...input.sessions].sort((a, b) => a.sessionId - b.sessionId);
+  const indexById = new Map(servers.map(({sessionId}, index) => [sessionId, index]));
+  const {ranges} = input;
+  const widths = Float64Array.from(ranges, (range, at) => widthOf(ranges, at, range));
+  const serverOfRange = Int32Array.from(
+    ranges,
+    (range) => indexById.get(range.nextSessionId || range.ownerSessionId) ?? -1,
+  );
+  const hotKeysOfRange = locateHotKeys(ranges, input.hotKeys);
+  const restRps = reportedRest(input, hotKeysOfRange);
+  fillMissing(restRps, widths, serverOfRange, servers.length);
+  const model: LoadModel = {
+    servers,
+    serverOfRange,
+    restRps,
+    widths,
+    hotKeysOfRange,
+    serverRps: new Float64Array(servers.length),
+  };
+  for (let at = 0; at < ranges.length; at++) {
+    const server = serverOfRange[at]!;
+    if (server >= 0) model.serverRps[server]! += rangeRps(model, at);
+  }
+  return model;
+}
+
+/** Load of a range with its hot keys. */
+export function rangeRps(model: LoadModel, rangeIndex: number): number {
+  let loadRps = model.restRps[rangeIndex]!;
+  for (const key of model.hotKeysOfRange.get(rangeIndex) ?? []) loadRps += key.rateRps;
+  return loadRps;
+}
+
+/** Cuts a range at its keys of at least `minKeyRps`; smaller keys are spread over the rest. */
+export function piecesOf(
+  model: LoadModel,
+  ranges: readonly Range[],
+  rangeIndex: number,
+  minKeyRps: number,
+): Piece[] {
+  const fromPosition = ranges[rangeIndex]!.startPosition;
+  const width = model.widths[rangeIndex]!;
+  const toPosition = fromPosition + width;
+  const loadRps = rangeRps(model, rangeIndex);
+  const whole = {fromPosition, toPosition, loadRps, rangeIndex};
+  if (width === 1) return [whole];
+  const keys = (model.hotKeysOfRange.get(rangeIndex) ?? []).filter(
+    ({rateRps}) => rateRps >= minKeyRps && rateRps > 0,
+  );
+  if (keys.length === 0) return [whole];
+  const keysRps = keys.reduce((sum, {rateRps}) => sum + rateRps, 0);
+  const density = Math.max(0, loadRps - keysRps) / Math.max(1, width - keys.length);
+  const pieces: Piece[] = [];
+  let at = fromPosition;
+  const addRest = (end: number): void => {
+    if (end <= at) return;
+    pieces.push({
+      fromPosition: at,
+      toPosition: end,
+      loadRps: (end - at) * density,
+      rangeIndex,
+    });
+  };
+  for (const {position, rateRps} of keys) {
+    addRest(position);
+    pieces.push({
+      fromPosition: position,
+      toPosition: position + 1,
+      loadRps: rateRps,
+      rangeIndex,
+    });
+    at = position + 1;
+  }
+  addRest(toPosition);
+  return pieces;
+}
+
+function locateHotKeys(
+  ranges: readonly Range[],
+  hotKeys: readonly HotKey[],
+): Map<number, HotKey[]> {
+  const located = new Map<number, HotKey[]>();
+  const sorted = hotKeys
+    .filter(({position, rateRps}) => isUsable(rateRps) && isPosition(position))
+    .sort((a, b) => a.position - b.position);
+  let previous = -1;
+  for (const key of sorted) {
+    const at = indexAt(ranges, key.position);
+    if (at < 0) continue;
+    const keys = located.get(at) ?? [];
+    if (key.position === previous) {
+      const last = keys.pop()!;
+      keys.push(last.rateRps >= key.rateRps ? last : key);
+    } else {
+      keys.push(key);
+    }
+    previous = key.position;
+    located.set(at, keys);
+  }
+  return located;
+}
+
+function indexAt(ranges: readonly Range[], position: number): number {
+  let low = 0;
+  let high = ranges.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if (ranges[middle]!.startPosition <= position) low = middle + 1;
+    else high = middle;
+  }
+  return low - 1;
+}
+
+/** Reported load minus hot keys; NaN where no usable report exists. */
+function reportedRest(
+  input: PlacementInput,
+  hotKeysOfRange: ReadonlyMap<number, readonly HotKey[]>,
+): Float64Array {
+  return Float64Array.from(input.ranges, ({startPosition}, at) => {
+    const reported = input.rangeLoads.get(startPosition);
+    if (!isUsable(reported)) return Number.NaN;
+    let rest = reported;
+    for (const {rateRps} of hotKeysOfRange.get(at) ?? []) rest -= rateRps;
+    return Math.max(0, rest);
+  });
+}
+
+function fillMissing(
+  restRps: Float64Array,
+  widths: Float64Array,
+  serverOfRange: Int32Array,
+  serverCount: number,
+): void {
+  const knownRps = new Float64Array(serverCount);
+  const knownWidth = new Float64Array(serverCount);
+  for (let at = 0; at < restRps.length; at++) {
+    const server = serverOfRange[at]!;
+    if (server < 0 || Number.isNaN(restRps[at]!)) continue;
+    knownRps[server]! += restRps[at]!;
+    knownWidth[server]! += widths[at]!;
+  }
+  const density = medianDensity(knownRps, knownWidth);
+  const trusted = Array.from(
+    knownRps,
+    (rps, server) => rps >= LYING_DENSITY_SHARE * density * knownWidth[server]!,
+  );
+  const anyLoad = knownRps.some((rps) => rps > 0);
+  for (let at = 0; at < restRps.length; at++) {
+    const server = serverOfRange[at]!;
+    const known = !Number.isNaN(restRps[at]!) && (server < 0 || trusted[server]!);
+    if (!anyLoad) restRps[at] = widths[at]! / POSITION_END;
+    else if (!known) restRps[at] = widths[at]! * density;
+  }
+}
+
+function medianDensity(knownRps: Float64Array, knownWidth: Float64Array): number {
+  const densities: number[] = [];
+  for (const [server, width] of knownWidth.entries()) {
+    // Servers that own only isolated keys say nothing about the density of other positions.
+    if (width > 1024) densities.push(knownRps[server]! / width);
+  }
+  densities.sort((a, b) => a - b);
+  return densities[densities.length >> 1] ?? 0;
+}
+
+function widthOf(ranges: readonly Range[], at: number, range: Range): number {
+  return (ranges[at + 1]?.startPosition ?? POSITION_END) - range.startPosition;
+}
+
+function isUsable(rateRps: number | undefined): rateRps is number {
+  return rateRps !== undefined && Number.isFinite(rateRps) && rateRps >= 0;
+}
+
+function isPosition(position: number): boolean {
+  return Number.isSafeInteger(position) && position >= 0 && position < POSITION_END;
+}
