--- /dev/null
+++ b/targets/example-target/src/grantChecker.ts
@@ -0,0 +1,66 @@
+import {z} from 'zod';
+import type {Clock} from '@medlarlane/lifecycle';
+
+const grantRangeSchema = z.object({
+  startPosition: z.number().min(0),
+  /** First position after the range. */
+  endPosition: z.number().min(0),
+  epoch: z.int().min(0),
+});
+type GrantRange = z.infer<typeof grantRangeSchema>;
+
+/** Body of `PUT /.medlarlane/grant`. Without `ranges` the grant covers every position. */
+export const grantSchema = z.object({
+  epoch: z.int().min(0),
+  expiresInMs: z.number().min(0).max(60_000),
+  ranges: z.array(grantRangeSchema).max(100_000).optional(),
+});
+export type Grant = z.infer<typeof grantSchema>;
+
+/** Decides whether work may run under the grants received so far. */
+export class GrantChecker {
+  private current: {grant: Grant; expiresAtMs: number} | undefined;
+  /** Newest epochs granted; kept after a range leaves the grant, so that old requests stay refused. */
+  private newest: GrantRange[] = [];
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Accepts a grant; `false` when a newer epoch was granted before. */
+  accept(grant: Grant): boolean {
+    if (this.current && grant.epoch < this.current.grant.epoch) return false;
+    this.current = {grant, expiresAtMs: this.clock.nowMs() + grant.expiresInMs};
+    for (const range of grant.ranges ?? []) this.remember(range);
+    return true;
+  }
+
+  /** Why work at `position` under `epoch` may not run; `undefined` when it may. */
+  refusalOf(position: number | undefined, epoch: number | undefined): string | undefined {
+    if (!this.current) return 'no grant was received';
+    if (this.clock.nowMs() >= this.current.expiresAtMs) return 'the grant has expired';
+    if (epoch === undefined) return 'the request carries no epoch';
+    const {grant} = this.current;
+    if (!grant.ranges) {
+      return epoch < grant.epoch ? 'the epoch of the request is older than the grant' : undefined;
+    }
+    if (position === undefined) return 'the request carries no position';
+    if (!grant.ranges.some((range) => covers(range, position))) {
+      return 'the position is outside the granted ranges';
+    }
+    const newestEpoch = Math.max(
+      ...this.newest.filter((range) => covers(range, position)).map((range) => range.epoch),
+    );
+    return epoch < newestEpoch ? 'the epoch of the request is older than the grant' : undefined;
+  }
+
+  private remember(added: GrantRange): void {
+    const replaced = (old: GrantRange): boolean =>
+      old.startPosition >= added.startPosition &&
+      old.endPosition <= added.endPosition &&
+      old.epoch <= added.epoch;
+    this.newest = [...this.newest.filter((old) => !replaced(old)), added];
+  }
+}
+
+function covers(range: GrantRange, position: number): boolean {
+  return position >= range.startPosition && position < range.endPosition;
+}
