Add the settings of the daemon

Cause: the daemon had no settings, and its wiring needs their type. Change: one table of settings from which flags, environment variables, help text and the masked print-out are derived.

--- /dev/null
+++ b/kernel/settings/src/settingsHelp.ts
@@ -0,0 +1,26 @@
+import {flagNameOf, SETTINGS, variableOf} from './settingTable.js';
+import type {Setting} from './settingTable.js';
+
+/** The help text of `medlarlaned`. */
+export function settingsHelp(): string {
+  const rows = Object.entries<Setting<unknown>>(SETTINGS).map(([field, row]) => {
+    const value = row.isSwitch ? '' : ` <${row.unit}>`;
+    return [
+      `  --${flagNameOf(field)}${value}`,
+      `      ${row.description}`,
+      `      Variable ${variableOf(field)}. Default: ${row.defaultNote}.`,
+    ].join('\n');
+  });
+  return [
+    'medlarlaned: the daemon beside each target.',
+    '',
+    'Usage: medlarlaned [flags]',
+    '',
+    'A flag wins over its environment variable.',
+    '',
+    ...rows,
+    '  --help',
+    '      Prints this text and exits.',
+    '',
+  ].join('\n');
+}
