Add team keys and signatures of document changes

Cause: document changes must carry a signature by the team's key, and no package could make one. Change: @medlarlane/signatures creates Ed25519 keys, signs the text of signedText and verifies it without throwing, so that replicas decide alike. Ruled out: lenient base64, because one signature would have several spellings; accepting a private key where the public key of a claim is expected, because it would be stored in the log. Conclusion: the control state can call verifyDocumentChange in apply and isTeamPublicKey in claims.

--- /dev/null
+++ b/protocol/signatures/src/index.ts
@@ -0,0 +1,8 @@
+export {
+  generateTeamKey,
+  isTeamPublicKey,
+  publicKeyOf,
+  signDocumentChange,
+  verifyDocumentChange,
+} from './documentSignature.js';
+export type {DocumentChange, SignedDocumentChange, TeamKey} from './documentSignature.js';
