--- a/kernel/errors/src/errorKinds.ts
+++ b/kernel/errors/src/errorKinds.ts
@@ -45,6 +45,41 @@
     "Sign with the team's private key.",
   ),
   SERVICE_UNKNOWN: answer(404, 'no', 4, 'Service has no document', 'Apply a document first.'),
+  REVISION_UNKNOWN: answer(
+    404,
+    'no',
+    4,
+    'Revision is not kept',
+    'List the kept revisions with medlarlane history.',
+  ),
+  MEMBER_UNKNOWN: answer(
+    404,
+    'no',
+    4,
+    'Replica is not a member',
+    'List the members with medlarlane members list.',
+  ),
+  TOKEN_INVALID: answer(
+    401,
+    'no',
+    5,
+    'Operator token is missing or wrong',
+    'Pass the token of the daemon with --token-file.',
+  ),
+  NOT_IN_FORCE: answer(
+    504,
+    'unknown',
+    7,
+    'Change is committed but not confirmed by every daemon',
+    'Look at the named daemons; the change needs no resend.',
+  ),
+  ENDPOINT_UNREACHABLE: answer(
+    503,
+    'no',
+    6,
+    'No admin endpoint is reachable',
+    'Name the admin address of a running daemon with --endpoint.',
+  ),
   INSTANCE_UNKNOWN: answer(404, 'no', 4, 'Instance is unknown', 'List the targets of the service.'),
 
   // Control side.
