--- /dev/null
+++ b/routing/admission/src/admissionQueue.ts
@@ -0,0 +1,288 @@
+import {MedlarlaneError} from '@medlarlane/errors';
+import {systemClock} from '@medlarlane/lifecycle';
+import type {Clock} from '@medlarlane/lifecycle';
+import type {Completion, LearnedLimit} from './learnedLimit.js';
+import {QUEUE_ORDERS} from './queueOrder.js';
+import type {QueueOrder} from './queueOrder.js';
+
+export interface AdmissionQueueOptions {
+  readonly limit: LearnedLimit;
+  readonly order?: QueueOrder;
+  /** Requests that may wait, over all callers. By default four times the slots. */
+  readonly maxWaiting?: number;
+  readonly clock?: Clock;
+}
+
+export interface AdmissionRequest {
+  /** Requests of different callers take turns. */
+  readonly callerId: string;
+  /** Deadline on the monotonic clock. */
+  readonly deadlineMs: number;
+  readonly signal?: AbortSignal;
+  /** Predicted duration; by default the smoothed duration of past requests. */
+  readonly expectedMs?: number;
+}
+
+/** The right to have one request in flight at the target. */
+export interface Permit {
+  readonly waitedMs: number;
+  /** Gives the permit back; further calls have no effect. */
+  release(completion: Completion): void;
+}
+
+interface Waiter {
+  readonly callerId: string;
+  readonly enqueuedMs: number;
+  readonly deadlineMs: number;
+  readonly rank: number;
+  readonly settle: (result: Permit | MedlarlaneError) => void;
+}
+
+const WAITING_PER_SLOT = 4;
+const DURATION_SMOOTHING = 0.1;
+// The limit grows during a cold start without any request ending, so waiters are checked at this period.
+const RAMP_CHECK_MS = 20;
+
+/** Admits requests to one target up to its learned limit and lets a bounded number wait. */
+export class AdmissionQueue {
+  private readonly limit: LearnedLimit;
+  private readonly clock: Clock;
+  private readonly rank: (typeof QUEUE_ORDERS)[QueueOrder];
+  private readonly maxWaiting: number;
+  /** Waiters of each caller, lowest rank first; the map's order is the turn order. */
+  private readonly queues = new Map<string, Waiter[]>();
+  private waitingCount = 0;
+  private inFlightCount = 0;
+  private meanMs: number | undefined;
+  private draining = false;
+  private readonly drained: Array<() => void> = [];
+  private timer?: {readonly dueMs: number; readonly abort: AbortController};
+
+  constructor(opts: AdmissionQueueOptions) {
+    this.limit = opts.limit;
+    this.clock = opts.clock ?? systemClock;
+    this.rank = QUEUE_ORDERS[opts.order ?? 'first-come'];
+    this.maxWaiting = opts.maxWaiting ?? WAITING_PER_SLOT * opts.limit.slots;
+  }
+
+  get inFlight(): number {
+    return this.inFlightCount;
+  }
+
+  get waiting(): number {
+    return this.waitingCount;
+  }
+
+  get isDraining(): boolean {
+    return this.draining;
+  }
+
+  /**
+   * Resolves when the request may be sent to the target.
+   * @throws MedlarlaneError `OVERLOADED`, `DEADLINE_EXCEEDED`, `DRAINING` or `CANCELLED`, each with
+   *     ran `no`.
+   */
+  acquire(request: AdmissionRequest): Promise<Permit> {
+    const refusal = this.refusal(request);
+    if (refusal) return Promise.reject(refusal);
+    this.dispatch();
+    if (this.waitingCount === 0 && this.inFlightCount < this.limit.limit) {
+      return Promise.resolve(this.grant(this.clock.nowMs()));
+    }
+    return this.enqueue(request);
+  }
+
+  /**
+   * Refuses waiting and new requests with `DRAINING`, and resolves when no request is in flight.
+   * Waiting requests have not run, so the entry daemon can send them elsewhere.
+   */
+  drain(): Promise<void> {
+    this.draining = true;
+    for (const waiter of [...this.queues.values()].flat()) {
+      this.remove(waiter, new MedlarlaneError('DRAINING'));
+    }
+    if (this.inFlightCount === 0) return Promise.resolve();
+    return new Promise((resolve) => this.drained.push(resolve));
+  }
+
+  /** The same as `drain`. */
+  close(): Promise<void> {
+    return this.drain();
+  }
+
+  private refusal(request: AdmissionRequest): MedlarlaneError | undefined {
+    if (this.draining) return new MedlarlaneError('DRAINING');
+    if (request.signal?.aborted) return cancelled();
+    if (request.deadlineMs <= this.clock.nowMs()) return new MedlarlaneError('DEADLINE_EXCEEDED');
+    return undefined;
+  }
+
+  private enqueue(request: AdmissionRequest): Promise<Permit> {
+    const nowMs = this.clock.nowMs();
+    const predictedWaitMs = this.predictWaitMs(request.callerId);
+    if (nowMs + predictedWaitMs > request.deadlineMs) {
+      return Promise.reject(overloaded('Predicted wait passes the deadline', predictedWaitMs));
+    }
+    if (this.waitingCount >= this.maxWaiting && !this.makeRoomFor(request.callerId)) {
+      return Promise.reject(overloaded('Queue of the target is full', predictedWaitMs));
+    }
+    return new Promise((resolve, reject) => {
+      const {callerId, deadlineMs, signal} = request;
+      const onAbort = (): void => this.remove(waiter, cancelled());
+      const waiter: Waiter = {
+        callerId,
+        deadlineMs,
+        enqueuedMs: nowMs,
+        rank: this.rank({
+          enqueuedMs: nowMs,
+          expectedMs: request.expectedMs ?? this.meanMs ?? 0,
+        }),
+        settle: (result) => {
+          signal?.removeEventListener('abort', onAbort);
+          if (result instanceof MedlarlaneError) reject(result);
+          else resolve(result);
+        },
+      };
+      signal?.addEventListener('abort', onAbort);
+      this.insert(waiter);
+      this.armTimer();
+    });
+  }
+
+  /** Waits for the requests ahead of a new one of this caller, when callers take turns. */
+  private predictWaitMs(callerId: string): number {
+    if (this.meanMs === undefined) return 0;
+    const own = this.queues.get(callerId)?.length ?? 0;
+    let ahead = own;
+    for (const [otherId, queue] of this.queues) {
+      if (otherId !== callerId) ahead += Math.min(queue.length, own + 1);
+    }
+    return ((ahead + 1) * this.meanMs) / this.limit.limit;
+  }
+
+  /** Refuses the last waiter of the longest queue when that is longer than the caller's own. */
+  private makeRoomFor(callerId: string): boolean {
+    const own = this.queues.get(callerId)?.length ?? 0;
+    let longest: Waiter[] = [];
+    for (const queue of this.queues.values()) if (queue.length > longest.length) longest = queue;
+    const last = longest.at(-1);
+    if (!last || longest.length <= own + 1) return false;
+    this.remove(last, overloaded('Queue of the target is full', 0));
+    return true;
+  }
+
+  private insert(waiter: Waiter): void {
+    let queue = this.queues.get(waiter.callerId);
+    if (!queue) this.queues.set(waiter.callerId, (queue = []));
+    let place = queue.length;
+    while (place > 0 && (queue[place - 1]?.rank ?? 0) > waiter.rank) place -= 1;
+    queue.splice(place, 0, waiter);
+    this.waitingCount += 1;
+  }
+
+  private remove(waiter: Waiter, result: Permit | MedlarlaneError): void {
+    const queue = this.queues.get(waiter.callerId);
+    const place = queue?.indexOf(waiter) ?? -1;
+    if (!queue || place < 0) return;
+    queue.splice(place, 1);
+    if (queue.length === 0) this.queues.delete(waiter.callerId);
+    this.waitingCount -= 1;
+    if (this.waitingCount === 0) this.stopTimer();
+    waiter.settle(result);
+  }
+
+  private dispatch(): void {
+    while (this.waitingCount > 0 && this.inFlightCount < this.limit.limit) {
+      const waiter = this.nextInTurn();
+      if (!waiter) return;
+      if (waiter.deadlineMs <= this.clock.nowMs()) {
+        this.remove(waiter, new MedlarlaneError('DEADLINE_EXCEEDED'));
+      } else {
+        this.remove(waiter, this.grant(waiter.enqueuedMs));
+      }
+    }
+  }
+
+  /** The first waiter of the caller whose turn it is; the caller goes to the end of the turn order. */
+  private nextInTurn(): Waiter | undefined {
+    for (const [callerId, queue] of this.queues) {
+      this.queues.delete(callerId);
+      this.queues.set(callerId, queue);
+      return queue[0];
+    }
+    return undefined;
+  }
+
+  private grant(enqueuedMs: number): Permit {
+    this.inFlightCount += 1;
+    let held = true;
+    return {
+      waitedMs: this.clock.nowMs() - enqueuedMs,
+      release: (completion) => {
+        if (!held) return;
+        held = false;
+        this.finish(completion);
+      },
+    };
+  }
+
+  private finish(completion: Completion): void {
+    this.limit.record(completion, this.inFlightCount);
+    this.inFlightCount -= 1;
+    if (completion.outcome !== 'unsent' && completion.outcome !== 'cancelled') {
+      const {durationMs} = completion;
+      this.meanMs ??= durationMs;
+      this.meanMs += (durationMs - this.meanMs) * DURATION_SMOOTHING;
+    }
+    this.dispatch();
+    if (this.inFlightCount === 0) for (const resolve of this.drained.splice(0)) resolve();
+  }
+
+  /** One timer serves all waiters: it fires at the earliest deadline, or sooner during a cold start. */
+  private armTimer(): void {
+    if (this.waitingCount === 0) return;
+    const nowMs = this.clock.nowMs();
+    let dueMs = this.limit.ramping ? nowMs + RAMP_CHECK_MS : Infinity;
+    for (const queue of this.queues.values()) {
+      for (const {deadlineMs} of queue) dueMs = Math.min(dueMs, deadlineMs);
+    }
+    if (this.timer && this.timer.dueMs <= dueMs) return;
+    this.stopTimer();
+    const abort = new AbortController();
+    this.timer = {dueMs, abort};
+    this.clock.sleep(Math.max(0, dueMs - nowMs), {signal: abort.signal}).then(
+      () => {
+        if (this.timer?.abort !== abort) return;
+        delete this.timer;
+        this.expire();
+        this.dispatch();
+        this.armTimer();
+      },
+      () => undefined,
+    );
+  }
+
+  private stopTimer(): void {
+    this.timer?.abort.abort();
+    delete this.timer;
+  }
+
+  private expire(): void {
+    const nowMs = this.clock.nowMs();
+    for (const waiter of [...this.queues.values()].flat()) {
+      if (waiter.deadlineMs <= nowMs) this.remove(waiter, new MedlarlaneError('DEADLINE_EXCEEDED'));
+    }
+  }
+}
+
+function cancelled(): MedlarlaneError {
+  return new MedlarlaneError('CANCELLED', 'Caller cancelled the request while it waited', {
+    ran: 'no',
+  });
+}
+
+function overloaded(message: string, predictedWaitMs: number): MedlarlaneError {
+  return new MedlarlaneError('OVERLOADED', message, {
+    details: {predictedWaitMs: Math.round(predictedWaitMs)},
+  });
+}
--- a/routing/admission/src/index.ts
+++ b/routing/admission/src/index.ts
@@ -1,1 +1,6 @@
-export {};
+export {AdmissionQueue} from './admissionQueue.js';
+export type {AdmissionQueueOptions, AdmissionRequest, Permit} from './admissionQueue.js';
+export {LearnedLimit} from './learnedLimit.js';
+export type {AdmissionOutcome, Completion, LearnedLimitOptions} from './learnedLimit.js';
+export {AGEING_RATE, QUEUE_ORDERS} from './queueOrder.js';
+export type {OrderedRequest, QueueOrder} from './queueOrder.js';
--- /dev/null
+++ b/routing/admission/src/queueOrder.ts
@@ -0,0 +1,22 @@
+/** What an order sees of a waiting request. */
+export interface OrderedRequest {
+  readonly enqueuedMs: number;
+  /** Predicted duration. */
+  readonly expectedMs: number;
+}
+
+/**
+ * Credit per millisecond of waiting. A request that is predicted to take E ms is overtaken only by
+ * requests that arrive within E / AGEING_RATE ms after it, so no request starves.
+ */
+export const AGEING_RATE = 0.25;
+
+/** Orders within a queue: the request with the lowest rank runs first, equal ranks by arrival. */
+export const QUEUE_ORDERS = {
+  'first-come': ({enqueuedMs}: OrderedRequest) => enqueuedMs,
+  // Subtracting the credit AGEING_RATE * (now - enqueuedMs) gives the same order at every moment.
+  'shortest-predicted-first': ({enqueuedMs, expectedMs}: OrderedRequest) =>
+    expectedMs + AGEING_RATE * enqueuedMs,
+} as const satisfies Record<string, (request: OrderedRequest) => number>;
+
+export type QueueOrder = keyof typeof QUEUE_ORDERS;
--- /dev/null
+++ b/routing/poison/src/poisonTable.ts
@@ -0,0 +1,254 @@
+import {z} from 'zod';
+import {MedlarlaneError} from '@medlarlane/errors';
+import {systemClock} from '@medlarlane/lifecycle';
+import type {Clock} from '@medlarlane/lifecycle';
+
+export interface PoisonTableOptions {
+  /** Distinguishes the crashes seen by this daemon from those of others; a session id for example. */
+  readonly reporterId: string;
+  /** Crashes after which a request is quarantined. */
+  readonly crashes?: number;
+  /** Time after which a suspicion ends by itself. */
+  readonly suspicionMs?: number;
+  readonly quarantineMs?: number;
+  /** Bound of the entries. Suspects make room for newer ones before quarantined requests do. */
+  readonly maxEntries?: number;
+  readonly clock?: Clock;
+}
+
+export interface InFlightRequest {
+  readonly fingerprint: string;
+  /** Monotonic time at which its bytes were sent. */
+  readonly startedAtMs: number;
+}
+
+export type PoisonState = 'clear' | 'suspect' | 'quarantined';
+
+/** One request as shown by `status`. */
+export interface PoisonEntry {
+  readonly fingerprint: string;
+  readonly state: PoisonState;
+  readonly crashes: number;
+  readonly expiresInMs: number;
+}
+
+const MAX_SPREAD_ENTRIES = 10_000;
+const MAX_CRASHES_PER_ENTRY = 8;
+
+/** The form in which entries spread between daemons. Ages are relative, so clocks need not agree. */
+export const poisonExportSchema = z
+  .array(
+    z.object({
+      fingerprint: z.string().min(1).max(64),
+      quarantinedForMs: z.number().min(0).optional(),
+      crashes: z
+        .array(z.object({id: z.string().max(128), ageMs: z.number().min(0), cleared: z.boolean()}))
+        .max(MAX_CRASHES_PER_ENTRY),
+    }),
+  )
+  .max(MAX_SPREAD_ENTRIES);
+export type PoisonExport = z.infer<typeof poisonExportSchema>;
+
+interface Crash {
+  readonly atMs: number;
+  /** Set when the request succeeded after this crash. */
+  cleared: boolean;
+}
+
+interface Entry {
+  readonly crashes: Map<string, Crash>;
+  /** Monotonic time of the quarantine. */
+  quarantinedAtMs: number | undefined;
+}
+
+/** Recognises requests that were in flight when targets crashed, and refuses those that crash targets repeatedly. */
+export class PoisonTable {
+  private readonly clock: Clock;
+  private readonly threshold: number;
+  private readonly suspicionMs: number;
+  private readonly quarantineMs: number;
+  private readonly maxEntries: number;
+  /** Oldest entry first. */
+  private readonly entries = new Map<string, Entry>();
+  private crashCount = 0;
+  private runningSuspect: string | undefined;
+
+  constructor(private readonly opts: PoisonTableOptions) {
+    this.clock = opts.clock ?? systemClock;
+    this.threshold = opts.crashes ?? 2;
+    this.suspicionMs = opts.suspicionMs ?? 600_000;
+    this.quarantineMs = opts.quarantineMs ?? 600_000;
+    this.maxEntries = Math.min(opts.maxEntries ?? MAX_SPREAD_ENTRIES, MAX_SPREAD_ENTRIES);
+  }
+
+  /** Records a crash of the target. Returns the fingerprints that are quarantined by it. */
+  crashed(inFlight: readonly InFlightRequest[]): string[] {
+    const nowMs = this.clock.nowMs();
+    this.crashCount += 1;
+    const crashId = `${this.opts.reporterId}:${this.crashCount}`;
+    const quarantined: string[] = [];
+    for (const {fingerprint, startedAtMs} of inFlight) {
+      if (startedAtMs > nowMs) continue;
+      const entry = this.entryOf(fingerprint);
+      addCrash(entry, crashId, {atMs: nowMs, cleared: false});
+      if (this.quarantineIfDue(entry, nowMs)) quarantined.push(fingerprint);
+    }
+    this.runningSuspect = undefined;
+    this.makeRoom();
+    return quarantined;
+  }
+
+  /** Ends the suspicion of a request that completed. A quarantine is not lifted. */
+  completed(fingerprint: string): void {
+    const entry = this.entries.get(fingerprint);
+    if (!entry || entry.quarantinedAtMs !== undefined) return;
+    for (const crash of entry.crashes.values()) crash.cleared = true;
+  }
+
+  stateOf(fingerprint: string): PoisonState {
+    const entry = this.entries.get(fingerprint);
+    if (!entry) return 'clear';
+    if (this.expiresInMs(entry) <= 0) {
+      this.entries.delete(fingerprint);
+      return 'clear';
+    }
+    if (entry.quarantinedAtMs !== undefined) return 'quarantined';
+    return this.activeCrashes(entry) > 0 ? 'suspect' : 'clear';
+  }
+
+  /** @throws MedlarlaneError `POISON_REQUEST` when one of the fingerprints is quarantined. */
+  check(fingerprints: readonly string[]): void {
+    const poisoned = fingerprints.find((one) => this.stateOf(one) === 'quarantined');
+    if (poisoned === undefined) return;
+    throw new MedlarlaneError('POISON_REQUEST', undefined, {details: {fingerprint: poisoned}});
+  }
+
+  /**
+   * Asks to run a request. Suspects run one at a time, so that a second crash points at one of them.
+   * Returns the function that ends the run, or `undefined` while another suspect runs.
+   */
+  startRun(fingerprints: readonly string[]): (() => void) | undefined {
+    const suspect = fingerprints.find((one) => this.stateOf(one) === 'suspect');
+    if (suspect === undefined) return () => undefined;
+    if (this.runningSuspect !== undefined) return undefined;
+    this.runningSuspect = suspect;
+    return () => {
+      if (this.runningSuspect === suspect) this.runningSuspect = undefined;
+    };
+  }
+
+  /** Entries for other daemons, at most `maxEntries`. */
+  export(): PoisonExport {
+    this.expire();
+    const nowMs = this.clock.nowMs();
+    return [...this.entries].map(([fingerprint, entry]) => ({
+      fingerprint,
+      ...(entry.quarantinedAtMs === undefined
+        ? {}
+        : {quarantinedForMs: nowMs - entry.quarantinedAtMs}),
+      crashes: [...entry.crashes].map(([id, {atMs, cleared}]) => ({
+        id,
+        ageMs: nowMs - atMs,
+        cleared,
+      })),
+    }));
+  }
+
+  /**
+   * Takes the entries of another daemon. Merging the same entries again changes nothing.
+   * @throws MedlarlaneError `REQUEST_INVALID` when `remote` has an unexpected shape.
+   */
+  merge(remote: unknown): void {
+    const parsed = poisonExportSchema.safeParse(remote);
+    if (!parsed.success) {
+      throw new MedlarlaneError('REQUEST_INVALID', 'Poison entries have an unexpected shape');
+    }
+    const nowMs = this.clock.nowMs();
+    for (const {fingerprint, quarantinedForMs, crashes} of parsed.data) {
+      const entry = this.entryOf(fingerprint);
+      for (const {id, ageMs, cleared} of crashes) {
+        if (ageMs >= this.suspicionMs && quarantinedForMs === undefined) continue;
+        addCrash(entry, id, {atMs: nowMs - ageMs, cleared});
+      }
+      // The first time learned is kept; otherwise each exchange would prolong the quarantine.
+      if (quarantinedForMs !== undefined) entry.quarantinedAtMs ??= nowMs - quarantinedForMs;
+      else this.quarantineIfDue(entry, nowMs);
+    }
+    this.expire();
+    this.makeRoom();
+  }
+
+  /** Suspect and quarantined requests, for `status`. */
+  list(): PoisonEntry[] {
+    this.expire();
+    return [...this.entries]
+      .map(([fingerprint, entry]) => ({
+        fingerprint,
+        state: this.stateOf(fingerprint),
+        crashes: entry.crashes.size,
+        expiresInMs: this.expiresInMs(entry),
+      }))
+      .filter(({state}) => state !== 'clear');
+  }
+
+  private entryOf(fingerprint: string): Entry {
+    let entry = this.entries.get(fingerprint);
+    if (!entry) {
+      entry = {crashes: new Map(), quarantinedAtMs: undefined};
+      this.entries.set(fingerprint, entry);
+    }
+    return entry;
+  }
+
+  private quarantineIfDue(entry: Entry, nowMs: number): boolean {
+    if (entry.quarantinedAtMs !== undefined) return false;
+    if (this.activeCrashes(entry) < this.threshold) return false;
+    entry.quarantinedAtMs = nowMs;
+    return true;
+  }
+
+  private activeCrashes(entry: Entry): number {
+    const sinceMs = this.clock.nowMs() - this.suspicionMs;
+    let active = 0;
+    for (const {atMs, cleared} of entry.crashes.values()) {
+      if (!cleared && atMs > sinceMs) active += 1;
+    }
+    return active;
+  }
+
+  private expiresInMs(entry: Entry): number {
+    const nowMs = this.clock.nowMs();
+    if (entry.quarantinedAtMs !== undefined) {
+      return entry.quarantinedAtMs + this.quarantineMs - nowMs;
+    }
+    let lastMs = Number.NEGATIVE_INFINITY;
+    for (const {atMs} of entry.crashes.values()) lastMs = Math.max(lastMs, atMs);
+    return lastMs + this.suspicionMs - nowMs;
+  }
+
+  private expire(): void {
+    for (const [fingerprint, entry] of this.entries) {
+      if (this.expiresInMs(entry) <= 0) this.entries.delete(fingerprint);
+    }
+  }
+
+  private makeRoom(): void {
+    if (this.entries.size <= this.maxEntries) return;
+    this.expire();
+    this.deleteOldest((entry) => entry.quarantinedAtMs === undefined);
+    this.deleteOldest(() => true);
+  }
+
+  private deleteOldest(mayDelete: (entry: Entry) => boolean): void {
+    for (const [fingerprint, entry] of this.entries) {
+      if (this.entries.size <= this.maxEntries) return;
+      if (mayDelete(entry)) this.entries.delete(fingerprint);
+    }
+  }
+}
+
+function addCrash(entry: Entry, id: string, crash: Crash): void {
+  const known = entry.crashes.get(id);
+  if (known) known.cleared ||= crash.cleared;
+  else if (entry.crashes.size < MAX_CRASHES_PER_ENTRY) entry.crashes.set(id, crash);
+}
--- /dev/null
+++ b/routing/retry/src/retryBudget.ts
@@ -0,0 +1,72 @@
+import {systemClock} from '@medlarlane/lifecycle';
+import type {Clock} from '@medlarlane/lifecycle';
+
+export interface RetryBudgetOptions {
+  /** Retries per request of the service. */
+  readonly share?: number;
+  /** Retries per second that are allowed however little traffic there is. */
+  readonly floorRps?: number;
+  readonly clock?: Clock;
+}
+
+const SLOT_MS = 1_000;
+const SLOTS = 10;
+
+/**
+ * Bounds the retries of one service: over any 10 s at most `share` of its requests plus `floorRps`
+ * per second. Tokens of older traffic expire, so a quiet hour does not pay for a storm of retries.
+ */
+export class RetryBudget {
+  private readonly clock: Clock;
+  private readonly share: number;
+  private readonly floor: number;
+  private readonly requests = new Float64Array(SLOTS);
+  private readonly retries = new Float64Array(SLOTS);
+  private slot: number;
+
+  constructor(opts: RetryBudgetOptions = {}) {
+    this.clock = opts.clock ?? systemClock;
+    this.share = opts.share ?? 0.1;
+    this.floor = ((opts.floorRps ?? 1) * SLOTS * SLOT_MS) / 1_000;
+    this.slot = this.slotNow();
+  }
+
+  /** Retries that are allowed at this moment. */
+  get available(): number {
+    this.expireSlots();
+    return Math.floor(this.floor + this.share * sum(this.requests) - sum(this.retries));
+  }
+
+  /** Counts a caller's request. Retries are not counted. */
+  onRequest(): void {
+    this.expireSlots();
+    this.requests[this.slot % SLOTS]! += 1;
+  }
+
+  /** Takes one retry out of the budget; `false` when it is used up. */
+  tryTake(): boolean {
+    if (this.available < 1) return false;
+    this.retries[this.slot % SLOTS]! += 1;
+    return true;
+  }
+
+  private expireSlots(): void {
+    const now = this.slotNow();
+    const passed = Math.min(SLOTS, now - this.slot);
+    for (let step = 1; step <= passed; step += 1) {
+      this.requests[(this.slot + step) % SLOTS] = 0;
+      this.retries[(this.slot + step) % SLOTS] = 0;
+    }
+    this.slot = Math.max(this.slot, now);
+  }
+
+  private slotNow(): number {
+    return Math.floor(this.clock.nowMs() / SLOT_MS);
+  }
+}
+
+function sum(counts: Float64Array): number {
+  let total = 0;
+  for (const count of counts) total += count;
+  return total;
+}
