--- /dev/null
+++ b/apps/daemon/src/startControlListener.ts
@@ -0,0 +1,44 @@
+import {createSecureServer, createServer} from 'node:http2';
+import type {SecureServerOptions, ServerHttp2Session} from 'node:http2';
+import type {AddressInfo} from 'node:net';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import type {ConnectRouter} from '@connectrpc/connect';
+import {MedlarlaneError} from '@medlarlane/errors';
+
+export interface ControlListenerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly tls?: SecureServerOptions;
+  readonly routes: (router: ConnectRouter) => void;
+}
+
+export interface ControlListener {
+  readonly port: number;
+  close(): Promise<void>;
+}
+
+/** Starts the HTTP/2 listener for lease, watch, consensus and admin RPC. */
+export async function startControlListener(opts: ControlListenerOptions): Promise<ControlListener> {
+  const handler = connectNodeAdapter({routes: opts.routes});
+  const server = opts.tls ? createSecureServer(opts.tls, handler) : createServer(handler);
+  const sessions = new Set<ServerHttp2Session>();
+  server.on('session', (session) => {
+    sessions.add(session);
+    session.once('close', () => sessions.delete(session));
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', (cause: Error) => {
+      const message = `Cannot listen on ${opts.host}:${opts.port}: ${cause.message}`;
+      reject(new MedlarlaneError('SETTINGS_INVALID', message, {cause}));
+    });
+    server.listen(opts.port, opts.host, resolve);
+  });
+  return {
+    port: (server.address() as AddressInfo).port,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        for (const session of sessions) session.destroy();
+      }),
+  };
+}
--- a/control/control-service/src/controlStateMachine.ts
+++ b/control/control-service/src/controlStateMachine.ts
@@ -1,13 +1,14 @@
 import {EventEmitter, once} from 'node:events';
-import type {LogEntry} from '@medlarlane/consensus';
+import type {StateMachine} from '@medlarlane/consensus';
 import type {CommandResult, ControlState} from '@medlarlane/control-state';
 import {toMedlarlaneError} from '@medlarlane/errors';
 import type {LeaseTable} from '@medlarlane/leases';
 import {commandSchema, decodeValue} from '@medlarlane/model';
+import type {LogEntry} from '@medlarlane/log-store';
 import type {Command} from '@medlarlane/model';
 
 /** Applies log entries to the control state and tells watchers and the lease table. */
-export class ControlStateMachine {
+export class ControlStateMachine implements StateMachine {
   private readonly events = new EventEmitter().setMaxListeners(0);
 
   constructor(
@@ -15,9 +16,8 @@
     private readonly leases: LeaseTable,
   ) {}
 
-  apply(entry: LogEntry): CommandResult | undefined {
-    const result = entry.kind === 'command' ? this.applyCommand(entry) : undefined;
-    if (result === undefined) this.state.skip(entry.index);
+  apply(entry: LogEntry): CommandResult {
+    const result = this.applyCommand(entry);
     this.events.emit('applied');
     return result;
   }
--- a/control/control-service/src/index.ts
+++ b/control/control-service/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export {startControlService} from './controlService.js';
+export type {ControlService, ControlServiceOptions} from './controlService.js';
+export {ControlStateMachine} from './controlStateMachine.js';
--- a/control/control-service/src/leaderTasks.ts
+++ b/control/control-service/src/leaderTasks.ts
@@ -62,12 +62,12 @@
 async function rebalanceService(opts: LeaderTasksOptions, service: string): Promise<void> {
   const {state} = opts.machine;
   const table = state.ranges(service);
-  const document = state.currentRevision(service)?.document;
+  const document = state.document(service);
   if (!table || !document) return;
   const moves = planMoves({
     ranges: table.all,
     sessions: state.sessionsOf(service),
-    loads: opts.loads.loadsOf(service),
+    ...opts.loads.loadsOf(table.all, opts.clock.nowMs()),
     weighsMost: document.weighsMost,
     elapsedMs: opts.placementIntervalMs,
   });
--- a/control/control-service/src/sessionHandler.ts
+++ b/control/control-service/src/sessionHandler.ts
@@ -2,6 +2,7 @@
 import type {SessionRequest, SessionResponseSchema} from '@medlarlane/control-rpc';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import {decodeValue, registrationSchema} from '@medlarlane/model';
+import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
 import type {LoadAggregator} from '@medlarlane/placement';
 import type {ControlStateMachine} from './controlStateMachine.js';
@@ -17,6 +18,7 @@
   readonly machine: ControlStateMachine;
   readonly loads: LoadAggregator;
   readonly leaseTtlMs: number;
+  readonly clock: Clock;
   readonly logger: Logger;
 }
 
@@ -60,7 +62,7 @@
       const outcome = this.opts.leadership.renew(stream.sessionId, appliedIndex);
       if (outcome === 'ended') return ended('lease expired');
       if (outcome === 'no-quorum') return undefined;
-      this.opts.loads.report(stream.sessionId, renewal);
+      this.opts.loads.report(stream.sessionId, renewal, this.opts.clock.nowMs());
       return {
         message: {
           case: 'renewAck',
--- a/control/control-state/src/controlState.ts
+++ b/control/control-state/src/controlState.ts
@@ -1,7 +1,7 @@
 import {createHash} from 'node:crypto';
 import {evenRanges, RangeTable} from '@medlarlane/key-space';
 import type {RangeChange} from '@medlarlane/key-space';
-import {decodeValue, encodeValue, teamOf} from '@medlarlane/model';
+import {decodeValue, encodeValue, serviceDocumentSchema, teamOf} from '@medlarlane/model';
 import type {
   Command,
   CommandOf,
@@ -13,10 +13,10 @@
   Session,
 } from '@medlarlane/model';
 import {assignOrphans} from '@medlarlane/placement';
+import {isTeamPublicKey} from '@medlarlane/signatures';
 import {ChangeHistory} from './changeHistory.js';
 import {ChangeMemory} from './changeMemory.js';
 import {checkSignature, failure, parseDocument} from './documentChecks.js';
-import type {VerifySignature} from './documentChecks.js';
 import {stateSnapshotSchema} from './stateSnapshot.js';
 import type {CommandResult, DocumentRevision, StateSnapshot} from './stateSnapshot.js';
 
@@ -24,10 +24,6 @@
 const INITIAL_RANGES = 256;
 const KEPT_REVISIONS = 50;
 
-export interface ControlStateOptions {
-  readonly verifySignature: VerifySignature;
-}
-
 type Handlers = {
   readonly [K in Command['kind']]: (index: number, command: CommandOf<K>) => CommandResult;
 };
@@ -40,6 +36,7 @@
   private index = 0;
   private teams = new Map<string, string>();
   private revisions = new Map<string, DocumentRevision[]>();
+  private documents = new Map<string, ServiceDocument>();
   private sessions = new Map<number, Session>();
   private assignments = new Map<string, RangeTable>();
   private changeMemory = new ChangeMemory();
@@ -56,8 +53,6 @@
     finishMoves: (index, command) => this.finishMoves(index, command),
   };
 
-  constructor(private readonly opts: ControlStateOptions) {}
-
   get appliedIndex(): number {
     return this.index;
   }
@@ -88,8 +83,8 @@
   directorySnapshot(): DirectorySnapshot {
     return {
       documents: this.services().map((service) => {
-        const {revision, document} = this.currentRevision(service)!;
-        return {revision, document};
+        const {revision} = this.currentRevision(service)!;
+        return {revision, document: this.documents.get(service)!};
       }),
       sessions: [...this.sessions.values()],
       assignments: this.assignmentList(),
@@ -115,6 +110,9 @@
     this.revisions = new Map(
       snapshot.documents.map(({service, revisions}) => [service, revisions]),
     );
+    this.documents = new Map(
+      this.services().map((service) => [service, this.parseCurrent(service)]),
+    );
     this.sessions = new Map(snapshot.sessions.map((session) => [session.sessionId, session]));
     this.assignments = new Map(
       snapshot.assignments.map(({service, ranges}) => [service, new RangeTable(ranges)]),
@@ -131,6 +129,10 @@
     return this.revisions.get(service)?.at(-1);
   }
 
+  document(service: string): ServiceDocument | undefined {
+    return this.documents.get(service);
+  }
+
   /** The kept revisions of a service, oldest first. */
   revisionsOf(service: string): readonly DocumentRevision[] {
     return this.revisions.get(service) ?? [];
@@ -159,6 +161,9 @@
   private claimTeam(index: number, command: CommandOf<'claimTeam'>): CommandResult {
     const {changeId, team, publicKeyPem} = command;
     return this.changeMemory.once(changeId, fingerprintOf(command), () => {
+      if (!isTeamPublicKey(publicKeyPem)) {
+        return failure('REQUEST_INVALID', 'Key is not an Ed25519 public key');
+      }
       const owner = this.teams.get(team);
       if (owner !== undefined && owner !== publicKeyPem) {
         return failure('TEAM_TAKEN', `Team ${team} is claimed by another key`);
@@ -175,7 +180,7 @@
       return failure('TEAM_UNKNOWN', `Team ${teamOf(service)} is not claimed`);
     }
     // The signature is checked first, so that nobody else can use up a change id of the team.
-    const forged = checkSignature(command, publicKeyPem, this.opts.verifySignature);
+    const forged = checkSignature(command, publicKeyPem);
     if (forged) return forged;
     return this.changeMemory.once(changeId, fingerprintOf(command), () =>
       this.commitDocument(index, command),
@@ -183,7 +188,7 @@
   }
 
   private commitDocument(index: number, command: CommandOf<'applyDocument'>): CommandResult {
-    const {service, baseRevision, changeId, proposedAtMs} = command;
+    const {service, baseRevision, changeId, proposedAtMs, documentJson, signature} = command;
     const parsed = parseDocument(command);
     if (!parsed.ok) return parsed;
     const {document} = parsed;
@@ -198,26 +203,39 @@
       return failure('DOCUMENT_INVALID', `Host ${taken} belongs to another service`);
     }
     const revision = currentRevision + 1;
-    const entry: DocumentRevision = {revision, index, changeId, proposedAtMs, document};
+    const entry: DocumentRevision = {
+      revision,
+      index,
+      changeId,
+      baseRevision,
+      proposedAtMs,
+      documentJson,
+      signature,
+    };
+    this.documents.set(service, document);
     this.revisions.set(service, [...this.revisionsOf(service), entry].slice(-KEPT_REVISIONS));
     this.pendingChanges.push({kind: 'document', revision, document});
-    this.adjustAssignment(index, document);
+    this.createAssignment(index, document);
     return {ok: true, index, revision};
   }
 
+  private parseCurrent(service: string): ServiceDocument {
+    const {documentJson} = this.currentRevision(service)!;
+    return serviceDocumentSchema.parse(JSON.parse(documentJson));
+  }
+
   private hostIsTaken(host: string, service: string): boolean {
     return this.services().some(
       (other) =>
-        other !== service && this.currentRevision(other)!.document.hosts.includes(host),
+        other !== service && this.documents.get(other)!.hosts.includes(host),
     );
   }
 
-  /** Creates the ranges when a service starts to be split by key, and drops them when it stops. */
-  private adjustAssignment(index: number, {service, splitByKey}: ServiceDocument): void {
-    if (!splitByKey) {
-      this.assignments.delete(service);
-      return;
-    }
+  /**
+   * Creates the ranges of a new service. A service that is not split by key has them too: there the
+   * Idempotency-Key of a non-repeatable request is the key, so that its resend meets its record.
+   */
+  private createAssignment(index: number, {service}: ServiceDocument): void {
     if (this.assignments.has(service)) return;
     const table = new RangeTable(evenRanges(INITIAL_RANGES));
     this.assignments.set(service, table);
--- a/control/control-state/src/documentChecks.ts
+++ b/control/control-state/src/documentChecks.ts
@@ -1,13 +1,10 @@
-import {createHash} from 'node:crypto';
 import type {CommandOf, ServiceDocument} from '@medlarlane/model';
-import {serviceDocumentSchema, signedText, teamOf} from '@medlarlane/model';
+import {serviceDocumentSchema, teamOf} from '@medlarlane/model';
+import {verifyDocumentChange} from '@medlarlane/signatures';
 import type {CommandResult} from './stateSnapshot.js';
 
 type Failure = Extract<CommandResult, {ok: false}>;
 
-/** Checks an Ed25519 signature (base64) of `text` by the key `publicKeyPem`. */
-export type VerifySignature = (text: string, signature: string, publicKeyPem: string) => boolean;
-
 export function failure(
   code: Failure['code'],
   message: string,
@@ -44,11 +41,10 @@
 export function checkSignature(
   command: CommandOf<'applyDocument'>,
   publicKeyPem: string,
-  verify: VerifySignature,
 ): Failure | undefined {
-  const {service, baseRevision, changeId, documentJson, signature} = command;
-  const documentSha256 = createHash('sha256').update(documentJson).digest('hex');
-  const text = signedText({service, baseRevision, changeId, documentSha256});
-  if (verify(text, signature, publicKeyPem)) return undefined;
-  return failure('SIGNATURE_INVALID', `Signature is not by the key of team ${teamOf(service)}`);
+  if (verifyDocumentChange(command, publicKeyPem)) return undefined;
+  return failure(
+    'SIGNATURE_INVALID',
+    `Signature is not by the key of team ${teamOf(command.service)}`,
+  );
 }
--- a/control/control-state/src/stateSnapshot.ts
+++ b/control/control-state/src/stateSnapshot.ts
@@ -1,7 +1,7 @@
 import {z} from 'zod';
 import {isErrorCode} from '@medlarlane/errors';
 import type {ErrorCode} from '@medlarlane/errors';
-import {nameSchema, rangeSchema, serviceDocumentSchema, serviceNameSchema, sessionSchema} from '@medlarlane/model';
+import {nameSchema, rangeSchema, serviceNameSchema, sessionSchema} from '@medlarlane/model';
 
 const errorCodeSchema = z.custom<ErrorCode>(
   (value) => typeof value === 'string' && isErrorCode(value),
@@ -29,8 +29,11 @@
   revision: z.int().positive(),
   index: z.int(),
   changeId: z.string(),
+  baseRevision: z.int().min(0),
   proposedAtMs: z.int(),
-  document: serviceDocumentSchema,
+  /** Exactly as signed. */
+  documentJson: z.string(),
+  signature: z.string(),
 });
 export type DocumentRevision = z.infer<typeof documentRevisionSchema>;
 
--- a/control/leases/src/leaseTable.ts
+++ b/control/leases/src/leaseTable.ts
@@ -73,6 +73,10 @@
       .map(({sessionId}) => sessionId);
   }
 
+  find(sessionId: number): Readonly<LeaseState> | undefined {
+    return this.leases.get(sessionId);
+  }
+
   all(): readonly LeaseState[] {
     return [...this.leases.values()];
   }
--- a/routing/directory/src/directory.ts
+++ b/routing/directory/src/directory.ts
@@ -112,13 +112,12 @@
   }
 
   private setDocument(entry: DocumentEntry): void {
-    const {service, hosts, splitByKey} = entry.document;
+    const {service, hosts} = entry.document;
     for (const host of this.documents.get(service)?.document.hosts ?? []) {
       this.serviceByHost.delete(host);
     }
     this.documents.set(service, entry);
     for (const host of hosts) this.serviceByHost.set(host, service);
-    if (!splitByKey) this.assignments.delete(service);
   }
 
   private setSession(session: Session): void {
--- a/routing/forwarder/src/callerRouter.ts
+++ b/routing/forwarder/src/callerRouter.ts
@@ -57,7 +57,10 @@
     let ownerWaitUntilMs: number | undefined;
     for (;;) {
       const result = await this.attempt(exchange, tried);
-      const error = result.swap().extractNullable();
+      const error = result.caseOf<MedlarlaneError | undefined>({
+        Left: (failure) => failure,
+        Right: () => undefined,
+      });
       if (!error) return result;
       if (!exchange.body.isReplayable || exchange.response.headersSent) return refuse(exchange, error);
       if (error.code === 'NOT_OWNER' && follows < MAX_FOLLOWS) {
--- a/routing/forwarder/src/exchange.ts
+++ b/routing/forwarder/src/exchange.ts
@@ -14,7 +14,10 @@
   readonly response: ServerResponse;
   readonly requestId: string;
   readonly document: ServiceDocument;
-  /** Position of the key; `undefined` for a service that is not split by key. */
+  /**
+   * Position of the key, or of the Idempotency-Key where the service is not split by key; `undefined`
+   * for a request that any server may run.
+   */
   readonly position: number | undefined;
   /** Whether the request may run more than once. */
   readonly repeatable: boolean;
@@ -50,7 +53,7 @@
   if (!repeatable && idempotencyKey === undefined && document.requests.requireIdempotencyKey) {
     throw new MedlarlaneError('IDEMPOTENCY_KEY_REQUIRED');
   }
-  const position = positionOf(request, document);
+  const position = positionOf(request, document, repeatable ? undefined : idempotencyKey);
   const deadlineMs = opts.clock.nowMs() + remainingMs(request, document);
   return {
     request,
@@ -75,8 +78,14 @@
   throw new MedlarlaneError('SERVICE_UNKNOWN', `Request names no known service: ${service ?? ''}`);
 }
 
-function positionOf(request: IncomingMessage, document: ServiceDocument): number | undefined {
-  if (!document.splitByKey || !document.key) return undefined;
+function positionOf(
+  request: IncomingMessage,
+  document: ServiceDocument,
+  idempotencyKey: string | undefined,
+): number | undefined {
+  if (!document.splitByKey || !document.key) {
+    return idempotencyKey === undefined ? undefined : hashKey(idempotencyKey);
+  }
   const key = extractKey(document.key, {url: request.url ?? '/', headers: request.headers});
   if (key === undefined) throw new MedlarlaneError('KEY_MISSING');
   return hashKey(key);
--- /dev/null
+++ b/routing/forwarder/src/recordCoverage.ts
@@ -0,0 +1,96 @@
+import type {IdempotencyTable} from '@medlarlane/dedupe';
+import type {Directory} from '@medlarlane/directory';
+import type {Range} from '@medlarlane/model';
+import type {Lease} from '@medlarlane/ownership';
+import {moveIdOf} from './handOver.js';
+
+interface OwnedRange {
+  readonly startPosition: number;
+  readonly endPosition: number;
+  readonly epoch: number;
+}
+
+export interface RecordCoverageOptions {
+  readonly directory: Directory;
+  readonly lease: Lease;
+  readonly idempotency: IdempotencyTable;
+}
+
+/**
+ * Tells the idempotency table which ranges this daemon owns, and whether their records were handed
+ * over. Must be updated in the same turn in which the ownership check sees a new owner.
+ */
+export class RecordCoverage {
+  private sessionId = 0;
+  private owned: readonly OwnedRange[] = [];
+  /** Ranges that are being moved to this daemon, by start position. */
+  private incoming = new Map<number, Range>();
+
+  constructor(private readonly opts: RecordCoverageOptions) {}
+
+  update(): void {
+    const {directory, lease} = this.opts;
+    if (lease.sessionId !== this.sessionId) this.reset(lease.sessionId);
+    const service = directory.session(this.sessionId)?.service;
+    if (service === undefined) return;
+    const owned = this.collectOwned(service);
+    this.coverNew(service, owned);
+    this.owned = owned;
+    this.noteIncoming(service);
+  }
+
+  private reset(sessionId: number): void {
+    this.opts.idempotency.releaseAll();
+    this.sessionId = sessionId;
+    this.owned = [];
+    this.incoming.clear();
+  }
+
+  private collectOwned(service: string): OwnedRange[] {
+    const table = this.opts.directory.ranges(service);
+    if (!table) return [];
+    return table.all.flatMap(({ownerSessionId, startPosition, epoch}, index) =>
+      ownerSessionId === this.sessionId
+        ? [{startPosition, endPosition: table.endOf(index), epoch}]
+        : [],
+    );
+  }
+
+  private coverNew(service: string, owned: readonly OwnedRange[]): void {
+    const {idempotency} = this.opts;
+    for (const {startPosition: from, endPosition: to, epoch} of owned) {
+      if (this.wasOwned(from, epoch)) continue;
+      const before = this.incoming.get(from);
+      const range = {service, from, to};
+      if (before && this.isPlanned(before)) {
+        idempotency.acceptMove({...range, moveId: moveIdOf(from, before.epoch)});
+      } else {
+        idempotency.takeOver(range);
+      }
+    }
+  }
+
+  private wasOwned(startPosition: number, epoch: number): boolean {
+    return this.owned.some((range) => covers(range, startPosition, epoch));
+  }
+
+  /** When the earlier owner has ended, it may have run requests after its handover. */
+  private isPlanned(before: Range): boolean {
+    return this.opts.directory.session(before.ownerSessionId) !== undefined;
+  }
+
+  private noteIncoming(service: string): void {
+    const ranges = this.opts.directory.ranges(service)?.all ?? [];
+    this.incoming = new Map(
+      ranges
+        .filter(({nextSessionId}) => nextSessionId === this.sessionId)
+        .map((range) => [range.startPosition, range]),
+    );
+  }
+}
+
+function covers(range: OwnedRange, position: number, epoch: number): boolean {
+  return (
+    range.epoch === epoch && range.startPosition <= position && position < range.endPosition
+  );
+}
--- /dev/null
+++ b/routing/forwarder/src/startListener.ts
@@ -0,0 +1,71 @@
+import {createServer as createHttpServer} from 'node:http';
+import type {IncomingMessage, RequestListener, Server, ServerOptions, ServerResponse} from 'node:http';
+import {createServer as createHttpsServer} from 'node:https';
+import type {Server as HttpsServer} from 'node:https';
+import type {AddressInfo} from 'node:net';
+import type {TlsOptions} from 'node:tls';
+import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
+import type {Logger} from '@medlarlane/logger';
+import {answerProblem} from './problem.js';
+
+export interface ListenerOptions {
+  readonly host: string;
+  readonly port: number;
+  /** TLS when given. */
+  readonly tls?: TlsOptions;
+  readonly logger: Logger;
+}
+
+export interface Listener {
+  readonly port: number;
+  readonly server: Server | HttpsServer;
+  /** Stops accepting, lets running exchanges end, and closes idle connections. */
+  close(): Promise<void>;
+}
+
+const SERVER_OPTIONS: ServerOptions = {
+  headersTimeout: 10_000,
+  // Uploads may take long; a stalled one is ended by the idle timeout.
+  requestTimeout: 0,
+  keepAliveTimeout: 65_000,
+  maxHeaderSize: 16_384,
+  insecureHTTPParser: false,
+};
+const IDLE_TIMEOUT_MS = 60_000;
+
+/** Starts an HTTP/1.1 listener whose handler's failures are answered as problem documents. */
+export async function startListener(
+  handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>,
+  opts: ListenerOptions,
+): Promise<Listener> {
+  const onRequest: RequestListener = (request, response) => {
+    handle(request, response).catch((failure: unknown) => {
+      const error = toMedlarlaneError(failure);
+      if (error.code === 'INTERNAL') opts.logger.error({err: failure}, 'Request failed.');
+      answerProblem(response, error);
+    });
+  };
+  const server = opts.tls
+    ? createHttpsServer({...SERVER_OPTIONS, ...opts.tls}, onRequest)
+    : createHttpServer(SERVER_OPTIONS, onRequest);
+  server.setTimeout(IDLE_TIMEOUT_MS);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', (cause) => {
+      const message = `Cannot listen on ${opts.host}:${opts.port}: ${cause.message}`;
+      reject(new MedlarlaneError('SETTINGS_INVALID', message, {cause}));
+    });
+    server.listen(opts.port, opts.host, resolve);
+  });
+  return {
+    port: (server.address() as AddressInfo).port,
+    server,
+    close: () => closeServer(server),
+  };
+}
+
+function closeServer(server: Server | HttpsServer): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeIdleConnections();
+  });
+}
--- a/routing/key-space/test/keySpace.test.ts
+++ b/routing/key-space/test/keySpace.test.ts
@@ -4,7 +4,15 @@
 import type {KeyRule} from '@medlarlane/model';
 import {evenRanges, extractKey, hashKey, RangeTable} from '@medlarlane/key-space';
 
-const EXTRACTION_CASES: Array<[string, KeyRule, string, Record<string, string | string[]>, string?]> = [
+type ExtractionCase = [
+  title: string,
+  rule: KeyRule,
+  url: string,
+  headers: Record<string, string | string[]>,
+  expected: string | undefined,
+];
+
+const EXTRACTION_CASES: ExtractionCase[] = [
   ['path segment', {from: 'path', segment: 1}, '/walls/north%20face?x=1', {}, 'north face'],
   ['missing path segment', {from: 'path', segment: 2}, '/walls/north', {}, undefined],
   ['broken escape', {from: 'path', segment: 0}, '/%E0%A4%A', {}, undefined],
--- /dev/null
+++ b/routing/load-meter/src/index.ts
@@ -0,0 +1,2 @@
+export {LoadMeter} from './loadMeter.js';
+export type {LoadMeterOptions, LoadReport} from './loadMeter.js';
--- a/routing/ownership/src/lease.ts
+++ b/routing/ownership/src/lease.ts
@@ -5,6 +5,8 @@
   private currentSessionId = 0;
   private validUntilMs = -Infinity;
 
+  private readonly listeners = new Set<() => void>();
+
   constructor(private readonly clock: Clock) {}
 
   /** The registered session, or 0. Its lease may have run out. */
@@ -22,8 +24,8 @@
   }
 
   start(sessionId: number): void {
-    if (sessionId !== this.currentSessionId) this.validUntilMs = -Infinity;
-    this.currentSessionId = sessionId;
+    if (sessionId === this.currentSessionId) return;
+    this.change(sessionId);
   }
 
   extend(sentAtMs: number, leaseTtlMs: number): void {
@@ -31,7 +33,17 @@
   }
 
   end(): void {
-    this.currentSessionId = 0;
+    if (this.currentSessionId !== 0) this.change(0);
+  }
+
+  /** Calls `listener` when a session starts or ends. */
+  onSessionChange(listener: () => void): void {
+    this.listeners.add(listener);
+  }
+
+  private change(sessionId: number): void {
+    this.currentSessionId = sessionId;
     this.validUntilMs = -Infinity;
+    for (const listener of this.listeners) listener();
   }
 }
--- a/routing/ownership/src/rangeReleaser.ts
+++ b/routing/ownership/src/rangeReleaser.ts
@@ -25,6 +25,8 @@
     ranges: readonly ReleasedRange[],
     signal: AbortSignal,
   ) => Promise<void>;
+  /** The move was cancelled and this daemon keeps the range. */
+  readonly resume: (range: ReleasedRange) => void;
   /** Tells the leader that this daemon has stopped serving the ranges; repeated until it is seen. */
   readonly release: (ranges: readonly ReleasedRange[]) => void;
 }
@@ -107,19 +109,21 @@
     for (const [key, released] of this.released) {
       if (this.isStillMoving(released)) continue;
       this.released.delete(key);
+      if (this.isStillOwned(released)) this.opts.resume(released);
       this.opts.ownership.endRelease(released.service, released.range);
     }
   }
 
-  private isStillMoving({service, range}: ReleasedRange): boolean {
+  private isStillMoving(released: ReleasedRange): boolean {
+    const {service, range} = released;
+    const current = this.opts.directory.range(service, range.startPosition);
+    return this.isStillOwned(released) && current?.nextSessionId !== 0;
+  }
+
+  private isStillOwned({service, range}: ReleasedRange): boolean {
     const {directory, lease} = this.opts;
     const current = directory.range(service, range.startPosition);
-    return (
-      current?.startPosition === range.startPosition &&
-      current.epoch === range.epoch &&
-      current.ownerSessionId === lease.sessionId &&
-      current.nextSessionId !== 0
-    );
+    return current?.epoch === range.epoch && current.ownerSessionId === lease.sessionId;
   }
 }
 
--- a/routing/poison/src/poisonTable.ts
+++ b/routing/poison/src/poisonTable.ts
@@ -105,6 +105,11 @@
     for (const crash of entry.crashes.values()) crash.cleared = true;
   }
 
+  /** Whether no request is suspect or quarantined, so that fingerprints need not be computed. */
+  get isEmpty(): boolean {
+    return this.entries.size === 0;
+  }
+
   stateOf(fingerprint: string): PoisonState {
     const entry = this.entries.get(fingerprint);
     if (!entry) return 'clear';
