--- a/control/consensus/src/index.ts
+++ b/control/consensus/src/index.ts
@@ -1,1 +1,24 @@
-export {};
+export type {
+  AppendRequest,
+  AppendResponse,
+  ConsensusRequest,
+  ConsensusResponse,
+  ConsensusTransport,
+  InstallSnapshotRequest,
+  InstallSnapshotResponse,
+  VoteRequest,
+  VoteResponse,
+} from './consensusMessages.js';
+export type {Committed, PeerStatus} from './leadership.js';
+export type {MemberChange} from './memberChange.js';
+export {startReplica} from './startReplica.js';
+export type {
+  Replica,
+  ReplicaRole,
+  ReplicaStatus,
+  RoleChange,
+  StartReplicaOptions,
+  StateMachine,
+} from './startReplica.js';
+export {DEFAULT_TIMINGS} from './timings.js';
+export type {ReplicaTimings} from './timings.js';
--- /dev/null
+++ b/control/log-store/src/openLogStore.ts
@@ -0,0 +1,278 @@
+import {randomUUID} from 'node:crypto';
+import path from 'node:path';
+import {z} from 'zod';
+import {MedlarlaneError} from '@medlarlane/errors';
+import {nodeFileSystem, TEMPORARY_SUFFIX, writeFileDurably} from './fileSystem.js';
+import type {FileSystem} from './fileSystem.js';
+import {lockFolder} from './folderLock.js';
+import {encodeFrame, scanFrames} from './frames.js';
+import {LogWriter} from './logWriter.js';
+import {IDENTITY_FILE, LOG_NAME, logName, SNAPSHOT_NAME, snapshotName} from './names.js';
+import {decodeBatches, decodeHeader, decodeSnapshot, encodeHeader} from './records.js';
+import type {DecodedBatch, HardState, LogBatch, LogEntry, LogHeader, Snapshot} from './records.js';
+
+const FORMAT_VERSION = 1;
+const identitySchema = z.object({format: z.int(), replicaId: z.string().min(1)});
+
+/** What the folder held when it was opened. */
+export interface RecoveredLog {
+  readonly hardState: HardState;
+  readonly snapshot?: Snapshot;
+  /** Entries after the snapshot, without gaps. */
+  readonly entries: LogEntry[];
+  /** Bytes of an unfinished last write that were cut off. */
+  readonly tornBytes: number;
+}
+
+export interface LogStore {
+  readonly replicaId: string;
+  readonly recovered: RecoveredLog;
+  /** Set once writing fails; from then on nothing is acknowledged. */
+  readonly failure?: MedlarlaneError;
+  /**
+   * Resolves once the batch is durable. Concurrent calls share one sync and keep their order.
+   * @throws MedlarlaneError `LOG_WRITE_FAILED` for this and every later call when writing fails.
+   */
+  append(batch: LogBatch): Promise<void>;
+  /** Makes the snapshot durable and starts a new log file with `keptEntries`, which follow it. */
+  saveSnapshot(snapshot: Snapshot, keptEntries: readonly LogEntry[]): Promise<void>;
+  /** Waits for writes in progress and releases the folder. */
+  close(): Promise<void>;
+}
+
+export interface OpenLogStoreOptions {
+  /** Must equal the id in the folder. A new folder gets this id, or a random one. */
+  readonly replicaId?: string;
+  readonly files?: FileSystem;
+}
+
+/**
+ * Opens the log in a data folder, creating it when the folder is empty.
+ *
+ * @throws MedlarlaneError `LOG_LOCKED`, `LOG_FORMAT`, `LOG_CORRUPT`, or `SETTINGS_INVALID` when the
+ * folder belongs to another replica id.
+ */
+export async function openLogStore(
+  dataFolder: string,
+  opts: OpenLogStoreOptions = {},
+): Promise<LogStore> {
+  const files = opts.files ?? nodeFileSystem;
+  await files.makeFolder(dataFolder);
+  const release = await lockFolder(dataFolder, files);
+  try {
+    const names = await files.list(dataFolder);
+    const found = await findLog(dataFolder, names, files);
+    const {replicaId, logNumber, recovered, frameCount, sizeBytes} = found
+      ? await recoverLog(dataFolder, found, opts.replicaId, files)
+      : await createLog(dataFolder, opts.replicaId ?? randomUUID(), files);
+    await removeStaleFiles(dataFolder, logNumber, recovered.snapshot?.index, files);
+    const writer = new LogWriter({
+      dataFolder,
+      replicaId,
+      files,
+      release,
+      logNumber,
+      frameCount,
+      sizeBytes,
+      hardState: recovered.hardState,
+      file: await files.open(path.join(dataFolder, logName(logNumber)), 'update'),
+    });
+    return Object.assign(writer, {recovered});
+  } catch (failure) {
+    await release();
+    throw failure;
+  }
+}
+
+interface FoundLog {
+  readonly logNumber: number;
+  /** Absent when a crash interrupted the creation of the folder. */
+  readonly identity: z.infer<typeof identitySchema> | undefined;
+}
+
+interface OpenedLog {
+  readonly replicaId: string;
+  readonly logNumber: number;
+  readonly recovered: RecoveredLog;
+  readonly frameCount: number;
+  readonly sizeBytes: number;
+}
+
+async function findLog(
+  dataFolder: string,
+  names: readonly string[],
+  files: FileSystem,
+): Promise<FoundLog | undefined> {
+  const logNumbers = names.flatMap((name) => {
+    const match = LOG_NAME.exec(name);
+    return match ? [Number(match[1])] : [];
+  });
+  const identity = names.includes(IDENTITY_FILE)
+    ? readIdentity(await files.read(path.join(dataFolder, IDENTITY_FILE)))
+    : undefined;
+  if (logNumbers.length > 0) return {logNumber: Math.max(...logNumbers), identity};
+  if (identity || names.some((name) => SNAPSHOT_NAME.test(name))) {
+    throw new MedlarlaneError('LOG_CORRUPT', 'Log file is missing');
+  }
+  return undefined;
+}
+
+function readIdentity(bytes: Uint8Array): z.infer<typeof identitySchema> {
+  let identity: z.infer<typeof identitySchema>;
+  try {
+    identity = identitySchema.parse(JSON.parse(Buffer.from(bytes).toString('utf8')));
+  } catch (cause) {
+    throw new MedlarlaneError('LOG_CORRUPT', `${IDENTITY_FILE} cannot be read`, {cause});
+  }
+  if (identity.format === FORMAT_VERSION) return identity;
+  throw new MedlarlaneError('LOG_FORMAT', `Data folder has format ${identity.format}`, {
+    details: {format: identity.format, supported: FORMAT_VERSION},
+  });
+}
+
+async function createLog(
+  dataFolder: string,
+  replicaId: string,
+  files: FileSystem,
+): Promise<OpenedLog> {
+  const logNumber = 1;
+  const hardState = {term: 0, votedFor: ''};
+  const header = {replicaId, baseIndex: 0, baseTerm: 0, hardState, entries: []};
+  const frame = encodeFrame(0, encodeHeader(header));
+  await writeFileDurably(files, path.join(dataFolder, logName(logNumber)), frame);
+  // The identity comes last: an identity without a log file then always means a lost file.
+  await writeIdentity(dataFolder, replicaId, files);
+  const recovered = {hardState, entries: [], tornBytes: 0};
+  return {replicaId, logNumber, recovered, frameCount: 1, sizeBytes: frame.length};
+}
+
+async function writeIdentity(
+  dataFolder: string,
+  replicaId: string,
+  files: FileSystem,
+): Promise<void> {
+  const text = `${JSON.stringify({format: FORMAT_VERSION, replicaId})}\n`;
+  await writeFileDurably(files, path.join(dataFolder, IDENTITY_FILE), Buffer.from(text));
+}
+
+async function recoverLog(
+  dataFolder: string,
+  {logNumber, identity}: FoundLog,
+  expectedId: string | undefined,
+  files: FileSystem,
+): Promise<OpenedLog> {
+  const logPath = path.join(dataFolder, logName(logNumber));
+  const {frames, validBytes, tornBytes} = scanFrames(await files.read(logPath));
+  const [headerFrame, ...batchFrames] = frames;
+  if (!headerFrame) throw new MedlarlaneError('LOG_CORRUPT', 'Log file has no header');
+  const header = decodeHeader(headerFrame.payload);
+  checkIdentity(header, identity, expectedId, batchFrames.length);
+  const snapshot = await readSnapshot(dataFolder, header, files);
+  const {hardState, entries} = replay(
+    header,
+    batchFrames.flatMap(({payload}) => decodeBatches(payload)),
+  );
+  if (tornBytes > 0) await cutTornTail(logPath, validBytes, files);
+  if (!identity) await writeIdentity(dataFolder, header.replicaId, files);
+  return {
+    replicaId: header.replicaId,
+    logNumber,
+    recovered: {hardState, entries, tornBytes, ...(snapshot ? {snapshot} : {})},
+    frameCount: frames.length,
+    sizeBytes: validBytes,
+  };
+}
+
+function checkIdentity(
+  {replicaId, baseIndex, entries}: LogHeader,
+  identity: FoundLog['identity'],
+  expectedId: string | undefined,
+  batchCount: number,
+): void {
+  if (!identity && (baseIndex > 0 || entries.length > 0 || batchCount > 0)) {
+    throw new MedlarlaneError('LOG_CORRUPT', `${IDENTITY_FILE} is missing`);
+  }
+  if (identity && identity.replicaId !== replicaId) {
+    throw new MedlarlaneError('LOG_CORRUPT', `${IDENTITY_FILE} and log name different replicas`);
+  }
+  if (expectedId !== undefined && expectedId !== replicaId) {
+    throw new MedlarlaneError('SETTINGS_INVALID', `Data folder belongs to replica ${replicaId}`, {
+      details: {replicaId, expectedId},
+    });
+  }
+}
+
+async function readSnapshot(
+  dataFolder: string,
+  {baseIndex, baseTerm}: LogHeader,
+  files: FileSystem,
+): Promise<Snapshot | undefined> {
+  if (baseIndex === 0) return undefined;
+  const name = snapshotName(baseIndex);
+  if (!(await files.list(dataFolder)).includes(name)) {
+    throw new MedlarlaneError('LOG_CORRUPT', `Snapshot ${name} is missing`);
+  }
+  const {frames, tornBytes} = scanFrames(await files.read(path.join(dataFolder, name)));
+  const [frame] = frames;
+  if (!frame || frames.length > 1 || tornBytes > 0) {
+    throw new MedlarlaneError('LOG_CORRUPT', `Snapshot ${name} is incomplete`);
+  }
+  const snapshot = decodeSnapshot(frame.payload);
+  if (snapshot.index === baseIndex && snapshot.term === baseTerm) return snapshot;
+  throw new MedlarlaneError('LOG_CORRUPT', `Snapshot ${name} does not match the log`);
+}
+
+function replay(
+  header: LogHeader,
+  batches: readonly DecodedBatch[],
+): {hardState: HardState; entries: LogEntry[]} {
+  let {hardState} = header;
+  const entries: LogEntry[] = [];
+  const nextIndex = (): number => header.baseIndex + entries.length + 1;
+  for (const batch of [{entries: header.entries}, ...batches] as DecodedBatch[]) {
+    hardState = batch.hardState ?? hardState;
+    if (batch.truncateFrom !== undefined) {
+      if (batch.truncateFrom <= header.baseIndex || batch.truncateFrom > nextIndex()) {
+        throw new MedlarlaneError(
+          'LOG_CORRUPT',
+          `Truncation at ${batch.truncateFrom} is impossible`,
+        );
+      }
+      entries.length = batch.truncateFrom - header.baseIndex - 1;
+    }
+    for (const entry of batch.entries) {
+      if (entry.index !== nextIndex()) {
+        throw new MedlarlaneError('LOG_CORRUPT', `Entry ${nextIndex()} is missing`, {
+          details: {expected: nextIndex(), found: entry.index},
+        });
+      }
+      entries.push(entry);
+    }
+  }
+  return {hardState, entries};
+}
+
+async function cutTornTail(logPath: string, validBytes: number, files: FileSystem): Promise<void> {
+  const file = await files.open(logPath, 'update');
+  try {
+    await file.truncate(validBytes);
+    await file.sync();
+  } finally {
+    await file.close();
+  }
+}
+
+/** Removes what a crash during a snapshot left behind. */
+async function removeStaleFiles(
+  dataFolder: string,
+  logNumber: number,
+  snapshotIndex: number | undefined,
+  files: FileSystem,
+): Promise<void> {
+  const kept = new Set([logName(logNumber), IDENTITY_FILE]);
+  if (snapshotIndex !== undefined) kept.add(snapshotName(snapshotIndex));
+  for (const name of await files.list(dataFolder)) {
+    const ours = LOG_NAME.test(name) || SNAPSHOT_NAME.test(name) || name.endsWith(TEMPORARY_SUFFIX);
+    if (ours && !kept.has(name)) await files.remove(path.join(dataFolder, name));
+  }
+}
