Complete the thin whole path and show it with the demo

Cause: nothing showed yet that a request travels from a caller to the one server that owns its key. Change: daemon program with one wiring module, process fixtures, and a demo that starts three control replicas and five servers as separate processes, applies the document of the wallboard service, sends keyed requests through random daemons and kills one daemon. Ruled out: a check that a key keeps its server for the whole run; planned moves change it, so the check is per key and epoch.

--- a/apps/daemon/src/index.ts
+++ b/apps/daemon/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export {startDaemon} from './startDaemon.js';
+export type {DaemonAddresses, RunningDaemon} from './startDaemon.js';
--- /dev/null
+++ b/apps/daemon/src/listenAddresses.ts
@@ -0,0 +1,6 @@
+/** Addresses that are told to others. They are known once the listeners are bound. */
+export interface ListenAddresses {
+  caller: string;
+  peer: string;
+  admin: string;
+}
--- /dev/null
+++ b/apps/daemon/src/main.ts
@@ -0,0 +1,57 @@
+#!/usr/bin/env node
+import {toMedlarlaneError} from '@medlarlane/errors';
+import {loggerFor} from '@medlarlane/logger';
+import {maskSettings, parseSettings, settingsHelp} from '@medlarlane/settings';
+import type {DaemonSettings} from '@medlarlane/settings';
+import {startDaemon} from './startDaemon.js';
+
+const VERSION = '0.1.0';
+const INVALID_SETTINGS_EXIT_CODE = 2;
+
+const argv = process.argv.slice(2);
+if (argv.includes('--help')) process.stdout.write(settingsHelp());
+else if (argv.includes('--version')) process.stdout.write(`medlarlaned ${VERSION}\n`);
+else await run();
+
+async function run(): Promise<void> {
+  const settings = readSettings();
+  if (!settings) return;
+  if (settings.printSettings) {
+    process.stdout.write(`${JSON.stringify(maskSettings(settings), null, 2)}\n`);
+    return;
+  }
+  try {
+    const daemon = await startDaemon(settings);
+    const logger = loggerFor('daemon', daemon.logger);
+    let stopping = false;
+    const onSignal = (signal: string): void => {
+      if (stopping) process.exit(1);
+      stopping = true;
+      logger.info({signal}, 'Stopping.');
+      daemon.stop().then(
+        () => process.exit(0),
+        (failure: unknown) => {
+          logger.error({err: failure}, 'Stop failed.');
+          process.exit(1);
+        },
+      );
+    };
+    process.on('SIGTERM', onSignal).on('SIGINT', onSignal);
+    // Starters of the process read the addresses from this line.
+    process.stdout.write(`${JSON.stringify(daemon.addresses)}\n`);
+  } catch (thrown) {
+    const error = toMedlarlaneError(thrown);
+    process.stderr.write(`${error.code}: ${error.message}\n${error.answer.nextStep}\n`);
+    process.exit(error.answer.exitCode);
+  }
+}
+
+function readSettings(): DaemonSettings | undefined {
+  try {
+    return parseSettings(argv, process.env);
+  } catch (thrown) {
+    process.stderr.write(`${toMedlarlaneError(thrown).message}\n`);
+    process.exitCode = INVALID_SETTINGS_EXIT_CODE;
+    return undefined;
+  }
+}
--- a/apps/daemon/src/services.ts
+++ b/apps/daemon/src/services.ts
@@ -8,10 +8,11 @@
 import type {BackgroundTasks} from '@medlarlane/lifecycle';
 import type {LoadMeter} from '@medlarlane/load-meter';
 import type {Logger} from '@medlarlane/logger';
-import type {Lease, Ownership} from '@medlarlane/ownership';
+import type {Lease, Ownership, RangeReleaser} from '@medlarlane/ownership';
 import type {PoisonTable} from '@medlarlane/poison';
 import type {DaemonSettings} from '@medlarlane/settings';
 import type {InFlightRequests} from './inFlightRequests.js';
+import type {ListenAddresses} from './listenAddresses.js';
 import type {TargetSupervisor} from './targetSupervisor.js';
 
 declare module '@medlarlane/kernel' {
@@ -30,6 +31,7 @@
     controlClient: ControlClient;
     controlService: ControlService | undefined;
     controlListener: {port: number};
+    addresses: ListenAddresses;
     peers: Peers;
     localServer: LocalServer;
     callerRouter: CallerRouter;
@@ -38,5 +40,6 @@
     adminListener: Listener;
     targetListener: TargetListener;
     targetSupervisor: TargetSupervisor;
+    rangeReleaser: RangeReleaser;
   }
 }
--- a/apps/daemon/src/targetSupervisor.ts
+++ b/apps/daemon/src/targetSupervisor.ts
@@ -2,6 +2,7 @@
 import type {LocalTarget, TargetChange, TargetListener} from '@medlarlane/announce';
 import type {ControlClient} from '@medlarlane/control-client';
 import type {Directory} from '@medlarlane/directory';
+import {timeoutSignal} from '@medlarlane/lifecycle';
 import type {BackgroundTasks, Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
 import type {Registration, ServiceDocument} from '@medlarlane/model';
@@ -17,7 +18,7 @@
   readonly tasks: BackgroundTasks;
   readonly logger: Logger;
   /** What this daemon registers besides its service and incarnation. */
-  readonly facts: Omit<Registration, 'service' | 'incarnation'>;
+  readonly facts: () => Omit<Registration, 'service' | 'incarnation'>;
   readonly drainTimeoutMs: number;
 }
 
@@ -66,6 +67,11 @@
     await controlClient.giveUp(reason);
   }
 
+  /** Cuts what still runs at the target. */
+  async close(): Promise<void> {
+    await this.closeTarget();
+  }
+
   private enqueue(step: () => Promise<void>): void {
     this.work = this.work.then(step).catch((failure: unknown) => {
       this.opts.logger.error({err: failure}, 'Following the target failed.');
@@ -111,7 +117,7 @@
     const {directory, lease, clock} = this.opts;
     const service = directory.session(lease.sessionId)?.service;
     if (service === undefined) return;
-    const signal = AbortSignal.timeout(Math.max(0, untilMs - clock.nowMs()));
+    const signal = timeoutSignal(untilMs - clock.nowMs());
     const ownsRanges = (): boolean =>
       directory
         .ranges(service)
@@ -129,7 +135,7 @@
 
   private async waitUntilIdle(untilMs: number): Promise<void> {
     const {ownership, clock} = this.opts;
-    const signal = AbortSignal.timeout(Math.max(0, untilMs - clock.nowMs()));
+    const signal = timeoutSignal(untilMs - clock.nowMs());
     await ownership.waitUntilAllIdle(signal).catch(() => undefined);
   }
 
@@ -146,7 +152,7 @@
 
   private register(service: string | undefined): void {
     this.opts.controlClient.register({
-      ...this.opts.facts,
+      ...this.opts.facts(),
       incarnation: createIncarnation(),
       ...(service === undefined ? {} : {service}),
     });
--- a/apps/daemon/src/wireDaemon.ts
+++ b/apps/daemon/src/wireDaemon.ts
@@ -1,4 +1,5 @@
 import {createHash} from 'node:crypto';
+import {readFile} from 'node:fs/promises';
 import {startTargetListener} from '@medlarlane/announce';
 import {createConnectTransport, startReplica} from '@medlarlane/consensus';
 import {ControlClient} from '@medlarlane/control-client';
@@ -171,28 +172,162 @@
     .register('peers', (_services, store) =>
       store.use(new Peers({connections: PEER_CONNECTIONS}), (peers) => peers.close()),
     )
+    .register('targetSupervisor', async (services, store) => {
+      const settings = await services.get('settings');
+      const addresses = await services.get('addresses');
+      const supervisor = new TargetSupervisor({
+        controlClient: await services.get('controlClient'),
+        directory: await services.get('directory'),
+        lease: await services.get('lease'),
+        ownership: await services.get('ownership'),
+        clock: await services.get('clock'),
+        tasks: await services.get('tasks'),
+        logger: loggerFor('target', await services.get('logger')),
+        drainTimeoutMs: settings.drainTimeoutMs,
+        facts: () => ({
+          instanceId: settings.instanceId,
+          region: settings.region,
+          availabilityZone: settings.availabilityZone,
+          callerAddress: addresses.caller,
+          peerAddress: addresses.peer,
+          adminAddress: addresses.admin,
+        }),
+      });
+      store.add(() => supervisor.close());
+      return supervisor;
+    })
     .register('localServer', async (services) => {
       const inFlightRequests = await services.get('inFlightRequests');
-      const supervisor = services.get('targetSupervisor');
-      let current: TargetSupervisor | undefined;
-      void supervisor.then((created) => (current = created));
-      const settings = await services.get('settings');
-      const callerAddress = addressOf(settings, await services.get('callerPort'));
+      const targetSupervisor = await services.get('targetSupervisor');
+      const addresses = await services.get('addresses');
       return new LocalServer({
         ownership: await services.get('ownership'),
         directory: await services.get('directory'),
         idempotency: await services.get('idempotency'),
         poison: await services.get('poison'),
+        loadMeter: await services.get('loadMeter'),
         clock: await services.get('clock'),
-        target: () => current?.current,
-        outcomes: inFlightRequests,
+        target: () => targetSupervisor.current,
+        outcomes: {
+          sent: (requestId, fingerprints) => inFlightRequests.sent(requestId, fingerprints),
+          ended: (requestId, outcome) => inFlightRequests.ended(requestId, outcome === 'ok'),
+          refused: () => targetSupervisor.fail('connection refused'),
+        },
         cancel: () => undefined,
         loadHint: () => inFlightRequests.count,
-        ownerAddress: () => callerAddress,
+        ownerAddress: () => addresses.caller,
+      });
+    })
+    .register('callerRouter', async (services) => {
+      const settings = await services.get('settings');
+      const clock = await services.get('clock');
+      const budgets = new Map<string, RetryBudget>();
+      return new CallerRouter({
+        directory: await services.get('directory'),
+        lease: await services.get('lease'),
+        localServer: await services.get('localServer'),
+        peers: await services.get('peers'),
+        clock,
+        availabilityZone: settings.availabilityZone,
+        random: Math.random,
+        retryBudgetOf: (service) => {
+          const budget = budgets.get(service) ?? new RetryBudget({clock});
+          budgets.set(service, budget);
+          return budget;
+        },
+      });
+    })
+    .register('rangeReleaser', async (services) => {
+      const controlClient = await services.get('controlClient');
+      const idempotency = await services.get('idempotency');
+      const peers = await services.get('peers');
+      const releaser = new RangeReleaser({
+        lease: await services.get('lease'),
+        ownership: await services.get('ownership'),
+        directory: await services.get('directory'),
+        tasks: await services.get('tasks'),
+        clock: await services.get('clock'),
+        logger: loggerFor('release', await services.get('logger')),
+        handOver: (destination, ranges, signal) =>
+          handOver(destination, ranges, signal, {idempotency, peers}),
+        resume: ({service, range, endPosition}) =>
+          idempotency.resume({service, from: range.startPosition, to: endPosition}),
+        release: (ranges) => controlClient.release(ranges),
+      });
+      releaser.start();
+      return releaser;
+    });
+}
+
+function registerListeners(kernel: Kernel): void {
+  kernel
+    .register('addresses', () => ({caller: '', peer: '', admin: ''}))
+    .register('callerListener', async (services, store) => {
+      const settings = await services.get('settings');
+      const controlClient = await services.get('controlClient');
+      const clock = await services.get('clock');
+      const listener = await startCallerListener({
+        ...settings.callerListen,
+        router: await services.get('callerRouter'),
+        directory: await services.get('directory'),
+        clock,
+        logger: loggerFor('caller', await services.get('logger')),
+        staleMs: () => clock.nowMs() - controlClient.lastCurrentAtMs,
+        maxStaleMs: settings.maxStaleMs,
+      });
+      (await services.get('addresses')).caller = told(settings.callerListen, listener, settings);
+      return store.use(listener, (opened) => opened.close());
+    })
+    .register('peerListener', async (services, store) => {
+      const settings = await services.get('settings');
+      const idempotency = await services.get('idempotency');
+      const listener = await startPeerListener({
+        ...settings.peerListen,
+        localServer: await services.get('localServer'),
+        directory: await services.get('directory'),
+        clock: await services.get('clock'),
+        logger: loggerFor('peer', await services.get('logger')),
+        importRecords: (chunk) => void idempotency.importRange(chunk),
       });
+      (await services.get('addresses')).peer = told(settings.peerListen, listener, settings);
+      return store.use(listener, (opened) => opened.close());
+    })
+    .register('adminListener', async (services, store) => {
+      const settings = await services.get('settings');
+      const controlClient = await services.get('controlClient');
+      const clock = await services.get('clock');
+      const listener = await startAdminListener({
+        ...settings.adminListen,
+        controlClient,
+        token: await readToken(settings.adminTokenFile),
+        logger: loggerFor('admin', await services.get('logger')),
+        metrics: async () => ({contentType: 'text/plain', text: ''}),
+        isReady: () => clock.nowMs() - controlClient.lastCurrentAtMs <= settings.maxStaleMs,
+      });
+      (await services.get('addresses')).admin = told(settings.adminListen, listener, settings);
+      return store.use(listener, (opened) => opened.close());
+    })
+    .register('targetListener', async (services, store) => {
+      const {targetListen} = await services.get('settings');
+      return store.use(
+        await startTargetListener({
+          ...targetListen,
+          logger: await services.get('logger'),
+        }),
+        (listener) => listener.close(),
+      );
     });
 }
 
+/** The address that others use for a listener. */
+function told(listen: HostPort, {port}: {port: number}, settings: DaemonSettings): string {
+  return formatHostPort(advertisedAddress({host: listen.host, port}, settings));
+}
+
+async function readToken(file: string | undefined): Promise<string | undefined> {
+  return file === undefined ? undefined : (await readFile(file, 'utf8')).trim();
+}
+
 function firstMembers({controlReplicas}: DaemonSettings): {
   voters: string[];
   learners: string[];
--- /dev/null
+++ b/apps/demo/src/runDemo.ts
@@ -0,0 +1,187 @@
+import {readFile} from 'node:fs/promises';
+import {request} from 'undici';
+import {parse as parseYaml} from 'yaml';
+import {callAdmin, createTeam, eventually, startCluster} from '@medlarlane/fixtures';
+import type {Cluster, DaemonProcess, DocumentInput} from '@medlarlane/fixtures';
+
+export interface DemoOptions {
+  readonly print: (line: string) => void;
+}
+
+export interface Demo {
+  /** The promises that were not kept. */
+  readonly failures: readonly string[];
+  dispose(): Promise<void>;
+}
+
+interface ServerProcess {
+  readonly name: string;
+  readonly availabilityZone: string;
+  readonly daemon: DaemonProcess;
+}
+
+interface Reply {
+  readonly status: number;
+  readonly target: string;
+  /** Changes with each change of the owner. */
+  readonly epoch: string;
+}
+
+const TEAM = 'prairie-crag';
+const SERVICE = `${TEAM}/wallboard`;
+const DOCUMENT_FILE = new URL('../../../../examples/wallboard.yaml', import.meta.url);
+const ZONES = ['yard-north', 'yard-east', 'civic-hall'];
+const SERVER_COUNT = 5;
+const KEY_COUNT = 400;
+const FAILOVER_BOUND_MS = 3000;
+
+/** Starts the whole system as separate processes and shows what it promises. */
+export async function runDemo({print}: DemoOptions): Promise<Demo> {
+  const failures: string[] = [];
+  const check = (promise: string, kept: boolean): void => {
+    print(`${kept ? 'ok    ' : 'FAILED'} ${promise}`);
+    if (!kept) failures.push(promise);
+  };
+  print('Starting three daemons with control replicas.');
+  const cluster = await startCluster();
+  try {
+    await applyDocument(cluster);
+    print(`Applied the document of ${SERVICE}.`);
+    const servers = await startServers(cluster);
+    await waitForBalance(cluster);
+    const owners = await sendKeyedRequests(cluster, servers, print, check);
+    await showFailover(cluster, servers, owners, print, check);
+    printAddresses(cluster, print);
+  } catch (failure) {
+    print(`FAILED ${String(failure)}`);
+    failures.push(String(failure));
+  }
+  return {failures, dispose: () => cluster.dispose()};
+}
+
+async function applyDocument(cluster: Cluster): Promise<void> {
+  const admin = cluster.replicas[0]!.ready.admin;
+  const team = createTeam(TEAM);
+  await eventually('the control leader', () => team.claim(admin));
+  const document = parseYaml(await readFile(DOCUMENT_FILE, 'utf8')) as DocumentInput;
+  await team.apply(admin, document);
+}
+
+async function startServers(cluster: Cluster): Promise<ServerProcess[]> {
+  return Promise.all(
+    Array.from({length: SERVER_COUNT}, async (_, index) => {
+      const name = `wallboard-${index + 1}`;
+      const availabilityZone = ZONES[index % ZONES.length]!;
+      const daemon = await cluster.startDaemon({instanceId: name, availabilityZone});
+      await cluster.startTarget(daemon, {service: SERVICE, name});
+      return {name, availabilityZone, daemon};
+    }),
+  );
+}
+
+/** Waits until every server owns ranges and none is being moved. */
+async function waitForBalance(cluster: Cluster): Promise<void> {
+  const admin = cluster.replicas[0]!.ready.admin;
+  await eventually('ranges on every server', async () => {
+    const {targets} = await callAdmin(admin, 'listTargets', {service: SERVICE});
+    const {services} = await callAdmin(admin, 'status', {});
+    const moving = services.find(({service}) => service === SERVICE)?.movingRangeCount;
+    const counts = targets.map(({rangesOwned}) => rangesOwned);
+    const mean = counts.reduce((sum, count) => sum + count, 0) / SERVER_COUNT;
+    const isEven = counts.length === SERVER_COUNT && Math.max(...counts) <= 1.2 * mean;
+    return isEven && moving === 0;
+  });
+}
+
+async function sendKeyedRequests(
+  cluster: Cluster,
+  servers: readonly ServerProcess[],
+  print: (line: string) => void,
+  check: (promise: string, kept: boolean) => void,
+): Promise<Map<string, string>> {
+  const entries = [...cluster.replicas, ...servers.map(({daemon}) => daemon)];
+  const owners = new Map<string, string>();
+  const targetByOwnership = new Map<string, string>();
+  let served = 0;
+  let contradictions = 0;
+  for (let round = 0; round < 2; round++) {
+    for (let key = 0; key < KEY_COUNT; key++) {
+      const wall = `wall-${key}`;
+      const entry = entries[Math.floor(Math.random() * entries.length)]!;
+      const reply = await sendRequest(entry, wall);
+      if (reply.status !== 200) continue;
+      served += 1;
+      owners.set(wall, reply.target);
+      // A planned move may change the owner between two requests, but then the epoch changes too.
+      const ownership = `${wall} ${reply.epoch}`;
+      const known = targetByOwnership.get(ownership) ?? reply.target;
+      if (known !== reply.target) contradictions += 1;
+      targetByOwnership.set(ownership, reply.target);
+    }
+  }
+  printCounts(servers, owners, print);
+  check(
+    `all ${2 * KEY_COUNT} requests through random daemons were served`,
+    served === 2 * KEY_COUNT,
+  );
+  check('no key had two owners at the same epoch', contradictions === 0);
+  return owners;
+}
+
+function printCounts(
+  servers: readonly ServerProcess[],
+  owners: ReadonlyMap<string, string>,
+  print: (line: string) => void,
+): void {
+  print(`Keys served, of ${KEY_COUNT}:`);
+  for (const zone of ZONES) {
+    const inZone = servers.filter(({availabilityZone}) => availabilityZone === zone);
+    const counts = inZone.map(({name}) => {
+      const count = [...owners.values()].filter((target) => target === name).length;
+      return `${name} ${count}`;
+    });
+    print(`  ${zone.padEnd(12)} ${counts.join(', ')}`);
+  }
+}
+
+async function showFailover(
+  cluster: Cluster,
+  servers: readonly ServerProcess[],
+  owners: ReadonlyMap<string, string>,
+  print: (line: string) => void,
+  check: (promise: string, kept: boolean) => void,
+): Promise<void> {
+  const victim = servers[0]!;
+  const [wall] = [...owners].find(([, target]) => target === victim.name) ?? [];
+  if (wall === undefined) throw new Error(`No key is owned by ${victim.name}`);
+  const entry = cluster.replicas[1]!;
+  victim.daemon.kill('SIGKILL');
+  const killedAtMs = performance.now();
+  print(`Killed the daemon of ${victim.name}, which owned ${wall}.`);
+  const reply = await eventually('an answer from a new owner', async () => {
+    const attempt = await sendRequest(entry, wall);
+    return attempt.status === 200 && attempt;
+  });
+  const gapMs = Math.round(performance.now() - killedAtMs);
+  print(`${wall} is served by ${reply.target} after ${gapMs} ms.`);
+  check('the key moved to another server', reply.target !== victim.name);
+  check(`the key was served again within ${FAILOVER_BOUND_MS} ms`, gapMs <= FAILOVER_BOUND_MS);
+}
+
+async function sendRequest(entry: DaemonProcess, wall: string): Promise<Reply> {
+  const response = await request(`http://${entry.ready.caller}/walls/${wall}`, {
+    headers: {'medlarlane-service': SERVICE},
+  });
+  const body = (await response.body.json()) as {target?: string};
+  return {
+    status: response.statusCode,
+    target: body.target ?? '',
+    epoch: String(response.headers['medlarlane-epoch'] ?? ''),
+  };
+}
+
+function printAddresses(cluster: Cluster, print: (line: string) => void): void {
+  for (const {ready} of cluster.replicas) {
+    print(`${ready.instanceId}: callers ${ready.caller}, admin ${ready.admin}`);
+  }
+}
--- a/control/control-service/src/adminHandler.ts
+++ b/control/control-service/src/adminHandler.ts
@@ -1,7 +1,12 @@
 import type {MessageInitShape} from '@bufbuild/protobuf';
 import {createHash} from 'node:crypto';
 import {isAdminOperation, parseAdminRequest} from '@medlarlane/admin-api';
-import type {AdminOperation, AdminRequest, AdminResponse, ControlMember} from '@medlarlane/admin-api';
+import type {
+  AdminOperation,
+  AdminRequest,
+  AdminResponse,
+  ControlMember,
+} from '@medlarlane/admin-api';
 import type {Replica} from '@medlarlane/consensus';
 import type {CommandResult, DocumentRevision} from '@medlarlane/control-state';
 import type {ExecuteRequest, ExecuteResponseSchema} from '@medlarlane/control-rpc';
@@ -239,7 +244,10 @@
   return {revision, index, changeId, baseRevision, documentSha256};
 }
 
-function diskState(failed: boolean | undefined, reachable: boolean | undefined): ControlMember['disk'] {
+function diskState(
+  failed: boolean | undefined,
+  reachable: boolean | undefined,
+): ControlMember['disk'] {
   if (failed) return 'failed';
   return reachable ? 'ok' : 'unknown';
 }
--- a/control/control-service/src/leaderTasks.ts
+++ b/control/control-service/src/leaderTasks.ts
@@ -19,6 +19,8 @@
 
 // A twentieth of the time in which a lost key must be served again.
 const EXPIRY_CHECK_INTERVAL_MS = 50;
+// Moving keys that nobody uses disturbs nobody, so a service that starts is spread at once.
+const IDLE_MOVE_SHARE_PER_MINUTE = 60;
 
 /** Starts the periodic tasks of the leader. They do nothing while another replica leads. */
 export function startLeaderTasks(opts: LeaderTasksOptions): void {
@@ -64,13 +66,18 @@
   const table = state.ranges(service);
   const document = state.document(service);
   if (!table || !document) return;
-  const moves = planMoves({
-    ranges: table.all,
-    sessions: state.sessionsOf(service),
-    ...opts.loads.loadsOf(table.all, opts.clock.nowMs()),
-    weighsMost: document.weighsMost,
-    elapsedMs: opts.placementIntervalMs,
-  });
+  const loads = opts.loads.loadsOf(table.all, opts.clock.nowMs());
+  const isIdle = loads.rangeLoads.size === 0 && loads.hotKeys.length === 0;
+  const moves = planMoves(
+    {
+      ranges: table.all,
+      sessions: state.sessionsOf(service),
+      ...loads,
+      weighsMost: document.weighsMost,
+      elapsedMs: opts.placementIntervalMs,
+    },
+    isIdle ? {limits: {moveSharePerMinute: IDLE_MOVE_SHARE_PER_MINUTE}} : {},
+  );
   if (moves.length === 0) return;
   opts.logger.info({service, moves: moves.length}, 'Planned moves start.');
   await opts.leadership.propose({kind: 'startMoves', service, moves});
--- a/control/control-state/src/changeMemory.ts
+++ b/control/control-state/src/changeMemory.ts
@@ -16,7 +16,11 @@
     const known = this.changes.get(changeId);
     if (known && known.fingerprint === fingerprint) return known.result;
     if (known) {
-      return {ok: false, code: 'CHANGE_ID_REUSED', message: `Change id ${changeId} was used before`};
+      return {
+        ok: false,
+        code: 'CHANGE_ID_REUSED',
+        message: `Change id ${changeId} was used before`,
+      };
     }
     const result = change();
     this.changes.set(changeId, {changeId, fingerprint, result});
--- a/control/control-state/src/controlState.ts
+++ b/control/control-state/src/controlState.ts
@@ -226,8 +226,7 @@
 
   private hostIsTaken(host: string, service: string): boolean {
     return this.services().some(
-      (other) =>
-        other !== service && this.documents.get(other)!.hosts.includes(host),
+      (other) => other !== service && this.documents.get(other)!.hosts.includes(host),
     );
   }
 
@@ -345,10 +344,7 @@
     });
   }
 
-  private updateRanges(
-    service: string,
-    transform: (range: Range, index: number) => Range,
-  ): void {
+  private updateRanges(service: string, transform: (range: Range, index: number) => Range): void {
     const changes: RangeChange[] = this.assignments.get(service)?.update(transform) ?? [];
     for (const change of changes) this.pendingChanges.push({kind: 'ranges', service, ...change});
   }
--- a/control/control-state/src/stateSnapshot.ts
+++ b/control/control-state/src/stateSnapshot.ts
@@ -48,7 +48,9 @@
 export const stateSnapshotSchema = z.object({
   index: z.int(),
   teams: z.array(z.object({team: nameSchema, publicKeyPem: z.string()})),
-  documents: z.array(z.object({service: serviceNameSchema, revisions: z.array(documentRevisionSchema)})),
+  documents: z.array(
+    z.object({service: serviceNameSchema, revisions: z.array(documentRevisionSchema)}),
+  ),
   sessions: z.array(sessionSchema),
   assignments: z.array(z.object({service: serviceNameSchema, ranges: z.array(rangeSchema)})),
   changes: z.array(rememberedChangeSchema),
--- a/kernel/lifecycle/src/clock.ts
+++ b/kernel/lifecycle/src/clock.ts
@@ -72,3 +72,8 @@
 function settle(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
+
+/** A signal that aborts after `durationMs`, which may be a fraction or negative. */
+export function timeoutSignal(durationMs: number): AbortSignal {
+  return AbortSignal.timeout(Math.max(0, Math.ceil(durationMs)));
+}
--- a/kernel/lifecycle/src/index.ts
+++ b/kernel/lifecycle/src/index.ts
@@ -1,6 +1,6 @@
 export {BackgroundTasks} from './backgroundTasks.js';
 export type {BackgroundTasksOptions} from './backgroundTasks.js';
-export {ManualClock, systemClock} from './clock.js';
+export {ManualClock, systemClock, timeoutSignal} from './clock.js';
 export type {Clock} from './clock.js';
 export {DisposableStore} from './disposableStore.js';
 export {createDeferred} from './deferred.js';
--- a/protocol/admin-api/src/operations.ts
+++ b/protocol/admin-api/src/operations.ts
@@ -101,7 +101,9 @@
   },
   applyDocument: {
     changesState: true,
-    request: z.strictObject(applyDocumentCommandSchema.omit({kind: true, proposedAtMs: true}).shape),
+    request: z.strictObject(
+      applyDocumentCommandSchema.omit({kind: true, proposedAtMs: true}).shape,
+    ),
     response: z.object({
       service: serviceNameSchema,
       revision: revisionSchema,
--- a/routing/control-client/src/controlClient.ts
+++ b/routing/control-client/src/controlClient.ts
@@ -228,10 +228,7 @@
     return create(SessionRequestSchema, init);
   }
 
-  private handleResponse(
-    {message}: SessionResponse,
-    session: OpenSession,
-  ): 'open' | 'finished' {
+  private handleResponse({message}: SessionResponse, session: OpenSession): 'open' | 'finished' {
     switch (message.case) {
       case 'registered':
         this.opts.lease.start(Number(message.value.sessionId));
--- a/routing/directory/src/directory.ts
+++ b/routing/directory/src/directory.ts
@@ -1,5 +1,11 @@
 import {EventEmitter, once} from 'node:events';
-import type {DirectoryChange, DirectorySnapshot, Range, ServiceDocument, Session} from '@medlarlane/model';
+import type {
+  DirectoryChange,
+  DirectorySnapshot,
+  Range,
+  ServiceDocument,
+  Session,
+} from '@medlarlane/model';
 import {RangeTable} from '@medlarlane/key-space';
 
 export interface DocumentEntry {
--- a/routing/forwarder/src/callerRouter.ts
+++ b/routing/forwarder/src/callerRouter.ts
@@ -1,6 +1,7 @@
 import {Either, Left, Right} from 'purify-ts/Either';
 import type {Directory} from '@medlarlane/directory';
 import {fromProblemDocument, MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
+import {timeoutSignal} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Session} from '@medlarlane/model';
 import type {Lease} from '@medlarlane/ownership';
@@ -62,7 +63,8 @@
         Right: () => undefined,
       });
       if (!error) return result;
-      if (!exchange.body.isReplayable || exchange.response.headersSent) return refuse(exchange, error);
+      if (!exchange.body.isReplayable || exchange.response.headersSent)
+        return refuse(exchange, error);
       if (error.code === 'NOT_OWNER' && follows < MAX_FOLLOWS) {
         follows += 1;
         await this.waitForIndex(exchange, Number(error.details['index'] ?? 0));
@@ -159,9 +161,7 @@
   /** Waits until this daemon's directory is as new as that of the daemon that refused. */
   private async waitForIndex(exchange: Exchange, index: number): Promise<void> {
     const limitMs = Math.min(FOLLOW_WAIT_MS, this.remainingMs(exchange));
-    await this.opts.directory
-      .waitForIndex(index, AbortSignal.timeout(Math.max(0, limitMs)))
-      .catch(() => undefined);
+    await this.opts.directory.waitForIndex(index, timeoutSignal(limitMs)).catch(() => undefined);
   }
 
   /**
@@ -173,7 +173,7 @@
     const limitMs = Math.min(untilMs - clock.nowMs(), this.remainingMs(exchange));
     if (limitMs <= 0 || this.waitingForOwner >= MAX_WAITING_FOR_OWNER) return false;
     this.waitingForOwner += 1;
-    const signal = AbortSignal.timeout(Math.min(limitMs, OWNER_RETRY_INTERVAL_MS));
+    const signal = timeoutSignal(Math.min(limitMs, OWNER_RETRY_INTERVAL_MS));
     await directory.nextChange(signal).catch(() => undefined);
     this.waitingForOwner -= 1;
     return !exchange.response.destroyed;
--- a/routing/forwarder/src/chooseOwner.ts
+++ b/routing/forwarder/src/chooseOwner.ts
@@ -31,7 +31,11 @@
   }
   const sessions = directory.sessionsOf(document.service).filter(({draining}) => !draining);
   const untried = sessions.filter(({sessionId}) => !tried.has(sessionId));
-  const candidates = preferZone(untried.length > 0 ? untried : sessions, document.targets.slots, opts);
+  const candidates = preferZone(
+    untried.length > 0 ? untried : sessions,
+    document.targets.slots,
+    opts,
+  );
   const chosen = lessLoaded(candidates, opts);
   if (chosen) return chosen;
   throw new MedlarlaneError('NO_TARGET');
--- a/routing/forwarder/src/localServer.ts
+++ b/routing/forwarder/src/localServer.ts
@@ -5,7 +5,9 @@
 import type {IdempotencyTable, RecordedResponse, Run} from '@medlarlane/dedupe';
 import type {Directory} from '@medlarlane/directory';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
+import {timeoutSignal} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
+import type {LoadMeter} from '@medlarlane/load-meter';
 import type {Ownership, RunningRequest} from '@medlarlane/ownership';
 import {requestFingerprints} from '@medlarlane/poison';
 import type {PoisonTable} from '@medlarlane/poison';
@@ -27,6 +29,8 @@
 export interface TargetOutcomeObserver {
   sent(requestId: string, fingerprints: () => string[]): void;
   ended(requestId: string, outcome: AdmissionOutcome, durationMs: number): void;
+  /** The target accepts no connection. */
+  refused(): void;
 }
 
 export interface LocalServerOptions {
@@ -34,6 +38,7 @@
   readonly directory: Directory;
   readonly idempotency: IdempotencyTable;
   readonly poison: PoisonTable;
+  readonly loadMeter: LoadMeter;
   readonly clock: Clock;
   /** The target that runs requests now; `undefined` while none is announced or it has failed. */
   readonly target: () => LocalTargetPort | undefined;
@@ -90,21 +95,21 @@
   private async enter(exchange: Exchange): Promise<RunningRequest> {
     const {ownership, directory, clock} = this.opts;
     const service = exchange.document.service;
-    const signal = AbortSignal.timeout(Math.max(0, exchange.deadlineMs - clock.nowMs()));
     const catchUpUntilMs = clock.nowMs() + CATCH_UP_LIMIT_MS;
     for (;;) {
       const entered = ownership.enter(service, exchange.position);
       if (typeof entered !== 'string') return entered;
-      const mayCatchUp =
-        exchange.senderIndex > directory.appliedIndex && clock.nowMs() < catchUpUntilMs;
       if (entered === 'LEASE_EXPIRED') throw new MedlarlaneError('LEASE_EXPIRED');
-      if (entered === 'NOT_OWNER' && !mayCatchUp) throw this.notOwner(exchange);
-      const waitSignal =
+      const isBehind = exchange.senderIndex > directory.appliedIndex;
+      if (entered === 'NOT_OWNER' && !isBehind) throw this.notOwner(exchange);
+      const untilMs =
         entered === 'NOT_OWNER'
-          ? AbortSignal.any([signal, AbortSignal.timeout(CATCH_UP_LIMIT_MS)])
-          : signal;
-      await directory.nextChange(waitSignal).catch(() => {
-        if (signal.aborted) throw new MedlarlaneError('DEADLINE_EXCEEDED');
+          ? Math.min(catchUpUntilMs, exchange.deadlineMs)
+          : exchange.deadlineMs;
+      await directory.nextChange(timeoutSignal(untilMs - clock.nowMs())).catch(() => {
+        throw entered === 'NOT_OWNER'
+          ? this.notOwner(exchange)
+          : new MedlarlaneError('DEADLINE_EXCEEDED');
       });
     }
   }
@@ -189,6 +194,7 @@
     const recorder = run ? new ResponseRecorder() : undefined;
     const remainingMs = exchange.deadlineMs - this.opts.clock.nowMs();
     if (remainingMs <= 0) throw new MedlarlaneError('DEADLINE_EXCEEDED');
+    this.measureLoad(exchange);
     this.opts.outcomes.sent(requestId, () => fingerprintsOf(exchange));
     let outcome: RelayOutcome;
     try {
@@ -201,7 +207,7 @@
         response,
         timeoutMs: Math.min(remainingMs, requestTimeoutMs),
         intercepts: isTargetRefusal,
-        responseHeaders: (headers) => this.answerHeaders(exchange, headers),
+        responseHeaders: (headers) => this.answerHeaders(exchange, running, headers),
         observer: recorder,
         outlivesCaller: run !== undefined,
       });
@@ -209,11 +215,18 @@
       if (!(thrown instanceof RelayFailure)) throw thrown;
       report(ADMISSION_OUTCOMES[thrown.reason]);
       if (thrown.reason === 'cancelled') this.opts.cancel(requestId);
+      if (thrown.reason === 'connect') this.opts.outcomes.refused();
       throw targetError(thrown);
     }
     return this.conclude(outcome, run, recorder, report);
   }
 
+  private measureLoad({document, position}: Exchange): void {
+    if (position === undefined) return;
+    const range = this.opts.directory.range(document.service, position);
+    if (range) this.opts.loadMeter.record(range.startPosition, position);
+  }
+
   private conclude(
     outcome: RelayOutcome,
     run: Run | undefined,
@@ -248,12 +261,14 @@
 
   private answerHeaders(
     exchange: Exchange,
+    running: RunningRequest,
     headers: ResponseHeaders,
   ): ReturnType<typeof targetResponseHeaders> {
     return {
       ...targetResponseHeaders(headers),
       [HEADER.owner]: this.opts.ownerAddress(),
       [HEADER.requestId]: exchange.requestId,
+      [HEADER.epoch]: String(running.epoch),
       [HEADER.load]: String(this.opts.loadHint()),
     };
   }
@@ -264,12 +279,14 @@
 }
 
 function targetError(failure: RelayFailure): MedlarlaneError {
-  const code = ({
-    connect: 'TARGET_FAILED',
-    reset: 'TARGET_FAILED',
-    timeout: 'TARGET_TIMEOUT',
-    cancelled: 'CANCELLED',
-  } as const)[failure.reason];
+  const code = (
+    {
+      connect: 'TARGET_FAILED',
+      reset: 'TARGET_FAILED',
+      timeout: 'TARGET_TIMEOUT',
+      cancelled: 'CANCELLED',
+    } as const
+  )[failure.reason];
   return new MedlarlaneError(code, undefined, {ran: failure.ran, cause: failure});
 }
 
@@ -294,4 +311,3 @@
     .update(body.firstBytes)
     .digest('base64');
 }
-
--- a/routing/forwarder/src/recordCoverage.ts
+++ b/routing/forwarder/src/recordCoverage.ts
@@ -90,7 +90,5 @@
 }
 
 function covers(range: OwnedRange, position: number, epoch: number): boolean {
-  return (
-    range.epoch === epoch && range.startPosition <= position && position < range.endPosition
-  );
+  return range.epoch === epoch && range.startPosition <= position && position < range.endPosition;
 }
--- a/routing/forwarder/src/requestBody.ts
+++ b/routing/forwarder/src/requestBody.ts
@@ -71,7 +71,11 @@
 function nextChunk(request: IncomingMessage): Promise<Buffer | undefined> {
   return new Promise((resolve, reject) => {
     const settle = (act: () => void): void => {
-      request.off('readable', tryRead).off('end', onEnd).off('error', onError).off('close', onClose);
+      request
+        .off('readable', tryRead)
+        .off('end', onEnd)
+        .off('error', onError)
+        .off('close', onClose);
       act();
     };
     const tryRead = (): void => {
--- a/routing/forwarder/src/startListener.ts
+++ b/routing/forwarder/src/startListener.ts
@@ -1,5 +1,11 @@
 import {createServer as createHttpServer} from 'node:http';
-import type {IncomingMessage, RequestListener, Server, ServerOptions, ServerResponse} from 'node:http';
+import type {
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerOptions,
+  ServerResponse,
+} from 'node:http';
 import {createServer as createHttpsServer} from 'node:https';
 import type {Server as HttpsServer} from 'node:https';
 import type {AddressInfo} from 'node:net';
--- a/routing/key-space/src/extractKey.ts
+++ b/routing/key-space/src/extractKey.ts
@@ -23,10 +23,7 @@
 
 /** Returns the key of a request, or `undefined` when the request names none. */
 export function extractKey(rule: KeyRule, source: KeySource): string | undefined {
-  const extract = EXTRACTORS[rule.from] as (
-    rule: KeyRule,
-    source: KeySource,
-  ) => string | undefined;
+  const extract = EXTRACTORS[rule.from] as (rule: KeyRule, source: KeySource) => string | undefined;
   return extract(rule, source) || undefined;
 }
 
