--- /dev/null
+++ b/control/consensus/src/createConnectTransport.ts
@@ -0,0 +1,106 @@
+import type {SecureClientSessionOptions} from 'node:http2';
+import {createClient} from '@connectrpc/connect';
+import type {Client} from '@connectrpc/connect';
+import {
+  createConnectTransport as createRpcTransport,
+  Http2SessionManager,
+} from '@connectrpc/connect-node';
+import {ConsensusService} from '@medlarlane/control-rpc';
+import {systemClock} from '@medlarlane/lifecycle';
+import type {Clock} from '@medlarlane/lifecycle';
+import type {ConsensusRequest, ConsensusResponse, ConsensusTransport} from './consensusMessages.js';
+import {
+  fromRpcAppendResponse,
+  fromRpcInstallSnapshotResponse,
+  fromRpcVoteResponse,
+  toRpcAppend,
+  toRpcInstallSnapshot,
+  toRpcVote,
+} from './rpcCodec.js';
+
+export interface ConnectTransportOptions {
+  /** Key, certificate and authorities for mutual TLS. Without them the connection is not encrypted. */
+  readonly tls?: SecureClientSessionOptions;
+  readonly clock?: Clock;
+  /** Upper bound of any call, in addition to the caller's signal. */
+  readonly callTimeoutMs?: number;
+}
+
+export interface ConnectTransport extends ConsensusTransport {
+  /** Closes all sessions; calls in progress fail. */
+  close(): void;
+}
+
+interface Session {
+  readonly client: Client<typeof ConsensusService>;
+  readonly manager: Http2SessionManager;
+  /** Start of the current run of failed calls. */
+  failingSinceMs: number | undefined;
+}
+
+const DEFAULT_CALL_TIMEOUT_MS = 30_000;
+// TCP waits ever longer between its attempts to reach a host, up to minutes. A new connection finds
+// out at once that the link works again.
+const RECONNECT_AFTER_MS = 1_000;
+
+/** Calls other replicas over HTTP/2, with one session per peer. */
+export function createConnectTransport(opts: ConnectTransportOptions = {}): ConnectTransport {
+  const sessions = new Map<string, Session>();
+  const clock = opts.clock ?? systemClock;
+  return {
+    call: async (_peerId, address, request, signal) => {
+      const session = sessions.get(address) ?? openSession(address, opts);
+      sessions.set(address, session);
+      try {
+        const response = await callPeer(session.client, request, signal);
+        session.failingSinceMs = undefined;
+        return response;
+      } catch (failure) {
+        reconnectIfFailing(session, clock);
+        throw failure;
+      }
+    },
+    close: () => {
+      for (const {manager} of sessions.values()) manager.abort();
+      sessions.clear();
+    },
+  };
+}
+
+function openSession(address: string, opts: ConnectTransportOptions): Session {
+  const baseUrl = `${opts.tls ? 'https' : 'http'}://${address}`;
+  const manager = new Http2SessionManager(baseUrl, {}, opts.tls);
+  const transport = createRpcTransport({
+    baseUrl,
+    httpVersion: '2',
+    sessionManager: manager,
+    acceptCompression: [],
+    defaultTimeoutMs: opts.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS,
+  });
+  return {client: createClient(ConsensusService, transport), manager, failingSinceMs: undefined};
+}
+
+async function callPeer(
+  client: Client<typeof ConsensusService>,
+  request: ConsensusRequest,
+  signal: AbortSignal,
+): Promise<ConsensusResponse> {
+  switch (request.kind) {
+    case 'vote':
+      return fromRpcVoteResponse(await client.vote(toRpcVote(request), {signal}));
+    case 'append':
+      return fromRpcAppendResponse(await client.append(toRpcAppend(request), {signal}));
+    case 'installSnapshot': {
+      const response = await client.installSnapshot(toRpcInstallSnapshot(request), {signal});
+      return fromRpcInstallSnapshotResponse(response);
+    }
+  }
+}
+
+function reconnectIfFailing(session: Session, clock: Clock): void {
+  const nowMs = clock.nowMs();
+  session.failingSinceMs ??= nowMs;
+  if (nowMs - session.failingSinceMs < RECONNECT_AFTER_MS) return;
+  session.failingSinceMs = nowMs;
+  session.manager.abort();
+}
--- a/control/consensus/src/index.ts
+++ b/control/consensus/src/index.ts
@@ -22,3 +22,6 @@
 } from './startReplica.js';
 export {DEFAULT_TIMINGS} from './timings.js';
 export type {ReplicaTimings} from './timings.js';
+export {consensusRoutes} from './consensusRoutes.js';
+export {createConnectTransport} from './createConnectTransport.js';
+export type {ConnectTransport, ConnectTransportOptions} from './createConnectTransport.js';
--- /dev/null
+++ b/control/consensus/test/createConnectTransport.test.ts
@@ -0,0 +1,123 @@
+import assert from 'node:assert/strict';
+import {createServer} from 'node:http2';
+import type {Http2Server} from 'node:http2';
+import {connect, createServer as createTcpServer} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {test} from 'node:test';
+import type {TestContext} from 'node:test';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {consensusRoutes, createConnectTransport} from '@medlarlane/consensus';
+import type {ConsensusRequest, ConsensusResponse} from '@medlarlane/consensus';
+import {until} from './replicaGroup.js';
+
+const MEMBERS = {voters: ['a'], learners: ['b'], addresses: {a: '127.0.0.1:1', b: '127.0.0.1:2'}};
+const VOTE: ConsensusRequest = {
+  kind: 'vote',
+  term: 7,
+  candidateId: 'a',
+  lastLogIndex: 2 ** 40,
+  lastLogTerm: 6,
+  preVote: true,
+};
+
+const EXCHANGES: ReadonlyArray<{request: ConsensusRequest; response: ConsensusResponse}> = [
+  {request: VOTE, response: {kind: 'vote', term: 8, granted: false}},
+  {
+    request: {
+      kind: 'append',
+      term: 3,
+      leaderId: 'a',
+      previousIndex: 9,
+      previousTerm: 2,
+      entries: (['noop', 'command', 'members'] as const).map((kind, i) => ({
+        index: 10 + i,
+        term: 3,
+        kind,
+        payload: new Uint8Array([i]),
+      })),
+      commitIndex: 8,
+    },
+    response: {kind: 'append', term: 3, success: true, lastIndex: 12, failed: true},
+  },
+  {
+    request: {
+      kind: 'installSnapshot',
+      term: 3,
+      leaderId: 'a',
+      lastIndex: 5,
+      lastTerm: 2,
+      members: MEMBERS,
+      payload: new Uint8Array(300_000).fill(7),
+    },
+    response: {kind: 'installSnapshot', term: 3, success: true},
+  },
+];
+
+test('Every message passes the connection unchanged', async (t) => {
+  const received: ConsensusRequest[] = [];
+  const address = await serve(t, async (request) => {
+    received.push(request);
+    return EXCHANGES.find((exchange) => exchange.request.kind === request.kind)!.response;
+  });
+  const transport = createConnectTransport();
+  t.after(() => transport.close());
+  for (const {request, response} of EXCHANGES) {
+    const answered = await transport.call('b', address, request, AbortSignal.timeout(30_000));
+    assert.deepEqual(answered, response);
+    assert.deepEqual(received.pop(), request);
+  }
+});
+
+test('A connection that has become silent is replaced and does not block later calls', async (t) => {
+  const address = await serve(t, async () => ({kind: 'vote', term: 1, granted: true}));
+  const relay = await startSilenceableRelay(t, address);
+  const transport = createConnectTransport();
+  t.after(() => transport.close());
+  const call = (): Promise<ConsensusResponse> =>
+    transport.call('b', relay.address, VOTE, AbortSignal.timeout(200));
+  await call();
+  relay.silenceOpenConnections();
+  await assert.rejects(call());
+  let answered = false;
+  const retry = async (): Promise<void> => {
+    while (!answered)
+      answered = await call().then(
+        () => true,
+        () => false,
+      );
+  };
+  await Promise.all([retry(), until('a call is answered', () => answered)]);
+});
+
+async function serve(
+  test: TestContext,
+  handle: (request: ConsensusRequest) => Promise<ConsensusResponse>,
+): Promise<string> {
+  const server = createServer(connectNodeAdapter({routes: consensusRoutes({handle})}));
+  return listen(test, server);
+}
+
+async function listen(test: TestContext, server: Http2Server | Server): Promise<string> {
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  test.after(() => void server.close());
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+async function startSilenceableRelay(
+  test: TestContext,
+  target: string,
+): Promise<{address: string; silenceOpenConnections: () => void}> {
+  const open = new Set<Socket>();
+  const server = createTcpServer((client) => {
+    const upstream = connect(Number(target.split(':')[1]), '127.0.0.1');
+    client.pipe(upstream).pipe(client);
+    for (const socket of [client, upstream]) {
+      open.add(socket);
+      socket.on('error', () => socket.destroy());
+    }
+  });
+  test.after(() => open.forEach((socket) => socket.destroy()));
+  const address = await listen(test, server);
+  const silenceOpenConnections = (): void => open.forEach((socket) => socket.unpipe().pause());
+  return {address, silenceOpenConnections};
+}
--- a/control/log-store/test/logStoreFixture.ts
+++ b/control/log-store/test/logStoreFixture.ts
@@ -2,8 +2,8 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import type {TestContext} from 'node:test';
-import {nodeFileSystem} from '@medlarlane/log-store';
-import type {FileSystem, LogEntry, StoreFile} from '@medlarlane/log-store';
+import {nodeFileSystem, openLogStore} from '@medlarlane/log-store';
+import type {FileSystem, LogEntry, RecoveredLog, Snapshot} from '@medlarlane/log-store';
 
 /** A folder that is removed after the test. */
 export async function temporaryFolder(test: TestContext): Promise<string> {
@@ -20,31 +20,49 @@
   return Array.from({length: to - from + 1}, (_, i) => entry(from + i, undefined, term));
 }
 
+export function snapshotAt(index: number): Snapshot {
+  const members = {voters: ['a'], learners: [], addresses: {a: '127.0.0.1:1'}};
+  return {index, term: 1, members, payload: new Uint8Array(Buffer.from(`state ${index}`))};
+}
+
+/** Opens a store and closes it again. */
+export async function recover(folder: string, files?: FileSystem): Promise<RecoveredLog> {
+  const store = await openLogStore(folder, files ? {files} : {});
+  await store.close();
+  return store.recovered;
+}
+
 export interface FaultyFiles extends FileSystem {
   syncCount: number;
-  /** Called before each write and sync; throws to inject a failure. */
-  before: (step: 'write' | 'sync') => void | Promise<void>;
+  /** Thrown by every write or sync while set. */
+  writeFailure: Error | undefined;
+  syncFailure: Error | undefined;
 }
 
+/** The real files, with failures on demand. */
 export function faultyFiles(): FaultyFiles {
   const faulty: FaultyFiles = {
     ...nodeFileSystem,
     syncCount: 0,
-    before: () => undefined,
-    open: async (file, mode) => wrap(await nodeFileSystem.open(file, mode)),
-  };
-  const wrap = (file: StoreFile): StoreFile => ({
-    write: async (bytes, position) => {
-      await faulty.before('write');
-      await file.write(bytes, position);
-    },
-    sync: async () => {
-      faulty.syncCount++;
-      await faulty.before('sync');
-      await file.sync();
+    writeFailure: undefined,
+    syncFailure: undefined,
+    open: async (file, mode) => {
+      const opened = await nodeFileSystem.open(file, mode);
+      return {
+        ...opened,
+        write: async (bytes, position) => {
+          // A full disk takes a part of the bytes before it refuses the rest.
+          if (faulty.writeFailure) await opened.write(bytes.subarray(0, 7), position);
+          if (faulty.writeFailure) throw faulty.writeFailure;
+          await opened.write(bytes, position);
+        },
+        sync: async () => {
+          faulty.syncCount++;
+          if (faulty.syncFailure) throw faulty.syncFailure;
+          await opened.sync();
+        },
+      };
     },
-    truncate: (sizeBytes) => file.truncate(sizeBytes),
-    close: () => file.close(),
-  });
+  };
   return faulty;
 }
--- /dev/null
+++ b/control/log-store/test/memoryFiles.ts
@@ -0,0 +1,101 @@
+import path from 'node:path';
+import type {FileSystem, StoreFile} from '@medlarlane/log-store';
+
+interface MemoryFile {
+  contents: Buffer;
+  synced: Buffer;
+}
+
+/** Files in memory that can lose what was not synced, as in a power failure. */
+export class MemoryFiles implements FileSystem {
+  /** Operations that change files, so far. */
+  changes = 0;
+  /** The change at which everything starts to fail. */
+  crashAtChange = Infinity;
+  private names = new Map<string, MemoryFile>();
+  private syncedNames = new Map<string, MemoryFile>();
+
+  async makeFolder(): Promise<void> {}
+
+  async list(): Promise<string[]> {
+    return [...this.names.keys()];
+  }
+
+  async read(file: string): Promise<Uint8Array> {
+    return Buffer.from(this.get(file).contents);
+  }
+
+  async open(file: string, mode: 'create' | 'update'): Promise<StoreFile> {
+    if (mode === 'create') {
+      this.change();
+      this.names.set(path.basename(file), {contents: Buffer.alloc(0), synced: Buffer.alloc(0)});
+    }
+    const opened = this.get(file);
+    return {
+      write: async (bytes, position) => {
+        this.change();
+        const end = Math.max(opened.contents.length, position + bytes.length);
+        const contents = Buffer.alloc(end);
+        opened.contents.copy(contents);
+        contents.set(bytes, position);
+        opened.contents = contents;
+      },
+      sync: async () => {
+        this.change();
+        opened.synced = opened.contents;
+      },
+      truncate: async (sizeBytes) => {
+        this.change();
+        opened.contents = opened.contents.subarray(0, sizeBytes);
+      },
+      close: async () => undefined,
+    };
+  }
+
+  async rename(from: string, to: string): Promise<void> {
+    this.change();
+    this.names.set(path.basename(to), this.get(from));
+    this.names.delete(path.basename(from));
+  }
+
+  async remove(file: string): Promise<void> {
+    this.change();
+    this.names.delete(path.basename(file));
+  }
+
+  async syncFolder(): Promise<void> {
+    this.change();
+    this.syncedNames = new Map(this.names);
+  }
+
+  /** The files after a crash: all changes, or only those that were synced. */
+  afterCrash(kept: 'all' | 'synced'): MemoryFiles {
+    const files = new MemoryFiles();
+    const names = kept === 'all' ? this.names : this.syncedNames;
+    for (const [name, {contents, synced}] of names) {
+      files.put(name, kept === 'all' ? contents : synced);
+    }
+    return files;
+  }
+
+  put(name: string, contents: Buffer): void {
+    this.names.set(name, {contents, synced: contents});
+    this.syncedNames = new Map(this.names);
+  }
+
+  /** Names of files other than locks. */
+  dataNames(): string[] {
+    return [...this.names.keys()].filter((name) => !name.startsWith('lock-'));
+  }
+
+  get(file: string): MemoryFile {
+    const found = this.names.get(path.basename(file));
+    if (!found) throw new Error(`ENOENT: ${file}`);
+    return found;
+  }
+
+  private change(): void {
+    this.changes++;
+    if (this.changes >= this.crashAtChange) throw new Error('EIO: crashed');
+  }
+}
--- a/control/log-store/test/openLogStore.test.ts
+++ b/control/log-store/test/openLogStore.test.ts
@@ -1,17 +1,26 @@
 import assert from 'node:assert/strict';
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {readdir, readFile, rm, writeFile} from 'node:fs/promises';
+import path from 'node:path';
 import {test} from 'node:test';
+import {fileURLToPath} from 'node:url';
 import {openLogStore} from '@medlarlane/log-store';
-import {entries, entry, temporaryFolder} from './logStoreFixture.js';
-
-const MEMBERS = {voters: ['a'], learners: [], addresses: {a: '127.0.0.1:1'}};
+import type {LogStore} from '@medlarlane/log-store';
+import {
+  entries,
+  entry,
+  faultyFiles,
+  recover,
+  snapshotAt,
+  temporaryFolder,
+} from './logStoreFixture.js';
 
 test('Entries, truncation, hard state and snapshot survive a restart', async (t) => {
   const folder = await temporaryFolder(t);
   const store = await openLogStore(folder, {replicaId: 'a'});
   await store.append({hardState: {term: 3, votedFor: 'b'}, entries: entries(1, 10)});
-  const payload = new Uint8Array([1, 2, 3]);
-  const snapshot = {index: 6, term: 1, members: MEMBERS, payload};
-  const saved = store.saveSnapshot(snapshot, entries(7, 10));
+  const saved = store.saveSnapshot(snapshotAt(6), entries(7, 10));
   // These appends race with the snapshot and must be in the new file too.
   await store.append({entries: entries(11, 12)});
   await store.append({truncateFrom: 12, entries: [entry(12, 'replaced', 2)]});
@@ -21,12 +30,169 @@
 
   const reopened = await openLogStore(folder);
   assert.equal(reopened.replicaId, 'a');
-  assert.deepEqual(reopened.recovered.hardState, {term: 4, votedFor: ''});
-  assert.deepEqual(reopened.recovered.snapshot, snapshot);
-  assert.deepEqual(reopened.recovered.entries, [
-    ...entries(7, 11),
-    entry(12, 'replaced', 2),
-    ...entries(13, 13, 2),
-  ]);
+  assert.deepEqual(reopened.recovered, {
+    hardState: {term: 4, votedFor: ''},
+    snapshot: snapshotAt(6),
+    entries: [...entries(7, 11), entry(12, 'replaced', 2), ...entries(13, 13, 2)],
+    tornBytes: 0,
+  });
   await reopened.close();
 });
+
+test('Concurrent appends share syncs', async (t) => {
+  const files = faultyFiles();
+  const store = await openLogStore(await temporaryFolder(t), {files});
+  const before = files.syncCount;
+  await Promise.all(entries(1, 1000).map((one) => store.append({entries: [one]})));
+  await store.close();
+  // The first append is written alone or with the others; those that arrive meanwhile go together.
+  assert.ok(files.syncCount - before <= 2, `${files.syncCount - before} syncs`);
+});
+
+const WRITE_FAULTS: ReadonlyArray<{
+  fault: string;
+  strike: (files: ReturnType<typeof faultyFiles>) => void;
+  operation: (store: LogStore) => Promise<void>;
+}> = [
+  {
+    fault: 'full disk during an append',
+    strike: (files) => (files.writeFailure = new Error('ENOSPC')),
+    operation: (store) => store.append({entries: entries(6, 6)}),
+  },
+  {
+    fault: 'failed sync of an append',
+    strike: (files) => (files.syncFailure = new Error('EIO')),
+    operation: (store) => store.append({entries: entries(6, 6)}),
+  },
+  {
+    fault: 'full disk during a snapshot',
+    strike: (files) => (files.writeFailure = new Error('ENOSPC')),
+    operation: (store) => store.saveSnapshot(snapshotAt(3), entries(4, 5)),
+  },
+  {
+    fault: 'failed sync of a snapshot',
+    strike: (files) => (files.syncFailure = new Error('EIO')),
+    operation: (store) => store.saveSnapshot(snapshotAt(3), entries(4, 5)),
+  },
+];
+for (const {fault, strike, operation} of WRITE_FAULTS) {
+  test(`After a ${fault} nothing more is acknowledged and acknowledged entries remain`, async (t) => {
+    const folder = await temporaryFolder(t);
+    const files = faultyFiles();
+    const store = await openLogStore(folder, {replicaId: 'a', files});
+    await store.append({entries: entries(1, 5)});
+    strike(files);
+    await assert.rejects(operation(store), {code: 'LOG_WRITE_FAILED'});
+    assert.equal(store.failure?.code, 'LOG_WRITE_FAILED');
+    const syncs = files.syncCount;
+    // The fault passes, but what the failed sync covered may be lost already.
+    files.writeFailure = files.syncFailure = undefined;
+    await assert.rejects(store.append({entries: entries(6, 6)}), {code: 'LOG_WRITE_FAILED'});
+    await assert.rejects(store.saveSnapshot(snapshotAt(3), entries(4, 5)), {
+      code: 'LOG_WRITE_FAILED',
+    });
+    assert.equal(files.syncCount, syncs);
+    await store.close();
+    assert.deepEqual((await recover(folder)).entries.slice(0, 5), entries(1, 5));
+  });
+}
+
+const SETTLED_FOLDER = ['identity.json', 'log-0000000000000002', 'snapshot-0000000000000003'];
+const REFUSALS: ReadonlyArray<{
+  damage: string;
+  code: string;
+  strike: (folder: string) => Promise<void>;
+}> = [
+  ...SETTLED_FOLDER.map((name) => ({
+    damage: `missing ${name}`,
+    code: 'LOG_CORRUPT',
+    strike: (folder: string) => rm(path.join(folder, name)),
+  })),
+  {
+    damage: 'an empty log file',
+    code: 'LOG_CORRUPT',
+    strike: (folder) => writeFile(path.join(folder, SETTLED_FOLDER[1]!), ''),
+  },
+  {
+    damage: 'a snapshot that is cut off',
+    code: 'LOG_CORRUPT',
+    strike: async (folder) => {
+      const file = path.join(folder, SETTLED_FOLDER[2]!);
+      await writeFile(file, (await readFile(file)).subarray(0, -1));
+    },
+  },
+  {
+    damage: 'a format of a later version',
+    code: 'LOG_FORMAT',
+    strike: (folder) =>
+      writeFile(path.join(folder, SETTLED_FOLDER[0]!), '{"format": 2, "replicaId": "a"}'),
+  },
+  {
+    damage: 'the identity of another replica',
+    code: 'LOG_CORRUPT',
+    strike: (folder) =>
+      writeFile(path.join(folder, SETTLED_FOLDER[0]!), '{"format": 1, "replicaId": "b"}'),
+  },
+];
+for (const {damage, code, strike} of REFUSALS) {
+  test(`A folder with ${damage} is refused and left as it is`, async (t) => {
+    const folder = await temporaryFolder(t);
+    const store = await openLogStore(folder, {replicaId: 'a'});
+    await store.append({entries: entries(1, 5)});
+    await store.saveSnapshot(snapshotAt(3), entries(4, 5));
+    await store.close();
+    assert.deepEqual((await readdir(folder)).sort(), SETTLED_FOLDER);
+    await strike(folder);
+    const before = await contents(folder);
+    await assert.rejects(openLogStore(folder, {replicaId: 'a'}), {code});
+    assert.deepEqual(await contents(folder), before);
+  });
+}
+
+test('A folder of another replica id is refused', async (t) => {
+  const folder = await temporaryFolder(t);
+  await (await openLogStore(folder, {replicaId: 'a'})).close();
+  await assert.rejects(openLogStore(folder, {replicaId: 'b'}), {code: 'SETTINGS_INVALID'});
+});
+
+test('A second open in the same process is refused until the first is closed', async (t) => {
+  const folder = await temporaryFolder(t);
+  const store = await openLogStore(folder);
+  await assert.rejects(openLogStore(folder), {code: 'LOG_LOCKED'});
+  await store.append({entries: entries(1, 1)});
+  await store.close();
+  assert.equal((await recover(folder)).entries.length, 1);
+});
+
+test('The lock of a living process holds and that of a killed one does not delay the next open', async (t) => {
+  const folder = await temporaryFolder(t);
+  const program = fileURLToPath(new URL('./holdLogStore.js', import.meta.url));
+  const child = spawn(process.execPath, [program, folder], {stdio: ['ignore', 'pipe', 'inherit']});
+  t.after(() => child.kill('SIGKILL'));
+  await once(child.stdout, 'data');
+  await assert.rejects(openLogStore(folder), {code: 'LOG_LOCKED'});
+  child.kill('SIGKILL');
+  await once(child, 'exit');
+  assert.deepEqual((await recover(folder)).entries, entries(1, 1));
+});
+
+test('A lock whose process id now belongs to another process does not hold', async (t) => {
+  const folder = await temporaryFolder(t);
+  const store = await openLogStore(folder);
+  const [lock] = (await readdir(folder)).filter((name) => name.startsWith('lock-'));
+  await store.close();
+  const [, processId, , boot] = lock!.split('-');
+  for (const stale of [`lock-${processId}-1-${boot}-1`, `lock-${process.ppid}-1-${boot}-1`]) {
+    await writeFile(path.join(folder, stale), '');
+    await recover(folder);
+  }
+});
+
+async function contents(folder: string): Promise<Record<string, string>> {
+  const names = await readdir(folder);
+  const read = names.map(async (name) => [
+    name,
+    (await readFile(path.join(folder, name))).toString('hex'),
+  ]);
+  return Object.fromEntries(await Promise.all(read)) as Record<string, string>;
+}
