--- a/apps/daemon/src/targetSupervisor.ts
+++ b/apps/daemon/src/targetSupervisor.ts
@@ -22,6 +22,8 @@
   readonly drainTimeoutMs: number;
 }
 
+const DRAIN_REPEAT_INTERVAL_MS = 300;
+
 /**
  * Follows the announced target: opens connections to it, registers a session for its service, and
  * drains or gives up the session when the target leaves or fails.
@@ -58,8 +60,8 @@
   /** Moves the ranges away, lets running requests end, and gives up the session. */
   async drain(reason: string): Promise<void> {
     const {controlClient, clock, drainTimeoutMs, logger} = this.opts;
+    logger.info({reason}, 'Draining.');
     const untilMs = clock.nowMs() + drainTimeoutMs;
-    controlClient.drain();
     await this.waitUntilMovedAway(untilMs);
     // Requests for services that are not split by key stop coming once the drain is in force.
     await this.waitUntilIdle(untilMs);
@@ -117,7 +119,6 @@
     const {directory, lease, clock} = this.opts;
     const service = directory.session(lease.sessionId)?.service;
     if (service === undefined) return;
-    const signal = timeoutSignal(untilMs - clock.nowMs());
     const ownsRanges = (): boolean =>
       directory
         .ranges(service)
@@ -127,9 +128,11 @@
       directory
         .sessionsOf(service)
         .some(({sessionId, draining}) => sessionId !== lease.sessionId && !draining);
-    while (lease.isValid() && ownsRanges() && hasSuccessor()) {
-      await directory.nextChange(signal).catch(() => undefined);
-      if (signal.aborted) return;
+    while (lease.isValid() && clock.nowMs() < untilMs && ownsRanges() && hasSuccessor()) {
+      // Repeated, because the message is lost when the leader changes.
+      if (!directory.session(lease.sessionId)?.draining) this.opts.controlClient.drain();
+      const waitMs = Math.min(DRAIN_REPEAT_INTERVAL_MS, untilMs - clock.nowMs());
+      await directory.nextChange(timeoutSignal(waitMs)).catch(() => undefined);
     }
   }
 
--- a/apps/daemon/src/wireDaemon.ts
+++ b/apps/daemon/src/wireDaemon.ts
@@ -32,6 +32,7 @@
 import {TargetSupervisor} from './targetSupervisor.js';
 
 const PEER_CONNECTIONS = 64;
+const PEER_CHECK_INTERVAL_MS = 250;
 
 /** Wires the parts of the daemon. Nothing starts before `kernel.start()`. */
 export function wireDaemon(settings: DaemonSettings): Kernel {
@@ -169,9 +170,20 @@
 
 function registerRouting(kernel: Kernel): void {
   kernel
-    .register('peers', (_services, store) =>
-      store.use(new Peers({connections: PEER_CONNECTIONS}), (peers) => peers.close()),
-    )
+    .register('peers', async (services, store) => {
+      const clock = await services.get('clock');
+      const directory = await services.get('directory');
+      const peers = store.use(new Peers({connections: PEER_CONNECTIONS, clock}), (opened) =>
+        opened.close(),
+      );
+      (await services.get('tasks')).run('peer connections', async (signal) => {
+        for (;;) {
+          await clock.sleep(PEER_CHECK_INTERVAL_MS, {signal});
+          await peers.retain(directory.peerAddresses());
+        }
+      });
+      return peers;
+    })
     .register('targetSupervisor', async (services, store) => {
       const settings = await services.get('settings');
       const addresses = await services.get('addresses');
@@ -210,7 +222,7 @@
         target: () => targetSupervisor.current,
         outcomes: {
           sent: (requestId, fingerprints) => inFlightRequests.sent(requestId, fingerprints),
-          ended: (requestId, outcome) => inFlightRequests.ended(requestId, outcome === 'ok'),
+          ended: (requestId, ending) => inFlightRequests.ended(requestId, ending),
           refused: () => targetSupervisor.fail('connection refused'),
         },
         cancel: () => undefined,
--- a/control/control-service/src/sessionHandler.ts
+++ b/control/control-service/src/sessionHandler.ts
@@ -1,7 +1,7 @@
 import type {MessageInitShape} from '@bufbuild/protobuf';
 import type {SessionRequest, SessionResponseSchema} from '@medlarlane/control-rpc';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
-import {decodeValue, registrationSchema} from '@medlarlane/model';
+import {decodeValue, poisonReportSchema, registrationSchema} from '@medlarlane/model';
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
 import type {LoadAggregator} from '@medlarlane/placement';
@@ -84,6 +84,14 @@
       await this.opts.leadership.endSession(stream.sessionId, reason);
       return ended(reason);
     },
+    poisonReport: async ({entries}) => {
+      await this.opts.leadership.propose({
+        kind: 'reportPoison',
+        reportedAtMs: this.opts.clock.wallMs(),
+        report: decodeValue(poisonReportSchema, entries),
+      });
+      return undefined;
+    },
     drain: async (_drain, stream) => {
       await this.opts.leadership.propose({kind: 'drainSession', sessionId: stream.sessionId});
       return undefined;
--- a/control/control-state/src/controlState.ts
+++ b/control/control-state/src/controlState.ts
@@ -23,6 +23,10 @@
 // Fine enough that moving one range shifts less than 2% of the load between five servers.
 const INITIAL_RANGES = 256;
 const KEPT_REVISIONS = 50;
+// A report concerns one crash; two targets a day crash by themselves at the design size.
+const KEPT_POISON_REPORTS = 64;
+
+type PoisonEntry = DirectorySnapshot['poison'][number];
 
 type Handlers = {
   readonly [K in Command['kind']]: (index: number, command: CommandOf<K>) => CommandResult;
@@ -39,6 +43,7 @@
   private documents = new Map<string, ServiceDocument>();
   private sessions = new Map<number, Session>();
   private assignments = new Map<string, RangeTable>();
+  private poison: PoisonEntry[] = [];
   private changeMemory = new ChangeMemory();
   private history = new ChangeHistory(0);
   private pendingChanges: DirectoryChange[] = [];
@@ -50,6 +55,11 @@
     endSession: (index, {sessionId}) => this.endSession(index, sessionId),
     drainSession: (index, {sessionId}) => this.drainSession(index, sessionId),
     startMoves: (index, command) => this.startMoves(index, command),
+    reportPoison: (index, {reportedAtMs, report}) => {
+      this.poison = [...this.poison, {reportedAtMs, report}].slice(-KEPT_POISON_REPORTS);
+      this.pendingChanges.push({kind: 'poison', reportedAtMs, report});
+      return {ok: true, index};
+    },
     finishMoves: (index, command) => this.finishMoves(index, command),
   };
 
@@ -88,6 +98,7 @@
       }),
       sessions: [...this.sessions.values()],
       assignments: this.assignmentList(),
+      poison: this.poison,
     };
   }
 
@@ -99,6 +110,7 @@
       sessions: [...this.sessions.values()],
       assignments: this.assignmentList(),
       changes: this.changeMemory.all(),
+      poison: this.poison,
     };
     return encodeValue(snapshot);
   }
@@ -118,6 +130,7 @@
       snapshot.assignments.map(({service, ranges}) => [service, new RangeTable(ranges)]),
     );
     this.changeMemory = new ChangeMemory(snapshot.changes);
+    this.poison = snapshot.poison;
     this.history = new ChangeHistory(snapshot.index);
   }
 
@@ -291,6 +304,7 @@
     for (const {fromPosition, toPosition, fromSessionId, toSessionId} of moves) {
       const destination = this.sessions.get(toSessionId);
       if (!destination || destination.draining || destination.service !== service) continue;
+      if (toSessionId === fromSessionId || fromPosition >= toPosition) continue;
       table.splitAt(fromPosition);
       table.splitAt(toPosition);
       table.update((range) => {
--- a/control/control-state/src/stateSnapshot.ts
+++ b/control/control-state/src/stateSnapshot.ts
@@ -1,7 +1,13 @@
 import {z} from 'zod';
 import {isErrorCode} from '@medlarlane/errors';
 import type {ErrorCode} from '@medlarlane/errors';
-import {nameSchema, rangeSchema, serviceNameSchema, sessionSchema} from '@medlarlane/model';
+import {
+  nameSchema,
+  poisonReportSchema,
+  rangeSchema,
+  serviceNameSchema,
+  sessionSchema,
+} from '@medlarlane/model';
 
 const errorCodeSchema = z.custom<ErrorCode>(
   (value) => typeof value === 'string' && isErrorCode(value),
@@ -54,5 +60,6 @@
   sessions: z.array(sessionSchema),
   assignments: z.array(z.object({service: serviceNameSchema, ranges: z.array(rangeSchema)})),
   changes: z.array(rememberedChangeSchema),
+  poison: z.array(z.object({reportedAtMs: z.int(), report: poisonReportSchema})),
 });
 export type StateSnapshot = z.infer<typeof stateSnapshotSchema>;
--- a/protocol/model/src/commands.ts
+++ b/protocol/model/src/commands.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {POSITION_END} from './directoryState.js';
+import {poisonReportSchema} from './poisonReport.js';
 import {registrationSchema} from './registration.js';
 import {nameSchema, serviceNameSchema} from './serviceDocument.js';
 
@@ -53,6 +54,12 @@
     service: serviceNameSchema,
     moves: z.array(moveSchema),
   }),
+  z.object({
+    kind: z.literal('reportPoison'),
+    /** Wall-clock time at which the leader took the report. */
+    reportedAtMs: z.int().min(0),
+    report: poisonReportSchema,
+  }),
   z.object({
     kind: z.literal('finishMoves'),
     service: serviceNameSchema,
--- a/protocol/model/src/directoryState.ts
+++ b/protocol/model/src/directoryState.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {poisonReportSchema} from './poisonReport.js';
 import {sessionSchema} from './registration.js';
 import {serviceDocumentSchema, serviceNameSchema} from './serviceDocument.js';
 
@@ -26,6 +27,11 @@
   }),
   z.object({kind: z.literal('session'), session: sessionSchema}),
   z.object({kind: z.literal('sessionEnded'), sessionId: z.int().positive()}),
+  z.object({
+    kind: z.literal('poison'),
+    reportedAtMs: z.int().min(0),
+    report: poisonReportSchema,
+  }),
   z.object({
     kind: z.literal('ranges'),
     service: serviceNameSchema,
@@ -41,5 +47,6 @@
   documents: z.array(z.object({revision: z.int().positive(), document: serviceDocumentSchema})),
   sessions: z.array(sessionSchema),
   assignments: z.array(z.object({service: serviceNameSchema, ranges: z.array(rangeSchema)})),
+  poison: z.array(z.object({reportedAtMs: z.int().min(0), report: poisonReportSchema})),
 });
 export type DirectorySnapshot = z.infer<typeof directorySnapshotSchema>;
--- a/protocol/model/src/index.ts
+++ b/protocol/model/src/index.ts
@@ -14,6 +14,8 @@
   rangeSchema,
 } from './directoryState.js';
 export type {DirectoryChange, DirectorySnapshot, Range} from './directoryState.js';
+export {poisonReportSchema} from './poisonReport.js';
+export type {PoisonReport} from './poisonReport.js';
 export {hostPortSchema, registrationSchema, sessionSchema} from './registration.js';
 export type {Registration, Session} from './registration.js';
 export {nameSchema, serviceDocumentSchema, serviceNameSchema, teamOf} from './serviceDocument.js';
--- a/routing/control-client/src/controlClient.ts
+++ b/routing/control-client/src/controlClient.ts
@@ -23,7 +23,7 @@
   directorySnapshotSchema,
   encodeValue,
 } from '@medlarlane/model';
-import type {Registration} from '@medlarlane/model';
+import type {PoisonReport, Registration} from '@medlarlane/model';
 import type {Lease, ReleasedRange} from '@medlarlane/ownership';
 import {z} from 'zod';
 
@@ -119,6 +119,11 @@
     this.send({message: {case: 'released', value: {ranges: keys}}});
   }
 
+  /** Tells all daemons about requests that were in flight at a crash of the local target. */
+  reportPoison(report: PoisonReport): void {
+    this.send({message: {case: 'poisonReport', value: {entries: encodeValue(report)}}});
+  }
+
   /** Asks the leader to move the ranges of this daemon away. */
   drain(): void {
     this.send({message: {case: 'drain', value: {}}});
--- a/routing/directory/src/directory.ts
+++ b/routing/directory/src/directory.ts
@@ -1,6 +1,7 @@
 import {EventEmitter, once} from 'node:events';
 import type {
   DirectoryChange,
+  PoisonReport,
   DirectorySnapshot,
   Range,
   ServiceDocument,
@@ -30,6 +31,7 @@
   private readonly handlers: ChangeHandlers = {
     document: ({revision, document}) => this.setDocument({revision, document}),
     session: ({session}) => this.setSession(session),
+    poison: ({reportedAtMs, report}) => this.events.emit('poison', report, reportedAtMs),
     sessionEnded: ({sessionId}) => this.removeSession(sessionId),
     ranges: ({service, fromPosition, toPosition, ranges}) => {
       const table = this.assignments.get(service);
@@ -57,6 +59,9 @@
     this.assignments = new Map();
     for (const entry of snapshot.documents) this.setDocument(entry);
     for (const session of snapshot.sessions) this.setSession(session);
+    for (const {reportedAtMs, report} of snapshot.poison) {
+      this.events.emit('poison', report, reportedAtMs);
+    }
     for (const {service, ranges} of snapshot.assignments) {
       this.assignments.set(service, new RangeTable(ranges));
     }
@@ -88,6 +93,11 @@
     return this.sessionsByService.get(service) ?? [];
   }
 
+  /** Addresses at which the daemons with a session take forwarded requests. */
+  peerAddresses(): Set<string> {
+    return new Set([...this.sessions.values()].map(({peerAddress}) => peerAddress));
+  }
+
   range(service: string, position: number): Range | undefined {
     return this.assignments.get(service)?.find(position);
   }
@@ -102,6 +112,11 @@
     return () => this.events.off('change', listener);
   }
 
+  /** Calls `listener` for each report of requests that may crash targets. */
+  onPoison(listener: (report: PoisonReport, reportedAtMs: number) => void): void {
+    this.events.on('poison', listener);
+  }
+
   /** Resolves at the next change; rejects when `signal` aborts. */
   async nextChange(signal: AbortSignal): Promise<void> {
     await once(this.events, 'change', {signal});
--- a/routing/forwarder/src/exchange.ts
+++ b/routing/forwarder/src/exchange.ts
@@ -27,6 +27,8 @@
   /** Who shares the queue fairly with others. */
   readonly callerId: string;
   readonly body: RequestBody;
+  /** Aborts when the caller has gone before its answer was complete. */
+  readonly callerGone: AbortSignal;
   /** Directory index of the daemon that forwarded the request; 0 for a caller's request. */
   readonly senderIndex: number;
 }
@@ -65,11 +67,20 @@
     idempotencyKey: repeatable ? undefined : idempotencyKey,
     deadlineMs,
     callerId: singleHeader(request, HEADER.callerId) ?? request.socket.remoteAddress ?? '',
+    callerGone: abortOnClose(response),
     body: await RequestBody.read(request),
     senderIndex: Number(singleHeader(request, HEADER.index) ?? 0),
   };
 }
 
+function abortOnClose(response: ServerResponse): AbortSignal {
+  const abort = new AbortController();
+  response.once('close', () => {
+    if (!response.writableFinished) abort.abort();
+  });
+  return abort.signal;
+}
+
 function findDocument(request: IncomingMessage, directory: Directory): ServiceDocument {
   const service =
     singleHeader(request, HEADER.service) ?? directory.serviceOfHost(request.headers.host ?? '');
--- a/routing/forwarder/src/index.ts
+++ b/routing/forwarder/src/index.ts
@@ -3,7 +3,12 @@
 export {handOver} from './handOver.js';
 export {HEADER} from './headers.js';
 export {LocalServer} from './localServer.js';
-export type {LocalServerOptions, LocalTargetPort, TargetOutcomeObserver} from './localServer.js';
+export type {
+  LocalServerOptions,
+  LocalTargetPort,
+  RequestEnding,
+  TargetOutcomeObserver,
+} from './localServer.js';
 export {Peers} from './peers.js';
 export type {PeersOptions} from './peers.js';
 export {answerProblem} from './problem.js';
--- a/routing/forwarder/src/localServer.ts
+++ b/routing/forwarder/src/localServer.ts
@@ -1,7 +1,7 @@
 import {createHash} from 'node:crypto';
 import {Either, Left, Right} from 'purify-ts/Either';
 import type {Dispatcher} from 'undici';
-import type {AdmissionOutcome, AdmissionQueue, Permit} from '@medlarlane/admission';
+import type {AdmissionOutcome, AdmissionQueue} from '@medlarlane/admission';
 import type {IdempotencyTable, RecordedResponse, Run} from '@medlarlane/dedupe';
 import type {Directory} from '@medlarlane/directory';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
@@ -25,10 +25,18 @@
   readonly admission: AdmissionQueue;
 }
 
+/** How a request at the local target ended. */
+export interface RequestEnding {
+  readonly outcome: AdmissionOutcome;
+  readonly durationMs: number;
+  /** Whether the whole response arrived; a failed request may have been answered with status 500. */
+  readonly isAnswered: boolean;
+}
+
 /** What became of requests at the local target. */
 export interface TargetOutcomeObserver {
   sent(requestId: string, fingerprints: () => string[]): void;
-  ended(requestId: string, outcome: AdmissionOutcome, durationMs: number): void;
+  ended(requestId: string, ending: RequestEnding): void;
   /** The target accepts no connection. */
   refused(): void;
 }
@@ -55,6 +63,8 @@
   readonly isComplete: boolean;
 }
 
+type Ended = Omit<RequestEnding, 'durationMs'>;
+
 // How long a daemon that was named as owner waits until its own directory says so.
 const CATCH_UP_LIMIT_MS = 1000;
 
@@ -136,6 +146,7 @@
       id,
       digest: digestOf(exchange),
       deadlineMs,
+      signal: exchange.callerGone,
     });
     if (begun.kind === 'recorded') return this.replay(exchange, begun.response);
     try {
@@ -160,34 +171,26 @@
   ): Promise<Served> {
     const target = this.opts.target();
     if (!target) throw new MedlarlaneError('NO_TARGET');
-    const {callerId, deadlineMs} = exchange;
-    const permit = await target.admission.acquire({callerId, deadlineMs});
+    const {callerId, deadlineMs, callerGone} = exchange;
+    const permit = await target.admission.acquire({callerId, deadlineMs, signal: callerGone});
     const startedMs = this.opts.clock.nowMs();
-    let outcome: AdmissionOutcome = 'unsent';
+    let ended: Ended = {outcome: 'unsent', isAnswered: false};
     try {
       if (!running.isStillOwned()) throw new MedlarlaneError('LEASE_EXPIRED');
-      return await this.send(exchange, running, run, target, (ended) => (outcome = ended));
+      return await this.send(exchange, running, run, target, (report) => (ended = report));
     } finally {
-      this.end(exchange, permit, outcome, this.opts.clock.nowMs() - startedMs);
+      const durationMs = this.opts.clock.nowMs() - startedMs;
+      permit.release({durationMs, outcome: ended.outcome});
+      this.opts.outcomes.ended(exchange.requestId, {...ended, durationMs});
     }
   }
 
-  private end(
-    {requestId}: Exchange,
-    permit: Permit,
-    outcome: AdmissionOutcome,
-    durationMs: number,
-  ): void {
-    permit.release({durationMs, outcome});
-    this.opts.outcomes.ended(requestId, outcome, durationMs);
-  }
-
   private async send(
     exchange: Exchange,
     running: RunningRequest,
     run: Run | undefined,
     target: LocalTargetPort,
-    report: (outcome: AdmissionOutcome) => void,
+    report: (ended: Ended) => void,
   ): Promise<Served> {
     const {request, response, document, requestId} = exchange;
     const {requestTimeoutMs} = document.targets;
@@ -213,7 +216,7 @@
       });
     } catch (thrown) {
       if (!(thrown instanceof RelayFailure)) throw thrown;
-      report(ADMISSION_OUTCOMES[thrown.reason]);
+      report({outcome: ADMISSION_OUTCOMES[thrown.reason], isAnswered: false});
       if (thrown.reason === 'cancelled') this.opts.cancel(requestId);
       if (thrown.reason === 'connect') this.opts.outcomes.refused();
       throw targetError(thrown);
@@ -231,14 +234,15 @@
     outcome: RelayOutcome,
     run: Run | undefined,
     recorder: ResponseRecorder | undefined,
-    report: (outcome: AdmissionOutcome) => void,
+    report: (ended: Ended) => void,
   ): Served {
     if (outcome.kind === 'intercepted') {
       // A target that checks its grants, or sheds load, promises that it did not run the request.
-      report('shed');
+      report({outcome: 'shed', isAnswered: true});
       throw new MedlarlaneError(outcome.status === 503 ? 'OVERLOADED' : 'LEASE_EXPIRED');
     }
-    report(!outcome.isComplete || outcome.status >= 500 ? 'failed' : 'ok');
+    const failed = !outcome.isComplete || outcome.status >= 500;
+    report({outcome: failed ? 'failed' : 'ok', isAnswered: outcome.isComplete});
     if (outcome.isComplete) run?.finish(recorder?.response);
     else run?.markUnknown();
     return {status: outcome.status, isComplete: outcome.isComplete};
--- a/routing/forwarder/src/peers.ts
+++ b/routing/forwarder/src/peers.ts
@@ -1,20 +1,26 @@
 import type {SecureContextOptions} from 'node:tls';
 import {Pool} from 'undici';
+import type {Clock} from '@medlarlane/lifecycle';
 import type {Session} from '@medlarlane/model';
 
 export interface PeersOptions {
   /** Connections to one other daemon. */
   readonly connections: number;
+  readonly clock: Clock;
   readonly tls?: () => SecureContextOptions;
 }
 
 const CONNECT_TIMEOUT_MS = 300;
 const KEEP_ALIVE_MS = 30_000;
+// A daemon that registers anew has no session for a moment; its running requests must not be cut.
+const ABSENCE_MS = 500;
 
 interface Peer {
   readonly pool: Pool;
   outstanding: number;
   loadHint: number;
+  /** Since when no session names the address. */
+  absentSinceMs: number | undefined;
 }
 
 /** Connections to other daemons, and how busy each is as far as this daemon can see. */
@@ -47,16 +53,28 @@
     return peer ? Math.max(peer.outstanding, peer.loadHint) : 0;
   }
 
-  /** Closes the connections to daemons that have no session any more. */
+  /**
+   * Cuts the connections to daemons that have had no session for a while. A request that waits for a
+   * frozen daemon fails by it and can go to the next owner, if it may be repeated.
+   */
   async retain(addresses: ReadonlySet<string>): Promise<void> {
-    const gone = [...this.peers].filter(([address]) => !addresses.has(address));
-    for (const [address] of gone) this.peers.delete(address);
-    await Promise.all(gone.map(([, {pool}]) => pool.close()));
+    const nowMs = this.opts.clock.nowMs();
+    const gone: Pool[] = [];
+    for (const [address, peer] of this.peers) {
+      if (addresses.has(address)) peer.absentSinceMs = undefined;
+      else peer.absentSinceMs ??= nowMs;
+      if (peer.absentSinceMs === undefined || nowMs - peer.absentSinceMs < ABSENCE_MS) continue;
+      this.peers.delete(address);
+      gone.push(peer.pool);
+    }
+    await Promise.all(gone.map((pool) => pool.destroy()));
   }
 
   /** Opens new connections with the present TLS material; running requests finish. */
   async reconnect(): Promise<void> {
-    await this.retain(new Set());
+    const pools = [...this.peers.values()].map(({pool}) => pool.close());
+    this.peers.clear();
+    await Promise.all(pools);
   }
 
   async close(): Promise<void> {
@@ -75,7 +93,7 @@
       keepAliveTimeout: KEEP_ALIVE_MS,
       connect: {...(tls ? tls() : {}), timeout: CONNECT_TIMEOUT_MS},
     });
-    const peer: Peer = {pool, outstanding: 0, loadHint: 0};
+    const peer: Peer = {pool, outstanding: 0, loadHint: 0, absentSinceMs: undefined};
     this.peers.set(address, peer);
     return peer;
   }
--- a/routing/forwarder/src/startListener.ts
+++ b/routing/forwarder/src/startListener.ts
@@ -38,6 +38,9 @@
   insecureHTTPParser: false,
 };
 const IDLE_TIMEOUT_MS = 60_000;
+const IDLE_CHECK_INTERVAL_MS = 20;
+// Longer than any request may take by default; a caller that never reads must not block the stop.
+const CLOSE_LIMIT_MS = 15_000;
 
 /** Starts an HTTP/1.1 listener whose handler's failures are answered as problem documents. */
 export async function startListener(
@@ -71,7 +74,14 @@
 
 function closeServer(server: Server | HttpsServer): Promise<void> {
   return new Promise((resolve) => {
-    server.close(() => resolve());
+    // A connection that was busy at first becomes idle when its response has ended.
+    const idleTimer = setInterval(() => server.closeIdleConnections(), IDLE_CHECK_INTERVAL_MS);
+    const limitTimer = setTimeout(() => server.closeAllConnections(), CLOSE_LIMIT_MS);
+    server.close(() => {
+      clearInterval(idleTimer);
+      clearTimeout(limitTimer);
+      resolve();
+    });
     server.closeIdleConnections();
   });
 }
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -12,6 +12,10 @@
 const folders = process.argv.slice(2).length > 0 ? process.argv.slice(2) : DOMAINS;
 const files = folders.flatMap((folder) => testFiles(path.join(root, folder)));
 const skipped = files.filter((file) => knownRed.has(path.relative(root, file)));
+if (files.length === 0) {
+  console.error(`No compiled tests in ${folders.join(', ')}`);
+  process.exit(1);
+}
 for (const file of skipped) console.log(`known red, not run: ${path.relative(root, file)}`);
 const run = spawnSync(
   process.execPath,
