Strike the whole system with faults, as real processes

Cause: one owner per key and the return of service were shown only without faults. Change: fixtures for traffic, a history check and links that can be cut in one direction; nine tests that kill, freeze and cut off owners and control leaders, alone and together. Control connections leave from the address at which an instance listens, so that links can be told apart. With the lease check removed from Lease.isValid, 'A request that its frozen daemon had accepted' fails with 'the old owner served the key'; the row of the frozen owner still passes then, because its traffic enters through another daemon. Conclusion: the lease check is what keeps a resumed daemon from serving moved keys.

--- a/apps/daemon/src/wireDaemon.ts
+++ b/apps/daemon/src/wireDaemon.ts
@@ -23,7 +23,7 @@
 import {Lease, Ownership, RangeReleaser} from '@medlarlane/ownership';
 import {PoisonTable} from '@medlarlane/poison';
 import {RetryBudget} from '@medlarlane/retry';
-import {advertisedAddress, formatHostPort} from '@medlarlane/settings';
+import {advertisedAddress, formatHostPort, isUnspecified} from '@medlarlane/settings';
 import type {DaemonSettings, HostPort} from '@medlarlane/settings';
 import {startAdminListener} from './adminListener.js';
 import {InFlightRequests} from './inFlightRequests.js';
@@ -75,7 +75,9 @@
       const logStore = store.use(await openLogStore(dataFolder, {replicaId}), (opened) =>
         opened.close(),
       );
-      const transport = store.use(createConnectTransport(), (opened) => opened.close());
+      const transport = store.use(createConnectTransport(localAddressOf(settings)), (opened) =>
+        opened.close(),
+      );
       return startControlService({
         group: settings.group,
         leaseTtlMs: settings.leaseTtlMs,
@@ -123,6 +125,7 @@
       const inFlightRequests = await services.get('inFlightRequests');
       const replicaAddresses = settings.controlReplicas.map(({address}) => formatHostPort(address));
       return new ControlClient({
+        ...localAddressOf(settings),
         replicaAddresses,
         lease: await services.get('lease'),
         directory: await services.get('directory'),
@@ -340,6 +343,12 @@
   return file === undefined ? undefined : (await readFile(file, 'utf8')).trim();
 }
 
+/** Control connections leave from the address at which this instance is reached by other replicas. */
+function localAddressOf({controlListen, peerListen}: DaemonSettings): {localAddress?: string} {
+  const {host} = controlListen ?? peerListen;
+  return isUnspecified(host) ? {} : {localAddress: host};
+}
+
 function firstMembers({controlReplicas}: DaemonSettings): {
   voters: string[];
   learners: string[];
--- a/control/consensus/src/createConnectTransport.ts
+++ b/control/consensus/src/createConnectTransport.ts
@@ -21,6 +21,8 @@
 export interface ConnectTransportOptions {
   /** Key, certificate and authorities for mutual TLS. Without them the connection is not encrypted. */
   readonly tls?: SecureClientSessionOptions;
+  /** Address from which connections are opened, on an instance with several. */
+  readonly localAddress?: string;
   readonly clock?: Clock;
   /** Upper bound of any call, in addition to the caller's signal. */
   readonly callTimeoutMs?: number;
@@ -69,7 +71,15 @@
 
 function openSession(address: string, opts: ConnectTransportOptions): Session {
   const baseUrl = `${opts.tls ? 'https' : 'http'}://${address}`;
-  const manager = new Http2SessionManager(baseUrl, {}, opts.tls);
+  const {tls, localAddress} = opts;
+  const manager = new Http2SessionManager(
+    baseUrl,
+    {},
+    {
+      ...tls,
+      ...(localAddress === undefined ? {} : {localAddress}),
+    },
+  );
   const transport = createRpcTransport({
     baseUrl,
     httpVersion: '2',
--- a/kernel/settings/src/index.ts
+++ b/kernel/settings/src/index.ts
@@ -1,4 +1,4 @@
-export {formatHostPort, isLoopback, parseHostPort} from './hostPort.js';
+export {formatHostPort, isLoopback, isUnspecified, parseHostPort} from './hostPort.js';
 export type {HostPort} from './hostPort.js';
 export {maskSettings} from './maskSettings.js';
 export {advertisedAddress, parseSettings} from './parseSettings.js';
--- a/routing/control-client/src/controlClient.ts
+++ b/routing/control-client/src/controlClient.ts
@@ -38,6 +38,8 @@
   /** Control addresses of the replicas to contact, `<ip>:<port>`. */
   readonly replicaAddresses: readonly string[];
   readonly tls?: () => SecureClientSessionOptions;
+  /** Address from which connections are opened, on an instance with several. */
+  readonly localAddress?: string | undefined;
   readonly lease: Lease;
   readonly directory: Directory;
   readonly clock: Clock;
@@ -373,11 +375,14 @@
   private transport(address: string): Transport {
     const existing = this.transports.get(address);
     if (existing) return existing;
-    const tls = this.opts.tls;
+    const {tls, localAddress} = this.opts;
     const transport = createConnectTransport({
       httpVersion: '2',
       baseUrl: `${tls ? 'https' : 'http'}://${address}`,
-      ...(tls ? {nodeOptions: tls()} : {}),
+      nodeOptions: {
+        ...tls?.(),
+        ...(localAddress === undefined ? {} : {localAddress}),
+      },
     });
     this.transports.set(address, transport);
     return transport;
--- a/scripts/syncWorkspace.mjs
+++ b/scripts/syncWorkspace.mjs
@@ -6,6 +6,7 @@
 import {existsSync, readFileSync, readdirSync, writeFileSync} from 'node:fs';
 import {builtinModules} from 'node:module';
 import path from 'node:path';
+import prettier from 'prettier';
 
 const SCOPE = '@medlarlane/';
 const check = process.argv.includes('--check');
@@ -16,8 +17,8 @@
 
 const packages = findPackages();
 const folderByName = new Map(packages.map(({folder, manifest}) => [manifest.name, folder]));
-for (const entry of packages) syncPackage(entry);
-writeJson(path.join(root, 'tsconfig.json'), {
+for (const entry of packages) await syncPackage(entry);
+await writeJson(path.join(root, 'tsconfig.json'), {
   files: [],
   references: packages.map(({folder}) => ({path: `./${path.relative(root, folder)}`})),
 });
@@ -43,14 +44,14 @@
     .map((entry) => path.join(parent, entry.name));
 }
 
-function syncPackage({folder, manifest}) {
+async function syncPackage({folder, manifest}) {
   const used = importedPackages(path.join(folder, 'src'));
   const usedInTests = importedPackages(path.join(folder, 'test'));
   used.delete(manifest.name);
   usedInTests.delete(manifest.name);
   const {dependencies, devDependencies, ...rest} = manifest;
   const testOnly = [...usedInTests].filter((name) => !used.has(name));
-  writeJson(path.join(folder, 'package.json'), {
+  await writeJson(path.join(folder, 'package.json'), {
     ...rest,
     ...section('dependencies', [...used]),
     ...section('devDependencies', testOnly),
@@ -59,7 +60,7 @@
     .filter((name) => folderByName.has(name))
     .sort()
     .map((name) => ({path: path.relative(folder, folderByName.get(name))}));
-  writeJson(path.join(folder, 'tsconfig.json'), {
+  await writeJson(path.join(folder, 'tsconfig.json'), {
     extends: path.relative(folder, path.join(root, 'tsconfig.base.json')),
     compilerOptions: {rootDir: '.', outDir: 'lib'},
     include: ['src', 'test'],
@@ -103,14 +104,10 @@
   return JSON.parse(readFileSync(file, 'utf8'));
 }
 
-function writeJson(file, value) {
-  const text = `${JSON.stringify(value, null, 2)}\n`;
-  if (existsSync(file) && sameJson(readFileSync(file, 'utf8'), text)) return;
+async function writeJson(file, value) {
+  const config = await prettier.resolveConfig(file);
+  const text = await prettier.format(JSON.stringify(value, null, 2), {...config, filepath: file});
+  if (existsSync(file) && readFileSync(file, 'utf8') === text) return;
   if (check) stale.push(path.relative(root, file));
   else writeFileSync(file, text);
 }
-
-// Prettier lays out short arrays on one line, so files are compared by content.
-function sameJson(a, b) {
-  return JSON.stringify(JSON.parse(a)) === JSON.stringify(JSON.parse(b));
-}
--- /dev/null
+++ b/testing/fault-tables/src/index.ts
@@ -0,0 +1,12 @@
+export {
+  documentOf,
+  KEYS,
+  leaderIndex,
+  ownerOf,
+  SERVICE,
+  startScenario,
+  waitUntilSpread,
+} from './scenario.js';
+export type {Scenario, ScenarioOptions, Server} from './scenario.js';
+export {runFaultTable, SETTLE_MS} from './runFaultTable.js';
+export type {FaultRow} from './runFaultTable.js';
