Add the command-line tool medlarlane

Cause: operators had no way to apply documents or to look at the system. Documents are sent with their defaults filled in, so that a later version with other defaults changes no document in force.

--- a/apps/cli/src/index.ts
+++ b/apps/cli/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export type {CliIo} from './cliIo.js';
+export {runCli} from './runCli.js';
--- /dev/null
+++ b/apps/cli/src/readDocument.ts
@@ -0,0 +1,29 @@
+import {LineCounter, parseDocument} from 'yaml';
+import {describeProblems, parseServiceDocument} from '@medlarlane/admin-api';
+import type {FieldProblem} from '@medlarlane/admin-api';
+import {MedlarlaneError} from '@medlarlane/errors';
+import type {ServiceDocument} from '@medlarlane/model';
+import type {CliIo} from './cliIo.js';
+import {readNamedFile} from './operatorCommand.js';
+
+/**
+ * Reads a service document, YAML or JSON, and fills in its defaults. `-` reads standard input.
+ * @throws MedlarlaneError `DOCUMENT_INVALID` with every problem; `REQUEST_INVALID` without the file.
+ */
+export async function readDocument(io: CliIo, path: string): Promise<ServiceDocument> {
+  const text = path === '-' ? await io.readStandardInput() : await readNamedFile('--file', path);
+  return parseServiceDocument(parseText(text));
+}
+
+function parseText(text: string): unknown {
+  const lineCounter = new LineCounter();
+  const document = parseDocument(text, {lineCounter});
+  const problems: FieldProblem[] = document.errors.map((error) => {
+    const {line, col} = lineCounter.linePos(error.pos[0]);
+    const [reason = ''] = error.message.split('\n');
+    return {path: `line ${line}, column ${col}`, expected: 'valid YAML or JSON', found: reason};
+  });
+  if (problems.length === 0) return document.toJS();
+  const message = `Document cannot be read:\n${describeProblems(problems)}`;
+  throw new MedlarlaneError('DOCUMENT_INVALID', message, {details: {problems}});
+}
