--- a/apps/cli/src/adminClient.ts
+++ b/apps/cli/src/adminClient.ts
@@ -1,4 +1,4 @@
-import {Agent, request} from 'undici';
+import {Agent, buildConnector, request} from 'undici';
 import {ADMIN_OPERATIONS, adminPathOf, parseAdminResponse} from '@medlarlane/admin-api';
 import type {AdminOperation, AdminRequest, AdminResponse} from '@medlarlane/admin-api';
 import {fromProblemDocument, MedlarlaneError} from '@medlarlane/errors';
@@ -28,16 +28,6 @@
 const FIRST_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 1_000;
 
-/** Errors of the connection that occur before any byte of the request was sent. */
-const NOT_SENT = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'ENOTFOUND',
-  'EAI_AGAIN',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 /** Refusals that another endpoint or a later attempt may not repeat. */
 const PASSING: ReadonlySet<ErrorCode> = new Set<ErrorCode>([
   'NOT_LEADER',
@@ -53,14 +43,32 @@
   'drain',
 ]);
 
+/** What to do after a lost answer to an operation that carries no change id. */
+const CHECK_FIRST: Readonly<Partial<Record<AdminOperation, string>>> = {
+  drain: 'Draining twice does no harm: run the command again.',
+  addLearner: 'Look at medlarlane members list before another attempt.',
+  promote: 'Look at medlarlane members list before another attempt.',
+  removeMember: 'Look at medlarlane members list before another attempt.',
+};
+
 /** Calls operator operations at any of several admin listeners. */
 export class AdminClient {
   private readonly agent: Agent;
+  /** Errors of opening a connection (TCP or TLS): nothing of the request was sent. */
+  private readonly connectErrors = new WeakSet<Error>();
   private preferred = 0;
 
   constructor(private readonly opts: AdminClientOptions) {
+    const connect = buildConnector({
+      timeout: CONNECT_TIMEOUT_MS,
+      ...(opts.caPem ? {ca: opts.caPem} : {}),
+    });
     this.agent = new Agent({
-      connect: {timeout: CONNECT_TIMEOUT_MS, ...(opts.caPem ? {ca: opts.caPem} : {})},
+      connect: (target, callback) =>
+        connect(target, (...result) => {
+          if (result[0]) this.connectErrors.add(result[0]);
+          callback(...result);
+        }),
     });
   }
 
@@ -83,7 +91,9 @@
       const first = this.preferred;
       for (let offset = 0; offset < endpoints.length; offset += 1) {
         const position = (first + offset) % endpoints.length;
-        const limitMs = Math.min(ATTEMPT_TIMEOUT_MS, endMs - clock.nowMs());
+        // A silent endpoint must leave time for the others.
+        const shareMs = (endMs - clock.nowMs()) / (endpoints.length - offset);
+        const limitMs = Math.min(ATTEMPT_TIMEOUT_MS, shareMs);
         if (limitMs <= 0 || signal.aborted) break;
         const outcome = await this.attempt(endpoints[position] ?? '', operation, body, limitMs);
         if ('response' in outcome) {
@@ -91,13 +101,16 @@
           return outcome.response;
         }
         mayHaveRun ||= outcome.mayHaveRun;
-        if (!isWorthAnotherAttempt(operation, outcome)) throw outcome.failure;
+        if (!isWorthAnotherAttempt(operation, outcome)) {
+          throw withNextStep(operation, outcome.failure);
+        }
         failures.push(outcome.failure);
       }
       const unreachable = failures.every(({code}) => code === 'ENDPOINT_UNREACHABLE');
       const isLate = signal.aborted || clock.nowMs() + pauseMs >= endMs;
       if (isLate || (unreachable && !mayHaveRun)) {
-        throw finalFailure(operation, failures, {mayHaveRun, endpoints, timeoutMs});
+        const failure = finalFailure(operation, failures, {mayHaveRun, endpoints, timeoutMs});
+        throw withNextStep(operation, failure);
       }
       // An interrupted pause ends the operation in the next round.
       await clock.sleep(pauseMs, {signal}).catch(() => undefined);
@@ -133,7 +146,7 @@
       status = answer.statusCode;
       text = await answer.body.text();
     } catch (cause) {
-      return connectionFailure(endpoint, operation, cause);
+      return this.connectionFailure(endpoint, operation, cause);
     }
     const json = parseJson(text);
     if (status === 200) return {response: parseAdminResponse(operation, json)};
@@ -145,6 +158,24 @@
       );
     return {failure, mayHaveRun: changesState && failure.ran === 'unknown'};
   }
+
+  private connectionFailure(
+    endpoint: string,
+    operation: AdminOperation,
+    cause: unknown,
+  ): {failure: MedlarlaneError; mayHaveRun: boolean} {
+    const code = errorCodeOf(cause);
+    const isConnectError = cause instanceof Error && this.connectErrors.has(cause);
+    if (isConnectError || !ADMIN_OPERATIONS[operation].changesState) {
+      const message = `${endpoint} is not reachable (${code})`;
+      return {
+        failure: new MedlarlaneError('ENDPOINT_UNREACHABLE', message, {cause}),
+        mayHaveRun: false,
+      };
+    }
+    const message = `${endpoint} gave no answer to ${operation} (${code})`;
+    return {failure: new MedlarlaneError('COMMIT_UNKNOWN', message, {cause}), mayHaveRun: true};
+  }
 }
 
 /** Reads `<ip>:<port>` or a URL. */
@@ -162,23 +193,6 @@
   });
 }
 
-function connectionFailure(
-  endpoint: string,
-  operation: AdminOperation,
-  cause: unknown,
-): {failure: MedlarlaneError; mayHaveRun: boolean} {
-  const code = errorCodeOf(cause);
-  if (NOT_SENT.has(code) || !ADMIN_OPERATIONS[operation].changesState) {
-    const message = `${endpoint} is not reachable (${code})`;
-    return {
-      failure: new MedlarlaneError('ENDPOINT_UNREACHABLE', message, {cause}),
-      mayHaveRun: false,
-    };
-  }
-  const message = `${endpoint} gave no answer to ${operation} (${code})`;
-  return {failure: new MedlarlaneError('COMMIT_UNKNOWN', message, {cause}), mayHaveRun: true};
-}
-
 function errorCodeOf(cause: unknown): string {
   if (!(cause instanceof Error)) return String(cause);
   if (cause instanceof AggregateError) return errorCodeOf(cause.errors[0]);
@@ -215,6 +229,13 @@
   );
 }
 
+function withNextStep(operation: AdminOperation, error: MedlarlaneError): MedlarlaneError {
+  const nextStep = CHECK_FIRST[operation];
+  if (error.code !== 'COMMIT_UNKNOWN' || nextStep === undefined) return error;
+  const details = {...error.details, nextStep};
+  return new MedlarlaneError(error.code, error.message, {cause: error, details});
+}
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
--- a/apps/cli/src/commands/apply.ts
+++ b/apps/cli/src/commands/apply.ts
@@ -1,13 +1,13 @@
 import type {CommandDef} from 'citty';
 import {v7 as createUuid} from 'uuid';
-import {adminChangeIdSchema} from '@medlarlane/admin-api';
-import type {AdminRequest, InstanceProgress} from '@medlarlane/admin-api';
+import type {AdminResponse, InstanceProgress} from '@medlarlane/admin-api';
 import {MedlarlaneError} from '@medlarlane/errors';
 import {signDocumentChange} from '@medlarlane/signatures';
 import type {AdminClient} from '../adminClient.js';
 import type {CliIo} from '../cliIo.js';
-import {readNamedFile, remoteCommand, usageError, wholeNumber} from '../operatorCommand.js';
+import {readNamedFile, remoteCommand, wholeNumber} from '../operatorCommand.js';
 import {readDocument} from '../readDocument.js';
+import {checkChangeId, explainLostAnswer} from '../resend.js';
 
 // A daemon that has not confirmed a change for 8 s refuses callers, so 10 s covers every live daemon.
 const DEFAULT_WAIT_MS = 10_000;
@@ -76,7 +76,16 @@
         documentJson: JSON.stringify(document),
       };
       const signature = signDocumentChange(change, privateKeyPem);
-      const applied = await applyOrExplain(client, {...change, signature}, args.file, args.key);
+      const applied = await explainLostAnswer(
+        client.call('applyDocument', {...change, signature}),
+        {
+          changeId,
+          baseRevision,
+          resendCommand:
+            `medlarlane apply -f ${args.file} --key ${args.key} ` +
+            `--base-revision ${baseRevision} --change-id ${changeId}`,
+        },
+      );
       if (args.wait) await waitUntilInForce(io, client, applied, waitMs ?? DEFAULT_WAIT_MS);
       out.result({...applied, changeId, baseRevision, inForce: args.wait === true}, () => {
         const state = args.wait ? 'in force in every live daemon' : 'accepted';
@@ -86,11 +95,6 @@
   );
 }
 
-function checkChangeId(changeId: string): string {
-  if (adminChangeIdSchema.safeParse(changeId).success) return changeId;
-  throw usageError('--change-id', '8 to 128 characters', changeId);
-}
-
 /**
  * The base of a new change is the current revision. A change id that was accepted before keeps its base;
  * otherwise its own success would make the resend a different change.
@@ -113,37 +117,10 @@
   }
 }
 
-type Applied = Awaited<ReturnType<typeof applyOrExplain>>;
-
-async function applyOrExplain(
-  client: AdminClient,
-  change: AdminRequest<'applyDocument'>,
-  file: string,
-  keyFile: string,
-): Promise<{service: string; revision: number; index: number}> {
-  try {
-    return await client.call('applyDocument', change);
-  } catch (error) {
-    if (!(error instanceof MedlarlaneError) || error.code !== 'COMMIT_UNKNOWN') throw error;
-    const {changeId, baseRevision} = change;
-    throw new MedlarlaneError('COMMIT_UNKNOWN', error.message, {
-      cause: error,
-      details: {
-        ...error.details,
-        changeId,
-        baseRevision,
-        resendCommand:
-          `medlarlane apply -f ${file} --key ${keyFile} ` +
-          `--base-revision ${baseRevision} --change-id ${changeId}`,
-      },
-    });
-  }
-}
-
 async function waitUntilInForce(
   io: CliIo,
   client: AdminClient,
-  {service, revision, index}: Applied,
+  {service, revision, index}: AdminResponse<'applyDocument'>,
   waitMs: number,
 ): Promise<void> {
   const endMs = io.clock.nowMs() + waitMs;
--- a/apps/cli/src/commands/keys.ts
+++ b/apps/cli/src/commands/keys.ts
@@ -5,6 +5,7 @@
 import {generateTeamKey, publicKeyOf} from '@medlarlane/signatures';
 import type {CliIo} from '../cliIo.js';
 import {localCommand, readNamedFile, remoteCommand} from '../operatorCommand.js';
+import {checkChangeId, explainLostAnswer} from '../resend.js';
 
 const PRIVATE_FILE_MODE = 0o600;
 const PUBLIC_FILE_MODE = 0o644;
@@ -54,12 +55,22 @@
           valueHint: 'file',
           description: 'Private key of the team, PEM; only the public key is sent',
         },
+        'change-id': {
+          type: 'string',
+          valueHint: 'id',
+          description: 'Id of the change; the same id again never changes twice (default: new)',
+        },
       },
     },
     async ({args, client, out}) => {
       const publicKeyPem = publicKeyOf(await readNamedFile('--key', args.key));
-      const claim = {changeId: createUuid(), team: args.team, publicKeyPem};
-      const answer = await client.call('claimTeam', claim);
+      const givenChangeId = args['change-id'];
+      const changeId = givenChangeId === undefined ? createUuid() : checkChangeId(givenChangeId);
+      const claim = client.call('claimTeam', {changeId, team: args.team, publicKeyPem});
+      const answer = await explainLostAnswer(claim, {
+        changeId,
+        resendCommand: `medlarlane claim ${args.team} --key ${args.key} --change-id ${changeId}`,
+      });
       out.result(answer, () => `team ${answer.team} is claimed by the key ${args.key}`);
     },
   );
--- a/apps/cli/src/output.ts
+++ b/apps/cli/src/output.ts
@@ -39,11 +39,11 @@
       this.io.writeError(`${JSON.stringify(toProblemDocument(error))}\n`);
       return;
     }
-    const resend = error.details['resendCommand'];
+    const {resendCommand, nextStep} = error.details;
     const lines = [
       `${this.colors.red('error')} ${error.code}: ${error.message}`,
-      `next step: ${error.answer.nextStep}`,
-      ...(typeof resend === 'string' ? [`  ${resend}`] : []),
+      `next step: ${typeof nextStep === 'string' ? nextStep : error.answer.nextStep}`,
+      ...(typeof resendCommand === 'string' ? [`  ${resendCommand}`] : []),
     ];
     this.io.writeError(`${lines.join('\n')}\n`);
   }
--- a/apps/cli/test/cliFixture.ts
+++ b/apps/cli/test/cliFixture.ts
@@ -1,6 +1,6 @@
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import type {TestContext} from 'node:test';
@@ -59,6 +59,18 @@
   return `127.0.0.1:${port}`;
 }
 
+/** An address that accepts connections and never answers, like a frozen daemon. */
+export async function silentEndpoint(context: TestContext): Promise<string> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => sockets.add(socket.on('error', () => undefined)));
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  context.after(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
 async function runWithEnv(
   argv: readonly string[],
   env: Record<string, string>,
--- a/apps/cli/test/runCli.test.ts
+++ b/apps/cli/test/runCli.test.ts
@@ -5,7 +5,7 @@
 import {test} from 'node:test';
 import {promisify} from 'node:util';
 import {MedlarlaneError} from '@medlarlane/errors';
-import {startCliFixture, unusedEndpoint} from './cliFixture.js';
+import {silentEndpoint, startCliFixture, unusedEndpoint} from './cliFixture.js';
 import type {CliFixture} from './cliFixture.js';
 
 const SERVICE = 'tharangam/fee-ledger';
@@ -81,6 +81,26 @@
   assert.match(none.stderr, new RegExp(`ENDPOINT_UNREACHABLE: ${closed} is not reachable`));
 });
 
+test('A change whose connection fails in the TLS handshake is known not to have run', async (context) => {
+  const cli = await startCliFixture(context);
+  const plain = ['--endpoint', `https://${cli.endpoint}`];
+  const result = await cli.run(['drain', 'desk-1', ...plain]);
+  assert.equal(result.exitCode, 6);
+  assert.match(result.stderr, /ENDPOINT_UNREACHABLE/);
+});
+
+test('A frozen daemon leaves time for the other endpoints, also for a change', async (context) => {
+  const cli = await startWithTeam(context);
+  const frozen = await silentEndpoint(context);
+  const endpoints = ['--endpoint', frozen, '--endpoint', cli.endpoint, '--timeout-ms', '800'];
+  assert.equal((await apply(cli, ...endpoints)).exitCode, 0);
+  const drained = await cli.run(['drain', 'desk-1', ...endpoints]);
+  assert.equal(drained.exitCode, 0, drained.stderr);
+  const alone = await cli.run(['drain', 'desk-1', '--endpoint', frozen, '--timeout-ms', '200']);
+  assert.equal(alone.exitCode, 7);
+  assert.match(alone.stderr, /COMMIT_UNKNOWN: No answer to drain/);
+});
+
 test('An election in progress is waited for, up to the time limit', async (context) => {
   const cli = await startWithTeam(context);
   cli.server.refusals = [new MedlarlaneError('NO_LEADER'), new MedlarlaneError('NOT_LEADER')];
@@ -96,6 +116,7 @@
   cli.server.answersToDrop = 1;
   const result = await cli.run(['members', 'add', 'd', '127.0.0.1:7403']);
   assert.equal(result.exitCode, 7);
+  assert.match(result.stderr, /next step: Look at medlarlane members list/);
   const sent = cli.server.requests.filter(({operation}) => operation === 'addLearner');
   assert.equal(sent.length, 1);
 });
--- a/protocol/admin-api/src/operations.ts
+++ b/protocol/admin-api/src/operations.ts
@@ -172,7 +172,7 @@
     request: z.strictObject({service: serviceNameSchema}),
     response: z.object({service: serviceNameSchema, targets: z.array(targetSchema)}),
   },
-  /** Moves the ranges of the instance's session away; answers at commit. */
+  /** Moves the ranges of the instance's session away; answers at commit. Twice has the effect of once. */
   drain: {
     changesState: true,
     request: z.strictObject({instanceId: instanceIdSchema}),
