--- a/apps/demo/src/runDemo.ts
+++ b/apps/demo/src/runDemo.ts
@@ -29,7 +29,7 @@
 
 const TEAM = 'prairie-crag';
 const SERVICE = `${TEAM}/wallboard`;
-const DOCUMENT_FILE = new URL('../../../../examples/wallboard.yaml', import.meta.url);
+const DOCUMENT_FILE = new URL('../../../../examples/prairie-crag/wallboard.yaml', import.meta.url);
 const ZONES = ['yard-north', 'yard-east', 'civic-hall'];
 const SERVER_COUNT = 5;
 const KEY_COUNT = 400;
