--- /dev/null
+++ b/routing/admission/test/admissionQueue.test.ts
@@ -0,0 +1,207 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {AdmissionQueue, LearnedLimit} from '@medlarlane/admission';
+import type {AdmissionOutcome, AdmissionRequest, Permit, QueueOrder} from '@medlarlane/admission';
+import {MedlarlaneError} from '@medlarlane/errors';
+import {ManualClock} from '@medlarlane/lifecycle';
+
+const OK = {durationMs: 10, outcome: 'ok'} as const;
+
+interface Bed {
+  readonly clock: ManualClock;
+  readonly queue: AdmissionQueue;
+  readonly log: string[];
+  /** Sends a request that holds its permit until `permits` releases it. */
+  send(name: string, request?: Partial<AdmissionRequest>): Promise<void>;
+  readonly permits: Map<string, Permit>;
+}
+
+function startBed(opts: {slots?: number; order?: QueueOrder; maxWaiting?: number} = {}): Bed {
+  const clock = new ManualClock();
+  const limit = new LearnedLimit({slots: opts.slots ?? 1, connections: 120, clock});
+  const queue = new AdmissionQueue({limit, clock, ...opts});
+  const log: string[] = [];
+  const permits = new Map<string, Permit>();
+  return {
+    clock,
+    queue,
+    log,
+    permits,
+    send: async (name, request = {}) => {
+      try {
+        const permit = await queue.acquire({callerId: 'a', deadlineMs: 10_000, ...request});
+        permits.set(name, permit);
+        log.push(name);
+      } catch (failure) {
+        assert.ok(failure instanceof MedlarlaneError);
+        assert.equal(failure.ran, 'no', 'a request that was not admitted has not run');
+        log.push(`${name} ${failure.code}`);
+      }
+    },
+  };
+}
+
+/** Releases the permits one after another, in the order in which they are granted. */
+async function runAll({clock, permits}: Bed): Promise<void> {
+  while (permits.size > 0) {
+    const [[name, permit]] = [...permits] as [[string, Permit]];
+    permits.delete(name);
+    permit.release(OK);
+    await clock.advance(0);
+  }
+}
+
+test('A caller with many waiting requests does not delay the only request of another', async () => {
+  const bed = startBed();
+  for (const name of ['a1', 'a2', 'a3', 'a4']) void bed.send(name);
+  void bed.send('b1', {callerId: 'b'});
+  await bed.clock.advance(0);
+  await runAll(bed);
+  assert.deepEqual(bed.log, ['a1', 'a2', 'b1', 'a3', 'a4']);
+});
+
+test('A full queue refuses the caller that fills it and takes a request of another', async () => {
+  const bed = startBed({maxWaiting: 2});
+  for (const name of ['a1', 'a2', 'a3', 'a4']) void bed.send(name);
+  void bed.send('b1', {callerId: 'b'});
+  await bed.clock.advance(0);
+  await runAll(bed);
+  assert.deepEqual(bed.log, ['a1', 'a4 OVERLOADED', 'a3 OVERLOADED', 'a2', 'b1']);
+});
+
+test('A request whose predicted wait passes its deadline is refused at once', async () => {
+  const bed = startBed();
+  await bed.send('first');
+  bed.permits.get('first')?.release({durationMs: 100, outcome: 'ok'});
+  await bed.send('running');
+  await bed.send('hopeless', {deadlineMs: 50});
+  assert.deepEqual(bed.log, ['first', 'running', 'hopeless OVERLOADED']);
+});
+
+test('A waiting request leaves the queue at its deadline, on cancellation and on drain', async () => {
+  const bed = startBed();
+  const abort = new AbortController();
+  await bed.send('running');
+  void bed.send('late', {deadlineMs: 40});
+  void bed.send('cancelled', {signal: abort.signal});
+  void bed.send('drained');
+  await bed.clock.advance(39);
+  assert.equal(bed.queue.waiting, 3);
+  await bed.clock.advance(1);
+  abort.abort();
+  const drained = bed.queue.drain().then(() => bed.log.push('drain finished'));
+  void bed.send('new');
+  await bed.clock.advance(0);
+  bed.permits.get('running')?.release(OK);
+  bed.permits.get('running')?.release(OK);
+  await drained;
+  assert.equal(bed.queue.inFlight, 0, 'a second release has no effect');
+  assert.deepEqual(bed.log, [
+    'running',
+    'late DEADLINE_EXCEEDED',
+    'cancelled CANCELLED',
+    'drained DRAINING',
+    'new DRAINING',
+    'drain finished',
+  ]);
+});
+
+test('Shortest-predicted-first does not let short requests starve a long one', async () => {
+  const bed = startBed({order: 'shortest-predicted-first', slots: 1, maxWaiting: 100});
+  await bed.send('running');
+  void bed.send('long', {expectedMs: 20});
+  for (let count = 0; count < 20; count += 1) {
+    await bed.clock.advance(10);
+    void bed.send(`short${count}`, {expectedMs: 1});
+  }
+  await bed.clock.advance(0);
+  await runAll(bed);
+  const overtaking = bed.log.indexOf('long') - 1;
+  // A difference of 19 ms at a credit of 0.25 per ms lets requests of the next 76 ms overtake.
+  assert.equal(overtaking, 7);
+});
+
+test('At any time no more permits exist than the limit, and every waiter settles', async () => {
+  const outcome = fc.constantFrom<AdmissionOutcome>(
+    ...(['ok', 'failed', 'timeout', 'shed', 'cancelled', 'unsent'] as const),
+  );
+  const step = fc.oneof(
+    {
+      weight: 4,
+      arbitrary: fc.record({
+        kind: fc.constant('acquire' as const),
+        callerId: fc.constantFrom('a', 'b', 'c'),
+        timeoutMs: fc.integer({min: 0, max: 400}),
+        expectedMs: fc.integer({min: 1, max: 100}),
+      }),
+    },
+    {
+      weight: 3,
+      arbitrary: fc.record({
+        kind: fc.constant('release' as const),
+        pick: fc.nat(100),
+        outcome,
+        durationMs: fc.integer({min: 0, max: 300}),
+      }),
+    },
+    {
+      weight: 1,
+      arbitrary: fc.record({
+        kind: fc.constant('advance' as const),
+        byMs: fc.integer({min: 0, max: 300}),
+      }),
+    },
+    {weight: 1, arbitrary: fc.record({kind: fc.constant('abort' as const), pick: fc.nat(100)})},
+  );
+  const input = fc.record({
+    steps: fc.array(step, {maxLength: 80}),
+    slots: fc.integer({min: 1, max: 6}),
+    coldStartMs: fc.constantFrom(0, 500),
+    order: fc.constantFrom<QueueOrder>('first-come', 'shortest-predicted-first'),
+  });
+  const property = fc.asyncProperty(input, async ({steps, slots, coldStartMs, order}) => {
+    const clock = new ManualClock();
+    const limit = new LearnedLimit({slots, connections: 8, coldStartMs, clock});
+    const queue = new AdmissionQueue({limit, order, maxWaiting: 10, clock});
+    const held: Permit[] = [];
+    const aborts: AbortController[] = [];
+    let asked = 0;
+    let settled = 0;
+    for (const action of steps) {
+      const before = {held: held.length, limit: limit.limit};
+      if (action.kind === 'acquire') {
+        const abort = new AbortController();
+        aborts.push(abort);
+        asked += 1;
+        const {callerId, expectedMs, timeoutMs} = action;
+        const deadlineMs = clock.nowMs() + timeoutMs;
+        void queue
+          .acquire({callerId, expectedMs, deadlineMs, signal: abort.signal})
+          .then((permit) => held.push(permit))
+          .catch((failure: unknown) => assert.ok(failure instanceof MedlarlaneError))
+          .finally(() => (settled += 1));
+      } else if (action.kind === 'release') {
+        const [permit] = held.splice(action.pick % Math.max(1, held.length), 1);
+        permit?.release(action);
+        before.held = held.length;
+      } else if (action.kind === 'abort') {
+        aborts[action.pick % Math.max(1, aborts.length)]?.abort();
+      }
+      await clock.advance(action.kind === 'advance' ? action.byMs : 0);
+      assert.equal(queue.inFlight, held.length);
+      assert.ok(queue.waiting <= 10);
+      const allowed = Math.max(before.limit, limit.limit);
+      assert.ok(held.length <= Math.max(before.held, allowed), 'granted above the limit');
+      assert.ok(limit.limit >= 1 && limit.limit <= 8);
+    }
+    await clock.advance(1_000);
+    while (held.length > 0) {
+      held.pop()?.release(OK);
+      await clock.advance(0);
+    }
+    assert.equal(settled, asked);
+    await queue.drain();
+  });
+  await fc.assert(property, {seed: 20_261, numRuns: 200});
+});
--- a/routing/dedupe/src/idempotencyTable.ts
+++ b/routing/dedupe/src/idempotencyTable.ts
@@ -339,8 +339,7 @@
     const end = (change: () => void): void => {
       if (ended) return;
       ended = true;
-      // A handover may have brought the outcome while the request ran.
-      if (record.state === 'running') change();
+      change();
       wake(record);
     };
     return {
@@ -365,8 +364,9 @@
   }
 
   private async waitForEnd(record: IdempotencyRecord, request: BeginRequest): Promise<void> {
+    const remainingMs = request.deadlineMs - this.clock.nowMs();
     const waiters = (record.waiters ??= new Set());
-    if (waiters.size >= MAX_WAITERS) throw stillRunning();
+    if (remainingMs <= 0 || waiters.size >= MAX_WAITERS) throw stillRunning();
     const abort = new AbortController();
     const onAbort = (): void => abort.abort();
     request.signal?.addEventListener('abort', onAbort);
@@ -376,7 +376,6 @@
       wakeUp = () => resolve('ended');
     });
     waiters.add(wakeUp);
-    const remainingMs = Math.max(0, request.deadlineMs - this.clock.nowMs());
     const timedOut = this.clock
       .sleep(remainingMs, {signal: abort.signal})
       .then(() => 'deadline' as const)
@@ -400,10 +399,10 @@
     const packed = response && Buffer.from(response).toString('latin1');
     const room = this.maxBytes - this.bytes;
     if (existing) {
-      if (handedOver.state !== 'done' || existing.response !== undefined) return;
+      // The request ended at the earlier owner after that had handed it over as running.
+      if (existing.state !== 'unknown' || handedOver.state !== 'done') return;
       const kept = packed !== undefined && packed.length <= room ? {response: packed} : {};
       store.end(id.createdMs, existing, {state: 'done', ...kept});
-      wake(existing);
       return;
     }
     const {position, digest, state} = handedOver;
--- a/routing/dedupe/src/recordedResponse.ts
+++ b/routing/dedupe/src/recordedResponse.ts
@@ -22,5 +22,7 @@
 }
 
 export function unpackResponse(packed: string): RecordedResponse {
-  return decodeValue(responseSchema, Buffer.from(packed, 'latin1'));
+  const {buffer, byteOffset, byteLength} = Buffer.from(packed, 'latin1');
+  // The decoder returns slices of the type it is given.
+  return decodeValue(responseSchema, new Uint8Array(buffer, byteOffset, byteLength));
 }
--- /dev/null
+++ b/routing/poison/test/poisonTable.test.ts
@@ -0,0 +1,168 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {MedlarlaneError} from '@medlarlane/errors';
+import {ManualClock} from '@medlarlane/lifecycle';
+import {PoisonTable, requestFingerprints} from '@medlarlane/poison';
+import type {InFlightRequest, PoisonState} from '@medlarlane/poison';
+
+const MINUTE_MS = 60_000;
+
+function inFlight(...fingerprints: string[]): InFlightRequest[] {
+  return fingerprints.map((fingerprint) => ({fingerprint, startedAtMs: 0}));
+}
+
+interface Bed {
+  readonly clock: ManualClock;
+  readonly here: PoisonTable;
+  readonly there: PoisonTable;
+}
+
+function startTwoDaemons(): Bed {
+  const clock = new ManualClock();
+  return {
+    clock,
+    here: new PoisonTable({reporterId: 'here', clock}),
+    there: new PoisonTable({reporterId: 'there', clock}),
+  };
+}
+
+const CASES: ReadonlyArray<{
+  readonly name: string;
+  readonly happen: (bed: Bed) => Promise<void> | void;
+  readonly expected: PoisonState;
+}> = [
+  {
+    name: 'A request in flight during one crash is suspected',
+    happen: ({here}) => void here.crashed(inFlight('x', 'y')),
+    expected: 'suspect',
+  },
+  {
+    name: 'A request in flight twice during the same crash is suspected',
+    happen: ({here}) => void here.crashed(inFlight('x', 'x')),
+    expected: 'suspect',
+  },
+  {
+    name: 'A request in flight during two crashes is quarantined',
+    happen: ({here}) => {
+      here.crashed(inFlight('x', 'y'));
+      here.crashed(inFlight('x', 'z'));
+    },
+    expected: 'quarantined',
+  },
+  {
+    name: 'A request that completed between two crashes is suspected of the second only',
+    happen: ({here}) => {
+      here.crashed(inFlight('x'));
+      here.completed('x');
+      here.crashed(inFlight('x'));
+    },
+    expected: 'suspect',
+  },
+  {
+    name: 'Two crashes further apart than the time of suspicion do not quarantine',
+    happen: async ({here, clock}) => {
+      here.crashed(inFlight('x'));
+      await clock.advance(11 * MINUTE_MS);
+      here.crashed(inFlight('x'));
+    },
+    expected: 'suspect',
+  },
+  {
+    name: 'A crash here and one at another daemon quarantine',
+    happen: ({here, there}) => {
+      there.crashed(inFlight('x'));
+      here.merge(there.export());
+      here.crashed(inFlight('x'));
+    },
+    expected: 'quarantined',
+  },
+  {
+    name: 'Hearing of the same crash again does not quarantine',
+    happen: ({here, there}) => {
+      here.crashed(inFlight('x'));
+      there.merge(here.export());
+      here.merge(there.export());
+      here.merge(there.export());
+    },
+    expected: 'suspect',
+  },
+  {
+    name: 'A quarantine elsewhere holds here',
+    happen: ({here, there}) => {
+      there.crashed(inFlight('x'));
+      there.crashed(inFlight('x'));
+      here.merge(there.export());
+    },
+    expected: 'quarantined',
+  },
+  {
+    name: 'A success elsewhere ends the suspicion here, and old entries do not bring it back',
+    happen: ({here, there}) => {
+      here.crashed(inFlight('x'));
+      const old = here.export();
+      there.merge(old);
+      there.completed('x');
+      here.merge(there.export());
+      here.merge(old);
+    },
+    expected: 'clear',
+  },
+  {
+    name: 'A quarantine ends after 10 minutes however often daemons exchange it',
+    happen: async ({here, there, clock}) => {
+      here.crashed(inFlight('x'));
+      here.crashed(inFlight('x'));
+      for (let step = 0; step < 10; step += 1) {
+        there.merge(here.export());
+        await clock.advance(MINUTE_MS);
+        here.merge(there.export());
+      }
+    },
+    expected: 'clear',
+  },
+];
+
+for (const {name, happen, expected} of CASES) {
+  test(name, async () => {
+    const bed = startTwoDaemons();
+    await happen(bed);
+    assert.equal(bed.here.stateOf('x'), expected);
+  });
+}
+
+test('A quarantined request is refused by its content although its idempotency key is new', () => {
+  const {here} = startTwoDaemons();
+  const request = {method: 'POST', service: 't/s', key: 'k', path: '/', bodyBytes: 3};
+  for (const idempotencyKey of ['1', '2']) {
+    const fingerprints = requestFingerprints({...request, idempotencyKey});
+    here.check(fingerprints);
+    here.crashed(inFlight(...fingerprints));
+  }
+  assert.throws(
+    () => here.check(requestFingerprints({...request, idempotencyKey: '3'})),
+    (error) => error instanceof MedlarlaneError && error.code === 'POISON_REQUEST',
+  );
+  here.check(requestFingerprints({...request, bodyPrefix: Buffer.from('abc')}));
+});
+
+test('Suspects run one at a time, so that the next crash quarantines one of them only', () => {
+  const {here} = startTwoDaemons();
+  here.crashed(inFlight('poison', 'bystander'));
+  const end = here.startRun(['poison']);
+  assert.ok(end);
+  assert.equal(here.startRun(['bystander']), undefined);
+  assert.ok(here.startRun(['unsuspected']));
+  assert.deepEqual(here.crashed(inFlight('poison', 'unsuspected')), ['poison']);
+  assert.ok(here.startRun(['bystander']));
+});
+
+test('A full table drops suspects before quarantined requests, and damaged entries change nothing', () => {
+  const here = new PoisonTable({reporterId: 'here', maxEntries: 10, clock: new ManualClock()});
+  here.crashed(inFlight('x'));
+  here.crashed(inFlight('x'));
+  for (let count = 0; count < 100; count += 1) here.crashed(inFlight(`suspect${count}`));
+  assert.throws(() => here.merge([{fingerprint: 'y', crashes: [{id: 1}]}]), MedlarlaneError);
+  assert.equal(here.stateOf('x'), 'quarantined');
+  assert.equal(here.list().length, 10);
+  assert.equal(here.stateOf('suspect99'), 'suspect');
+});
