--- a/control/control-state/src/index.ts
+++ b/control/control-state/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export {ControlState} from './controlState.js';
+export {commandResultSchema} from './stateSnapshot.js';
+export type {CommandResult, DocumentRevision} from './stateSnapshot.js';
