--- a/routing/admission/src/queueOrder.ts
+++ b/routing/admission/src/queueOrder.ts
@@ -7,9 +7,10 @@
 
 /**
  * Credit per millisecond of waiting. A request that is predicted to take E ms is overtaken only by
- * requests that arrive within E / AGEING_RATE ms after it, so no request starves.
+ * requests that arrive within E / AGEING_RATE ms after it, so no request starves. At 0.25 long
+ * requests waited until their deadline; figures in docs/decisions/queue-order.md.
  */
-export const AGEING_RATE = 0.25;
+export const AGEING_RATE = 4;
 
 /** Orders within a queue: the request with the lowest rank runs first, equal ranks by arrival. */
 export const QUEUE_ORDERS = {
--- a/routing/dedupe/src/handoverChunk.ts
+++ b/routing/dedupe/src/handoverChunk.ts
@@ -1,15 +1,16 @@
 import {z} from 'zod';
-import {decodeValue, encodeValue, serviceNameSchema} from '@medlarlane/model';
+import {decodeValue, encodeValue, POSITION_END, serviceNameSchema} from '@medlarlane/model';
+import {isPackedResponse} from './recordedResponse.js';
+import {ID_BYTES} from './requestId.js';
 
-const ID_BYTES = 16;
 const MAX_RECORDS = 10_000;
 
 const recordSchema = z.object({
   id: z.instanceof(Uint8Array).refine((bytes) => bytes.length === ID_BYTES),
-  position: z.int().min(0),
+  position: z.int().min(0).max(POSITION_END),
   digest: z.string().max(128),
   state: z.enum(['done', 'unknown']),
-  response: z.instanceof(Uint8Array).optional(),
+  response: z.instanceof(Uint8Array).refine(isPackedResponse).optional(),
 });
 
 const chunkSchema = z.object({
--- a/routing/dedupe/src/idempotencyTable.ts
+++ b/routing/dedupe/src/idempotencyTable.ts
@@ -7,9 +7,10 @@
 import {RangeCoverage} from './rangeCoverage.js';
 import {packResponse, unpackResponse} from './recordedResponse.js';
 import type {RecordedResponse} from './recordedResponse.js';
-import {RECORD_OVERHEAD_BYTES, recordBytes, RecordStore} from './recordStore.js';
-import type {IdempotencyRecord} from './recordStore.js';
-import {fromBytes, parseRequestId, toBytes} from './requestId.js';
+import {idBytesOf, positionOf, recordKey} from './recordKey.js';
+import {recordBytes, RecordStore} from './recordStore.js';
+import type {IdempotencyRecord, RecordPlace} from './recordStore.js';
+import {parseRequestId, requestIdOf} from './requestId.js';
 import type {RequestId} from './requestId.js';
 
 export interface IdempotencyTableOptions {
@@ -107,6 +108,8 @@
   private readonly maxAheadMs: number;
   private readonly services = new Map<string, ServiceState>();
   private readonly staged = new Map<string, StagedImport>();
+  /** Resends that wait for the end of a run. */
+  private readonly waiters = new Map<IdempotencyRecord, Set<() => void>>();
   /** Ids created before this time may have been evicted. Only grows, even when the wall clock is set back. */
   private evictedBeforeMs = 0;
   private sweptMs = Number.NEGATIVE_INFINITY;
@@ -199,8 +202,9 @@
    */
   async begin(request: BeginRequest): Promise<BeginResult> {
     const id = parseRequestId(request.id);
+    const place = {key: recordKey(id, request.position), createdMs: id.createdMs};
     for (;;) {
-      const attempt = this.tryBegin(request, id);
+      const attempt = this.tryBegin(request, place);
       if (attempt.kind !== 'wait') return attempt;
       await this.waitForEnd(attempt.record, request);
     }
@@ -221,11 +225,12 @@
       const {service, from, to, moveId} = move;
       return {version: 1, service, from, to, moveId, sequence: sequence++, records};
     };
-    for (const record of store.all()) {
+    for (const [key, record] of store.all()) {
       scanned += 1;
       if (scanned % SCAN_RECORDS === 0) await nextTurn();
-      if (record.position < move.from || record.position >= move.to) continue;
-      records.push(toHandoverRecord(record));
+      const position = positionOf(key);
+      if (position < move.from || position >= move.to) continue;
+      records.push(toHandoverRecord(key, record));
       bytes += recordBytes(record);
       if (records.length < CHUNK_RECORDS && bytes < CHUNK_BYTES) continue;
       yield encodeChunk(chunk());
@@ -293,32 +298,23 @@
     }
   }
 
-  private tryBegin(request: BeginRequest, id: RequestId): Attempt {
+  private tryBegin(request: BeginRequest, place: RecordPlace): Attempt {
     this.sweep();
     const state = this.services.get(request.service);
     const covered = state?.coverage.find(request.position);
     if (!state || !covered || covered.paused) throw new MedlarlaneError('NOT_OWNER');
-    const record = state.store.find(id, request.position);
+    const record = state.store.find(place);
     if (record) return resume(record, request);
-    this.checkNeverRan(id, covered.horizonMs);
-    if (this.bytes + recordBytes({digest: request.digest, response: undefined}) > this.maxBytes) {
-      throw new MedlarlaneError('OVERLOADED', 'Idempotency records use all of their memory');
-    }
-    const {position, digest} = request;
-    const created: IdempotencyRecord = {
-      id: id.compact,
-      position,
-      digest,
-      state: 'running',
-      response: undefined,
-      waiters: undefined,
-    };
-    state.store.add(id.createdMs, created);
-    return {kind: 'run', run: this.runOf(state.store, id, created)};
+    this.checkNeverRan(place, covered.horizonMs);
+    const {digest} = request;
+    const created: IdempotencyRecord = {digest, state: 'running', response: undefined};
+    this.checkRoomFor(created);
+    state.store.add(place, created);
+    return {kind: 'run', run: this.runOf(state.store, place, created)};
   }
 
   /** Throws unless the absence of a record proves that the id has not run. */
-  private checkNeverRan({createdMs}: RequestId, horizonMs: number): void {
+  private checkNeverRan({createdMs}: Pick<RequestId, 'createdMs'>, horizonMs: number): void {
     const wallMs = this.clock.wallMs();
     if (createdMs > wallMs + this.maxAheadMs) {
       throw new MedlarlaneError('REQUEST_INVALID', 'Idempotency-Key was created in the future', {
@@ -334,25 +330,29 @@
     );
   }
 
-  private runOf(store: RecordStore, id: RequestId, record: IdempotencyRecord): Run {
+  private checkRoomFor(record: IdempotencyRecord): void {
+    if (this.bytes + recordBytes(record) <= this.maxBytes) return;
+    throw new MedlarlaneError('OVERLOADED', 'Idempotency records use all of their memory');
+  }
+
+  private runOf(store: RecordStore, place: RecordPlace, record: IdempotencyRecord): Run {
     let ended = false;
     const end = (change: () => void): void => {
       if (ended) return;
       ended = true;
       change();
-      wake(record);
+      const waiters = this.waiters.get(record);
+      this.waiters.delete(record);
+      for (const wakeUp of waiters ?? []) wakeUp();
     };
     return {
       finish: (response) =>
         end(() => {
           const packed = response && this.packIfFits(response);
-          store.end(id.createdMs, record, {
-            state: 'done',
-            ...(packed === undefined ? {} : {response: packed}),
-          });
+          store.end(place, record, {state: 'done', response: packed});
         }),
-      markUnknown: () => end(() => store.end(id.createdMs, record, {state: 'unknown'})),
-      markNotRun: () => end(() => store.remove(id.createdMs, record)),
+      markUnknown: () => end(() => store.end(place, record, {state: 'unknown'})),
+      markNotRun: () => end(() => store.remove(place, record)),
     };
   }
 
@@ -365,8 +365,9 @@
 
   private async waitForEnd(record: IdempotencyRecord, request: BeginRequest): Promise<void> {
     const remainingMs = request.deadlineMs - this.clock.nowMs();
-    const waiters = (record.waiters ??= new Set());
+    const waiters = this.waiters.get(record) ?? new Set();
     if (remainingMs <= 0 || waiters.size >= MAX_WAITERS) throw stillRunning();
+    this.waiters.set(record, waiters);
     const abort = new AbortController();
     const onAbort = (): void => abort.abort();
     request.signal?.addEventListener('abort', onAbort);
@@ -386,6 +387,7 @@
       if (reason === 'cancelled') throw new MedlarlaneError('CANCELLED');
     } finally {
       waiters.delete(wakeUp);
+      if (waiters.size === 0 && this.waiters.get(record) === waiters) this.waiters.delete(record);
       request.signal?.removeEventListener('abort', onAbort);
       abort.abort();
     }
@@ -393,31 +395,21 @@
 
   private importRecord(service: string, handedOver: HandoverRecord): void {
     const {store} = this.stateOf(service);
-    const id = fromBytes(handedOver.id);
-    const existing = store.find(id, handedOver.position);
-    const {response} = handedOver;
-    const packed = response && Buffer.from(response).toString('latin1');
-    const room = this.maxBytes - this.bytes;
-    if (existing) {
-      // The request ended at the earlier owner after that had handed it over as running.
-      if (existing.state !== 'unknown' || handedOver.state !== 'done') return;
-      const kept = packed !== undefined && packed.length <= room ? {response: packed} : {};
-      store.end(id.createdMs, existing, {state: 'done', ...kept});
+    const {digest, state, response} = handedOver;
+    const id = requestIdOf(handedOver.id);
+    const place = {key: recordKey(id, handedOver.position), createdMs: id.createdMs};
+    const existing = store.find(place);
+    const record = existing ?? {digest, state, response: undefined};
+    if (!existing) {
+      this.checkRoomFor(record);
+      store.add(place, record);
+    } else if (existing.state !== 'unknown') {
       return;
     }
-    const {position, digest, state} = handedOver;
-    const bareBytes = RECORD_OVERHEAD_BYTES + digest.length;
-    if (bareBytes > room) {
-      throw new MedlarlaneError('OVERLOADED', 'Idempotency records use all of their memory');
-    }
-    store.add(id.createdMs, {
-      id: id.compact,
-      position,
-      digest,
-      state,
-      response: packed !== undefined && bareBytes + packed.length <= room ? packed : undefined,
-      waiters: undefined,
-    });
+    // An existing record is unknown when the request ended after it was handed over as running.
+    const packed = response && Buffer.from(response).toString('latin1');
+    const fits = packed !== undefined && this.bytes + packed.length <= this.maxBytes;
+    if (state === 'done') store.end(place, record, {state, response: fits ? packed : undefined});
   }
 
   private sweep(): void {
@@ -449,23 +441,20 @@
   }
 }
 
-function wake(record: IdempotencyRecord): void {
-  const {waiters} = record;
-  record.waiters = undefined;
-  for (const wakeUp of waiters ?? []) wakeUp();
-}
-
 function stillRunning(): MedlarlaneError {
   return new MedlarlaneError('OUTCOME_UNKNOWN', 'An earlier attempt still runs');
 }
 
-function toHandoverRecord(record: IdempotencyRecord): HandoverRecord {
+function toHandoverRecord(
+  key: string,
+  {digest, state, response}: IdempotencyRecord,
+): HandoverRecord {
   return {
-    id: toBytes(record.id),
-    position: record.position,
-    digest: record.digest,
-    state: record.state === 'done' ? 'done' : 'unknown',
-    ...(record.response === undefined ? {} : {response: Buffer.from(record.response, 'latin1')}),
+    id: idBytesOf(key),
+    position: positionOf(key),
+    digest,
+    state: state === 'done' ? 'done' : 'unknown',
+    ...(response === undefined ? {} : {response: Buffer.from(response, 'latin1')}),
   };
 }
 
--- a/routing/dedupe/src/recordStore.ts
+++ b/routing/dedupe/src/recordStore.ts
@@ -1,15 +1,18 @@
-import type {RequestId} from './requestId.js';
+import {positionOf} from './recordKey.js';
 
 /** What is known of one non-repeatable request. */
 export interface IdempotencyRecord {
-  readonly id: RequestId['compact'];
-  readonly position: number;
   readonly digest: string;
   state: 'running' | 'done' | 'unknown';
-  /** Encoded response as a one-byte string; absent while running and for responses that are too large. */
+  /** Packed response; absent while running and for responses that are too large. */
   response: string | undefined;
-  /** Resends that wait for the end of the run. */
-  waiters: Set<() => void> | undefined;
+}
+
+/** Where a record is found. */
+export interface RecordPlace {
+  readonly key: string;
+  /** Creation time of the id. */
+  readonly createdMs: number;
 }
 
 interface Bucket {
@@ -18,10 +21,10 @@
 }
 
 /**
- * Heap bytes of a record beyond its strings: the object, its key and its place in the map.
- * `dedupeCostBench` compares the accounted bytes with the measured ones.
+ * Heap bytes of a record beyond digest and response: the object, its key and its place in a map that
+ * has just doubled its capacity. `dedupeCostBench` compares the accounted bytes with measured ones.
  */
-export const RECORD_OVERHEAD_BYTES = 200;
+export const RECORD_OVERHEAD_BYTES = 192;
 
 // Records are evicted by whole buckets, so eviction costs nothing per record.
 const BUCKET_MS = 10_000;
@@ -32,50 +35,43 @@
   bytes = 0;
   count = 0;
 
-  find(id: RequestId, position: number): IdempotencyRecord | undefined {
-    return this.buckets.get(bucketOf(id.createdMs))?.records.get(keyOf(id.compact, position));
+  find({key, createdMs}: RecordPlace): IdempotencyRecord | undefined {
+    return this.buckets.get(bucketOf(createdMs))?.records.get(key);
   }
 
-  add(createdMs: number, record: IdempotencyRecord): void {
+  add({key, createdMs}: RecordPlace, record: IdempotencyRecord): void {
     const number = bucketOf(createdMs);
     let bucket = this.buckets.get(number);
     if (!bucket) this.buckets.set(number, (bucket = {records: new Map(), bytes: 0}));
-    bucket.records.set(keyOf(record.id, record.position), record);
+    bucket.records.set(key, record);
     this.charge(bucket, recordBytes(record));
     this.count += 1;
   }
 
-  /** Ends a run. Returns `false` when the record was evicted or has ended before. */
+  /** Ends a run, unless its record was evicted. */
   end(
-    createdMs: number,
+    {key, createdMs}: RecordPlace,
     record: IdempotencyRecord,
-    end: {readonly state: 'done' | 'unknown'; readonly response?: string},
-  ): boolean {
+    end: {readonly state: 'done' | 'unknown'; readonly response?: string | undefined},
+  ): void {
     const bucket = this.buckets.get(bucketOf(createdMs));
-    if (bucket?.records.get(keyOf(record.id, record.position)) !== record) return false;
+    if (bucket?.records.get(key) !== record) return;
     this.charge(bucket, (end.response?.length ?? 0) - (record.response?.length ?? 0));
     record.state = end.state;
     record.response = end.response;
-    return true;
   }
 
-  remove(createdMs: number, record: IdempotencyRecord): void {
+  remove({key, createdMs}: RecordPlace, record: IdempotencyRecord): void {
     const bucket = this.buckets.get(bucketOf(createdMs));
-    const key = keyOf(record.id, record.position);
-    if (bucket?.records.get(key) !== record) return;
-    bucket.records.delete(key);
-    this.charge(bucket, -recordBytes(record));
-    this.count -= 1;
+    if (bucket?.records.get(key) === record) this.delete(bucket, key, record);
   }
 
   /** Removes the records of a range. */
   removeRange(from: number, to: number): void {
     for (const bucket of this.buckets.values()) {
       for (const [key, record] of bucket.records) {
-        if (record.position < from || record.position >= to) continue;
-        bucket.records.delete(key);
-        this.charge(bucket, -recordBytes(record));
-        this.count -= 1;
+        const position = positionOf(key);
+        if (position >= from && position < to) this.delete(bucket, key, record);
       }
     }
   }
@@ -97,8 +93,14 @@
     return evictedBeforeMs;
   }
 
-  *all(): Generator<IdempotencyRecord> {
-    for (const {records} of this.buckets.values()) yield* records.values();
+  *all(): Generator<[key: string, record: IdempotencyRecord]> {
+    for (const {records} of this.buckets.values()) yield* records;
+  }
+
+  private delete(bucket: Bucket, key: string, record: IdempotencyRecord): void {
+    bucket.records.delete(key);
+    this.charge(bucket, -recordBytes(record));
+    this.count -= 1;
   }
 
   private charge(bucket: Bucket, bytes: number): void {
@@ -115,7 +117,3 @@
 function bucketOf(createdMs: number): number {
   return Math.floor(createdMs / BUCKET_MS);
 }
-
-function keyOf(compactId: string, position: number): string {
-  return compactId + position.toString(36);
-}
--- a/routing/dedupe/src/recordedResponse.ts
+++ b/routing/dedupe/src/recordedResponse.ts
@@ -1,5 +1,5 @@
+import {Decoder, Encoder} from '@msgpack/msgpack';
 import {z} from 'zod';
-import {decodeValue, encodeValue} from '@medlarlane/model';
 
 /** A response as it is replayed to a resend. */
 export interface RecordedResponse {
@@ -9,20 +9,37 @@
   readonly body: Uint8Array;
 }
 
-const responseSchema = z.object({
-  status: z.int(),
-  headers: z.array(z.tuple([z.string(), z.string()])),
-  body: z.instanceof(Uint8Array),
-});
+/** Status, names and values of the headers in turn, body. */
+const packedSchema = z.tuple([z.int(), z.array(z.string()), z.instanceof(Uint8Array)]);
+
+const encoder = new Encoder();
+const decoder = new Decoder();
 
 /** Packs a response into a one-byte string, which has less overhead than a small buffer. */
-export function packResponse(response: RecordedResponse): string {
-  const bytes = encodeValue(response);
-  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('latin1');
+export function packResponse({status, headers, body}: RecordedResponse): string {
+  const {buffer, byteOffset, byteLength} = encoder.encodeSharedRef([status, headers.flat(), body]);
+  return Buffer.from(buffer, byteOffset, byteLength).toString('latin1');
 }
 
 export function unpackResponse(packed: string): RecordedResponse {
+  const [status, names, body] = decoder.decode(bytesOf(packed)) as z.infer<typeof packedSchema>;
+  const headers = names.flatMap((name, at) =>
+    at % 2 === 0 ? [[name, names[at + 1] ?? ''] as const] : [],
+  );
+  return {status, headers, body};
+}
+
+/** Whether bytes of another process are a packed response. */
+export function isPackedResponse(bytes: Uint8Array): boolean {
+  try {
+    return packedSchema.safeParse(decoder.decode(bytes)).success;
+  } catch {
+    return false;
+  }
+}
+
+function bytesOf(packed: string): Uint8Array {
   const {buffer, byteOffset, byteLength} = Buffer.from(packed, 'latin1');
   // The decoder returns slices of the type it is given.
-  return decodeValue(responseSchema, new Uint8Array(buffer, byteOffset, byteLength));
+  return new Uint8Array(buffer, byteOffset, byteLength);
 }
--- a/routing/poison/src/poisonTable.ts
+++ b/routing/poison/src/poisonTable.ts
@@ -1,10 +1,11 @@
+import {randomUUID} from 'node:crypto';
 import {z} from 'zod';
 import {MedlarlaneError} from '@medlarlane/errors';
 import {systemClock} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
 
 export interface PoisonTableOptions {
-  /** Distinguishes the crashes seen by this daemon from those of others; a session id for example. */
+  /** Names this daemon in the crashes that it reports. */
   readonly reporterId: string;
   /** Crashes after which a request is quarantined. */
   readonly crashes?: number;
@@ -42,7 +43,7 @@
       fingerprint: z.string().min(1).max(64),
       quarantinedForMs: z.number().min(0).optional(),
       crashes: z
-        .array(z.object({id: z.string().max(128), ageMs: z.number().min(0), cleared: z.boolean()}))
+        .array(z.object({id: z.string().max(256), ageMs: z.number().min(0), cleared: z.boolean()}))
         .max(MAX_CRASHES_PER_ENTRY),
     }),
   )
@@ -70,6 +71,8 @@
   private readonly maxEntries: number;
   /** Oldest entry first. */
   private readonly entries = new Map<string, Entry>();
+  /** Without it, a restarted daemon would count its crashes from 1 again under the same names. */
+  private readonly incarnation = randomUUID();
   private crashCount = 0;
   private runningSuspect: string | undefined;
 
@@ -85,7 +88,7 @@
   crashed(inFlight: readonly InFlightRequest[]): string[] {
     const nowMs = this.clock.nowMs();
     this.crashCount += 1;
-    const crashId = `${this.opts.reporterId}:${this.crashCount}`;
+    const crashId = `${this.opts.reporterId}:${this.incarnation}:${this.crashCount}`;
     const quarantined: string[] = [];
     for (const {fingerprint, startedAtMs} of inFlight) {
       if (startedAtMs > nowMs) continue;
--- a/routing/poison/test/poisonTable.test.ts
+++ b/routing/poison/test/poisonTable.test.ts
@@ -86,6 +86,17 @@
     },
     expected: 'suspect',
   },
+  {
+    name: 'Crashes before and after the restart of a daemon count as two',
+    happen: ({here, there, clock}) => {
+      there.crashed(inFlight('x'));
+      here.merge(there.export());
+      const restarted = new PoisonTable({reporterId: 'there', clock});
+      restarted.crashed(inFlight('x'));
+      here.merge(restarted.export());
+    },
+    expected: 'quarantined',
+  },
   {
     name: 'A quarantine elsewhere holds here',
     happen: ({here, there}) => {
