Test eviction, partial release, the ramp and spread suspicions; shorten the test tables

Ruled out: a guard against clearing quarantined entries; the quarantine decides first, so the guard has no effect and is removed. Change: tests for the bytes freed by eviction, replay until the end of retention, release of a part of a range, waiting during a cold start, and the age of suspicions that spread. Tables hold one row per case with the same inputs and expectations.

--- a/routing/admission/test/admissionQueue.test.ts
+++ b/routing/admission/test/admissionQueue.test.ts
@@ -8,6 +8,13 @@
 
 const OK = {durationMs: 10, outcome: 'ok'} as const;
 
+interface BedOptions {
+  readonly slots?: number;
+  readonly coldStartMs?: number;
+  readonly order?: QueueOrder;
+  readonly maxWaiting?: number;
+}
+
 interface Bed {
   readonly clock: ManualClock;
   readonly queue: AdmissionQueue;
@@ -17,9 +24,9 @@
   readonly permits: Map<string, Permit>;
 }
 
-function startBed(opts: {slots?: number; order?: QueueOrder; maxWaiting?: number} = {}): Bed {
+function startBed(opts: BedOptions = {}): Bed {
   const clock = new ManualClock();
-  const limit = new LearnedLimit({slots: opts.slots ?? 1, connections: 120, clock});
+  const limit = new LearnedLimit({slots: 1, connections: 120, clock, ...opts});
   const queue = new AdmissionQueue({limit, clock, ...opts});
   const log: string[] = [];
   const permits = new Map<string, Permit>();
@@ -107,6 +114,16 @@
   ]);
 });
 
+test('A request that waits during a cold start is admitted when the ramp makes room', async () => {
+  const bed = startBed({slots: 10, coldStartMs: 1_000});
+  await bed.send('first');
+  void bed.send('second');
+  await bed.clock.advance(100);
+  assert.deepEqual(bed.log, ['first']);
+  await bed.clock.advance(50);
+  assert.deepEqual(bed.log, ['first', 'second']);
+});
+
 test('Shortest-predicted-first does not let short requests starve a long one', async () => {
   const bed = startBed({order: 'shortest-predicted-first', slots: 1, maxWaiting: 100});
   await bed.send('running');
--- a/routing/admission/test/learnedLimit.test.ts
+++ b/routing/admission/test/learnedLimit.test.ts
@@ -7,7 +7,7 @@
 interface Load {
   readonly windows: number;
   readonly durationMs: number;
-  readonly outcome?: AdmissionOutcome;
+  readonly outcome: AdmissionOutcome;
   /** Whether the requests use the whole limit. */
   readonly saturated: boolean;
 }
@@ -17,72 +17,36 @@
     await clock.advance(250);
     for (let request = 0; request < 20; request += 1) {
       const inFlight = load.saturated ? limit.limit : 1;
-      limit.record({durationMs: load.durationMs, outcome: load.outcome ?? 'ok'}, inFlight);
+      limit.record({durationMs: load.durationMs, outcome: load.outcome}, inFlight);
     }
   }
 }
 
-const CASES: ReadonlyArray<{
-  readonly name: string;
-  readonly loads: readonly Load[];
-  readonly expected: {readonly min: number; readonly max: number};
-}> = [
-  {
-    name: 'A target that keeps its latency at a used limit receives more, up to its connections',
-    loads: [{windows: 40, durationMs: 10, saturated: true}],
-    expected: {min: 30, max: 30},
-  },
-  {
-    name: 'A limit that is not used does not grow above the slots',
-    loads: [{windows: 40, durationMs: 10, saturated: false}],
-    expected: {min: 18, max: 18},
-  },
-  {
-    name: 'A target that slows down under load receives less',
-    loads: [
-      {windows: 4, durationMs: 10, saturated: false},
-      {windows: 5, durationMs: 60, saturated: true},
-    ],
-    expected: {min: 5, max: 11},
-  },
-  {
-    name: 'Latency that grows without load does not lower the limit',
-    loads: [
-      {windows: 4, durationMs: 10, saturated: false},
-      {windows: 5, durationMs: 60, saturated: false},
-    ],
-    expected: {min: 18, max: 18},
-  },
-  {
-    name: 'A target that fails everything keeps the floor, so that its recovery is noticed',
-    loads: [{windows: 30, durationMs: 10, outcome: 'failed', saturated: true}],
-    expected: {min: 5, max: 5},
-  },
-  {
-    name: 'A target that recovers gets its slots back',
-    loads: [
-      {windows: 30, durationMs: 10, outcome: 'timeout', saturated: true},
-      {windows: 20, durationMs: 10, saturated: false},
-    ],
-    expected: {min: 18, max: 18},
-  },
-  {
-    name: 'Requests that callers cancel say nothing about the target',
-    loads: [{windows: 30, durationMs: 500, outcome: 'cancelled', saturated: true}],
-    expected: {min: 18, max: 18},
-  },
+function used(windows: number, durationMs: number, outcome: AdmissionOutcome = 'ok'): Load {
+  return {windows, durationMs, outcome, saturated: true};
+}
+
+function idle(windows: number, durationMs: number): Load {
+  return {...used(windows, durationMs), saturated: false};
+}
+
+const CASES: ReadonlyArray<readonly [name: string, min: number, max: number, loads: Load[]]> = [
+  ['A used limit with flat latency grows up to the connections', 30, 30, [used(40, 10)]],
+  ['A limit that is not used does not grow above the slots', 18, 18, [idle(40, 10)]],
+  ['Latency that grows under load lowers the limit', 5, 11, [idle(4, 10), used(5, 60)]],
+  ['Latency that grows without load keeps the limit', 18, 18, [idle(4, 10), idle(5, 60)]],
+  ['A target that fails everything keeps the floor', 5, 5, [used(30, 10, 'failed')]],
+  ['A target that recovers regains its slots', 18, 18, [used(30, 10, 'timeout'), idle(20, 10)]],
+  ['Cancelled requests say nothing about the target', 18, 18, [used(30, 500, 'cancelled')]],
 ];
 
-for (const {name, loads, expected} of CASES) {
+for (const [name, min, max, loads] of CASES) {
   test(name, async () => {
     const clock = new ManualClock();
     const limit = new LearnedLimit({slots: 18, connections: 30, clock});
     assert.equal(limit.limit, 18);
     for (const load of loads) await apply(limit, clock, load);
-    assert.ok(
-      limit.limit >= expected.min && limit.limit <= expected.max,
-      `limit is ${limit.limit}`,
-    );
+    assert.ok(limit.limit >= min && limit.limit <= max, `limit is ${limit.limit}`);
   });
 }
 
--- a/routing/dedupe/test/idempotencyTable.test.ts
+++ b/routing/dedupe/test/idempotencyTable.test.ts
@@ -108,101 +108,112 @@
   assert.deepEqual(kinds.sort(), ['OUTCOME_UNKNOWN', 'OUTCOME_UNKNOWN', 'run']);
 });
 
-const REFUSALS: ReadonlyArray<{
-  readonly name: string;
-  readonly code: ErrorCode;
-  readonly opts?: IdempotencyTableOptions;
-  readonly attempt: (bed: Bed) => Promise<unknown>;
-}> = [
-  {
-    name: 'A request id that is not a UUIDv7 is refused',
-    code: 'IDEMPOTENCY_KEY_REQUIRED',
-    attempt: ({begin}) => begin('7b0c2c5e-3d0f-4b8f-8a53-4a5f5b3c1d2e'),
-  },
-  {
-    name: 'A request id that was used for another request is refused',
-    code: 'IDEMPOTENCY_KEY_REUSED',
-    attempt: async ({begin, newId}) => {
+type Attempt = (bed: Bed) => Promise<unknown>;
+
+const REFUSALS: ReadonlyArray<readonly [name: string, code: ErrorCode, attempt: Attempt]> = [
+  [
+    'A request id that is not a UUIDv7 is refused',
+    'IDEMPOTENCY_KEY_REQUIRED',
+    ({begin}) => begin('7b0c2c5e-3d0f-4b8f-8a53-4a5f5b3c1d2e'),
+  ],
+  [
+    'A request id that was used for another request is refused',
+    'IDEMPOTENCY_KEY_REUSED',
+    async ({begin, newId}) => {
       const id = newId();
       (await runOf(begin(id))).finish(RESPONSE);
       await begin(id, {digest: 'other'});
     },
-  },
-  {
-    name: 'A resend after an unknown outcome does not run',
-    code: 'OUTCOME_UNKNOWN',
-    attempt: async ({begin, newId}) => {
+  ],
+  [
+    'A resend after an unknown outcome does not run',
+    'OUTCOME_UNKNOWN',
+    async ({begin, newId}) => {
       const id = newId();
       (await runOf(begin(id))).markUnknown();
       await begin(id);
     },
-  },
-  {
-    name: 'A resend after a response that is too large to keep does not run',
-    code: 'OUTCOME_UNKNOWN',
-    attempt: async ({begin, newId}) => {
+  ],
+  [
+    'A resend after a response that is too large to keep does not run',
+    'OUTCOME_UNKNOWN',
+    async ({begin, newId}) => {
       const id = newId();
       (await runOf(begin(id))).finish({...RESPONSE, body: new Uint8Array(100_000)});
       await begin(id);
     },
-  },
-  {
-    name: 'An id created before an unplanned takeover plus the skew bound is refused',
-    code: 'OUTCOME_UNKNOWN',
-    attempt: async ({begin, newId, clock, table}) => {
+  ],
+  [
+    'An id created before an unplanned takeover plus the skew bound is refused',
+    'OUTCOME_UNKNOWN',
+    async ({begin, newId, clock, table}) => {
       const id = newId(249);
       table.takeOver(RANGE);
       await clock.advance(2_000);
       await begin(id);
     },
-  },
-  {
-    name: 'An id from further in the future than the skew bound allows for is refused',
-    code: 'REQUEST_INVALID',
-    attempt: ({begin, newId}) => begin(newId(260)),
-  },
-  {
-    name: 'An id that is older than the retention period is refused',
-    code: 'OUTCOME_UNKNOWN',
-    attempt: async ({begin, newId, clock}) => {
+  ],
+  [
+    'An id from further in the future than the skew bound allows for is refused',
+    'REQUEST_INVALID',
+    ({begin, newId}) => begin(newId(260)),
+  ],
+  [
+    'An id that is older than the retention period is refused',
+    'OUTCOME_UNKNOWN',
+    async ({begin, newId, clock}) => {
       const id = newId();
       await clock.advance(600_001);
       await begin(id);
     },
-  },
-  {
-    name: 'A new request is refused when the records use all of their memory',
-    code: 'OVERLOADED',
-    opts: {maxBytes: 1_000},
-    attempt: async ({begin, newId}) => {
+  ],
+  [
+    'A new request is refused when the records use all of their memory',
+    'OVERLOADED',
+    async ({begin, newId}) => {
       for (let count = 0; count < 10; count += 1) (await runOf(begin(newId()))).finish(RESPONSE);
     },
-  },
-  {
-    name: 'A range that is released is not run any more',
-    code: 'NOT_OWNER',
-    attempt: async ({begin, newId, table}) => {
-      table.release(RANGE);
+  ],
+  [
+    'A range that is released is not run any more',
+    'NOT_OWNER',
+    async ({begin, newId, table}) => {
+      table.release({...RANGE, from: 40, to: 50});
       await begin(newId());
     },
-  },
-  {
-    name: 'A range that is being handed over is not run any more',
-    code: 'NOT_OWNER',
-    attempt: async ({begin, newId, table}) => {
+  ],
+  [
+    'A range that is being handed over is not run any more',
+    'NOT_OWNER',
+    async ({begin, newId, table}) => {
       await table.exportRange({...RANGE, moveId: 'm'}).next();
       await begin(newId());
     },
-  },
+  ],
 ];
 
-for (const {name, code, opts, attempt} of REFUSALS) {
+for (const [name, code, attempt] of REFUSALS) {
   test(name, async () => {
-    const bed = await startOwner(opts);
+    const bed = await startOwner({maxBytes: 2_000});
     await assert.rejects(attempt(bed), refused(code));
   });
 }
 
+test('Requests for the rest of a range run after a part of it is released', async () => {
+  const {begin, newId, table} = await startOwner();
+  table.release({...RANGE, from: 10, to: 20});
+  table.release({...RANGE, from: 43, to: 50});
+  assert.equal((await begin(newId())).kind, 'run');
+});
+
+test('A response is replayed until the retention period of its id ends', async () => {
+  const {begin, newId, clock} = await startOwner();
+  const id = newId();
+  (await runOf(begin(id))).finish(RESPONSE);
+  await clock.advance(599_999);
+  assert.equal((await begin(id)).kind, 'recorded');
+});
+
 test('An evicted id stays refused when the wall clock is set back', async () => {
   let setBackMs = 0;
   const clock = new ManualClock();
@@ -219,7 +230,7 @@
   (await runOf(begin(id))).finish(RESPONSE);
   await clock.advance(620_000);
   (await runOf(begin(newId()))).markNotRun();
-  assert.equal(table.stats.records, 0);
+  assert.deepEqual([table.stats.records, table.stats.bytes], [0, 0]);
   setBackMs = 300_000;
   await assert.rejects(begin(id), refused('OUTCOME_UNKNOWN'));
 });
--- a/routing/health/test/healthTracker.test.ts
+++ b/routing/health/test/healthTracker.test.ts
@@ -37,101 +37,60 @@
   return Array.from({length: count}, () => second);
 }
 
-const CASES: ReadonlyArray<{
-  readonly name: string;
-  readonly seconds: readonly Second[];
-  readonly expected: string;
-}> = [
-  {
-    name: 'A target whose probes take 6 ms is healthy',
-    seconds: times(30, {probe: ANSWERED, outcomes: [['success', 5]]}),
-    expected: 'healthy',
-  },
-  {
-    name: 'One refused connection makes a suspect only',
-    seconds: [{probe: ANSWERED}, {probe: REFUSED}],
-    expected: 'suspect connection-refused',
-  },
-  {
-    name: 'A target whose process is gone is found by refused connections',
-    seconds: [{probe: ANSWERED}, {probe: REFUSED}, {probe: REFUSED}],
-    expected: 'failed connection-refused',
-  },
-  {
-    name: 'A frozen target without requests is found by probe timeouts',
-    seconds: [{probe: ANSWERED}, ...times(3, {probe: TIMEOUT})],
-    expected: 'failed probe-timeouts',
-  },
-  {
-    name: 'A target whose probes answer that it is unhealthy is found',
-    seconds: times(3, {probe: {kind: 'unhealthy', durationMs: 6}}),
-    expected: 'failed probe-timeouts',
-  },
-  {
-    name: 'A busy target that completes requests while its probes time out is a suspect only',
-    seconds: times(5, {probe: TIMEOUT, outcomes: [['success', 5]]}),
-    expected: 'suspect probe-timeouts',
-  },
-  {
-    name: 'A target that answers probes but fails its requests is found',
-    seconds: times(3, {probe: ANSWERED, outcomes: [['failure', 6]]}),
-    expected: 'failed passive-failures',
-  },
-  {
-    name: 'A target that answers probes but fails half of its requests is found',
-    seconds: times(5, {
-      probe: ANSWERED,
-      outcomes: [
-        ['failure', 3],
-        ['success', 3],
-      ],
-    }),
-    expected: 'failed passive-failures',
-  },
-  {
-    name: 'A target with little traffic that answers probes but lets its requests time out is found',
-    seconds: times(5, {probe: ANSWERED, outcomes: [['timeout', 1]]}),
-    expected: 'failed passive-failures',
-  },
-  {
-    name: 'A target that sheds load, and callers that cancel, are no failures',
-    seconds: times(10, {
-      probe: ANSWERED,
-      outcomes: [
-        ['shed', 20],
-        ['cancelled', 20],
-        ['success', 1],
-      ],
-    }),
-    expected: 'healthy',
-  },
-  {
-    name: 'A target that recovered is healthy when its failures are older than the window',
-    seconds: [
-      ...times(3, {outcomes: [['failure', 10]]}),
-      ...times(12, {probe: ANSWERED, outcomes: [['success', 5]]}),
-    ],
-    expected: 'healthy',
-  },
-  {
-    name: 'Probes that take much longer than usual at this site make a suspect',
-    seconds: [
-      ...times(10, {probe: ANSWERED}),
-      ...times(3, {probe: {kind: 'answered', durationMs: 80}}),
-    ],
-    expected: 'suspect slow-probes',
-  },
-  {
-    name: 'A target that reports no load while its latency and requests in flight grow is a suspect',
-    seconds: [
-      ...times(10, {probe: ANSWERED, outcomes: [['success', 10, 10]], load: [0, 1]}),
-      ...times(5, {probe: ANSWERED, outcomes: [['success', 10, 200]], load: [0, 14]}),
-    ],
-    expected: 'suspect load-report-contradicted',
-  },
+const SERVING: Second = {probe: ANSWERED, outcomes: [['success', 5]]};
+const SHEDDING: Second = {
+  outcomes: [
+    ['shed', 20],
+    ['cancelled', 20],
+    ['success', 1],
+  ],
+};
+const HALF_FAILING: Second = {
+  probe: ANSWERED,
+  outcomes: [
+    ['failure', 3],
+    ['success', 3],
+  ],
+};
+const IDLE_REPORTED: Second = {outcomes: [['success', 10, 10]], load: [0, 1]};
+const LIE_REPORTED: Second = {outcomes: [['success', 10, 200]], load: [0, 14]};
+const SLOW_PROBE: Second = {probe: {kind: 'answered', durationMs: 80}};
+const UNHEALTHY: Second = {probe: {kind: 'unhealthy', durationMs: 6}};
+const STALLED: Second = {probe: ANSWERED, outcomes: [['timeout', 1]]};
+
+const CASES: ReadonlyArray<readonly [name: string, expected: string, seconds: Second[]]> = [
+  ['A target whose probes take 6 ms is healthy', 'healthy', times(30, SERVING)],
+  ['One refused connection makes a suspect only', 'suspect connection-refused', [{probe: REFUSED}]],
+  ['A target that is gone is found', 'failed connection-refused', times(2, {probe: REFUSED})],
+  ['A frozen target is found', 'failed probe-timeouts', [SERVING, ...times(3, {probe: TIMEOUT})]],
+  ['A target that calls itself unhealthy is found', 'failed probe-timeouts', times(3, UNHEALTHY)],
+  [
+    'Requests outweigh late probes',
+    'suspect probe-timeouts',
+    times(5, {...SERVING, probe: TIMEOUT}),
+  ],
+  ['Failures outweigh probes', 'failed passive-failures', times(3, {outcomes: [['failure', 6]]})],
+  ['A target that fails half is found', 'failed passive-failures', times(5, HALF_FAILING)],
+  ['A stalled target with little traffic is found', 'failed passive-failures', times(5, STALLED)],
+  ['Shed and cancelled requests are no failures', 'healthy', times(10, SHEDDING)],
+  [
+    'Failures older than the window do not count',
+    'healthy',
+    [...times(3, {outcomes: [['failure', 10]]}), ...times(12, SERVING)],
+  ],
+  [
+    'Unusually slow probes make a suspect',
+    'suspect slow-probes',
+    [...times(9, SERVING), ...times(3, SLOW_PROBE)],
+  ],
+  [
+    'A report of no load that latency contradicts makes a suspect',
+    'suspect load-report-contradicted',
+    [...times(10, IDLE_REPORTED), ...times(5, LIE_REPORTED)],
+  ],
 ];
 
-for (const {name, seconds, expected} of CASES) {
+for (const [name, expected, seconds] of CASES) {
   test(name, async () => {
     const clock = new ManualClock();
     const tracker = new HealthTracker({slots: 14, clock});
--- a/routing/poison/src/poisonTable.ts
+++ b/routing/poison/src/poisonTable.ts
@@ -104,8 +104,7 @@
   /** Ends the suspicion of a request that completed. A quarantine is not lifted. */
   completed(fingerprint: string): void {
     const entry = this.entries.get(fingerprint);
-    if (!entry || entry.quarantinedAtMs !== undefined) return;
-    for (const crash of entry.crashes.values()) crash.cleared = true;
+    for (const crash of entry?.crashes.values() ?? []) crash.cleared = true;
   }
 
   /** Whether no request is suspect or quarantined, so that fingerprints need not be computed. */
--- a/routing/poison/test/poisonTable.test.ts
+++ b/routing/poison/test/poisonTable.test.ts
@@ -26,89 +26,88 @@
   };
 }
 
-const CASES: ReadonlyArray<{
-  readonly name: string;
-  readonly happen: (bed: Bed) => Promise<void> | void;
-  readonly expected: PoisonState;
-}> = [
-  {
-    name: 'A request in flight during one crash is suspected',
-    happen: ({here}) => void here.crashed(inFlight('x', 'y')),
-    expected: 'suspect',
-  },
-  {
-    name: 'A request in flight twice during the same crash is suspected',
-    happen: ({here}) => void here.crashed(inFlight('x', 'x')),
-    expected: 'suspect',
-  },
-  {
-    name: 'A request in flight during two crashes is quarantined',
-    happen: ({here}) => {
+type Happening = (bed: Bed) => Promise<void> | void;
+
+const CASES: ReadonlyArray<readonly [name: string, expected: PoisonState, happen: Happening]> = [
+  [
+    'A request in flight during one crash is suspected',
+    'suspect',
+    ({here}) => void here.crashed(inFlight('x', 'y')),
+  ],
+  [
+    'A request in flight twice during the same crash is suspected',
+    'suspect',
+    ({here}) => void here.crashed(inFlight('x', 'x')),
+  ],
+  [
+    'A request in flight during two crashes is quarantined',
+    'quarantined',
+    ({here}) => {
       here.crashed(inFlight('x', 'y'));
       here.crashed(inFlight('x', 'z'));
     },
-    expected: 'quarantined',
-  },
-  {
-    name: 'A request that completed between two crashes is suspected of the second only',
-    happen: ({here}) => {
+  ],
+  [
+    'A request that completed between two crashes is suspected of the second only',
+    'suspect',
+    ({here}) => {
       here.crashed(inFlight('x'));
       here.completed('x');
       here.crashed(inFlight('x'));
     },
-    expected: 'suspect',
-  },
-  {
-    name: 'Two crashes further apart than the time of suspicion do not quarantine',
-    happen: async ({here, clock}) => {
+  ],
+  [
+    'Two crashes further apart than the time of suspicion do not quarantine',
+    'suspect',
+    async ({here, clock}) => {
       here.crashed(inFlight('x'));
       await clock.advance(11 * MINUTE_MS);
       here.crashed(inFlight('x'));
     },
-    expected: 'suspect',
-  },
-  {
-    name: 'A crash here and one at another daemon quarantine',
-    happen: ({here, there}) => {
+  ],
+  [
+    'A crash here and one at another daemon quarantine',
+    'quarantined',
+    ({here, there}) => {
       there.crashed(inFlight('x'));
       here.merge(there.export());
       here.crashed(inFlight('x'));
     },
-    expected: 'quarantined',
-  },
-  {
-    name: 'Hearing of the same crash again does not quarantine',
-    happen: ({here, there}) => {
+  ],
+  [
+    'Hearing of the same crash again does not quarantine',
+    'suspect',
+    ({here, there}) => {
       here.crashed(inFlight('x'));
       there.merge(here.export());
       here.merge(there.export());
       here.merge(there.export());
     },
-    expected: 'suspect',
-  },
-  {
-    name: 'Crashes before and after the restart of a daemon count as two',
-    happen: ({here, there, clock}) => {
+  ],
+  [
+    'Crashes before and after the restart of a daemon count as two',
+    'quarantined',
+    ({here, there, clock}) => {
       there.crashed(inFlight('x'));
       here.merge(there.export());
       const restarted = new PoisonTable({reporterId: 'there', clock});
       restarted.crashed(inFlight('x'));
       here.merge(restarted.export());
     },
-    expected: 'quarantined',
-  },
-  {
-    name: 'A quarantine elsewhere holds here',
-    happen: ({here, there}) => {
+  ],
+  [
+    'A quarantine elsewhere holds here',
+    'quarantined',
+    ({here, there}) => {
       there.crashed(inFlight('x'));
       there.crashed(inFlight('x'));
       here.merge(there.export());
     },
-    expected: 'quarantined',
-  },
-  {
-    name: 'A success elsewhere ends the suspicion here, and old entries do not bring it back',
-    happen: ({here, there}) => {
+  ],
+  [
+    'A success elsewhere ends the suspicion here, and old entries do not bring it back',
+    'clear',
+    ({here, there}) => {
       here.crashed(inFlight('x'));
       const old = here.export();
       there.merge(old);
@@ -116,11 +115,32 @@
       here.merge(there.export());
       here.merge(old);
     },
-    expected: 'clear',
-  },
-  {
-    name: 'A quarantine ends after 10 minutes however often daemons exchange it',
-    happen: async ({here, there, clock}) => {
+  ],
+  [
+    'A quarantine holds although an attempt elsewhere completes late',
+    'quarantined',
+    ({here}) => {
+      here.crashed(inFlight('x'));
+      here.crashed(inFlight('x'));
+      here.completed('x');
+    },
+  ],
+  [
+    'A suspicion ends after 10 minutes however often daemons exchange it',
+    'clear',
+    async ({here, there, clock}) => {
+      here.crashed(inFlight('x'));
+      for (let step = 0; step < 10; step += 1) {
+        await clock.advance(MINUTE_MS);
+        there.merge(here.export());
+        here.merge(there.export());
+      }
+    },
+  ],
+  [
+    'A quarantine ends after 10 minutes however often daemons exchange it',
+    'clear',
+    async ({here, there, clock}) => {
       here.crashed(inFlight('x'));
       here.crashed(inFlight('x'));
       for (let step = 0; step < 10; step += 1) {
@@ -129,11 +149,10 @@
         here.merge(there.export());
       }
     },
-    expected: 'clear',
-  },
+  ],
 ];
 
-for (const {name, happen, expected} of CASES) {
+for (const [name, expected, happen] of CASES) {
   test(name, async () => {
     const bed = startTwoDaemons();
     await happen(bed);
--- a/routing/retry/test/retry.test.ts
+++ b/routing/retry/test/retry.test.ts
@@ -1,10 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {ERROR_ANSWERS} from '@medlarlane/errors';
-import type {ErrorCode} from '@medlarlane/errors';
+import type {ErrorCode, Ran} from '@medlarlane/errors';
 import {ManualClock} from '@medlarlane/lifecycle';
 import {RetryBudget, retryDecision} from '@medlarlane/retry';
-import type {FailedAttempt} from '@medlarlane/retry';
 
 const CODES = Object.keys(ERROR_ANSWERS) as ErrorCode[];
 
@@ -22,51 +21,27 @@
   }
 });
 
-const CASES: ReadonlyArray<{
-  readonly name: string;
-  readonly failed: Omit<FailedAttempt, 'attempt'>;
-  readonly expected: string;
-}> = [
-  {
-    name: 'A payment whose owner moved is sent to the new owner',
-    failed: {repeatable: false, ran: 'no', code: 'NOT_OWNER', remainingMs: 1_000},
-    expected: 'owner',
-  },
-  {
-    name: 'A payment whose target broke the connection is not sent again',
-    failed: {repeatable: false, ran: 'unknown', code: 'TARGET_FAILED', remainingMs: 1_000},
-    expected: 'may-have-run',
-  },
-  {
-    name: 'A payment that never left for its target is sent again',
-    failed: {repeatable: false, ran: 'no', code: 'TARGET_FAILED', remainingMs: 1_000},
-    expected: 'owner',
-  },
-  {
-    name: 'A read whose target broke the connection is sent again',
-    failed: {repeatable: true, ran: 'unknown', code: 'TARGET_FAILED', remainingMs: 1_000},
-    expected: 'owner',
-  },
-  {
-    name: 'A read is not sent again to the overloaded instance that refused it',
-    failed: {repeatable: true, ran: 'no', code: 'OVERLOADED', remainingMs: 1_000},
-    expected: 'other-instance',
-  },
-  {
-    name: 'A read with too little time left is not sent again',
-    failed: {repeatable: true, ran: 'no', code: 'NO_OWNER', remainingMs: 110},
-    expected: 'deadline',
-  },
-  {
-    name: 'A request that crashes targets is not sent to another target',
-    failed: {repeatable: true, ran: 'no', code: 'POISON_REQUEST', remainingMs: 1_000},
-    expected: 'error-kind',
-  },
+type Row = [name: string, repeatable: boolean, ran: Ran, code: ErrorCode, remainingMs: number];
+
+const CASES: ReadonlyArray<readonly [expected: string, row: Row]> = [
+  ['owner', ['A payment follows its key to the new owner', false, 'no', 'NOT_OWNER', 1_000]],
+  [
+    'may-have-run',
+    ['A payment on a broken connection stops', false, 'unknown', 'TARGET_FAILED', 1_000],
+  ],
+  ['owner', ['A payment that was never sent is sent again', false, 'no', 'TARGET_FAILED', 1_000]],
+  [
+    'owner',
+    ['A read on a broken connection is sent again', true, 'unknown', 'TARGET_FAILED', 1_000],
+  ],
+  ['other-instance', ['An overloaded instance gets no retry', true, 'no', 'OVERLOADED', 1_000]],
+  ['deadline', ['A read with too little time left stops', true, 'no', 'NO_OWNER', 110]],
+  ['error-kind', ['A request that crashes targets stops', true, 'no', 'POISON_REQUEST', 1_000]],
 ];
 
-for (const {name, failed, expected} of CASES) {
+for (const [expected, [name, repeatable, ran, code, remainingMs]] of CASES) {
   test(name, () => {
-    const decision = retryDecision({...failed, attempt: 1});
+    const decision = retryDecision({repeatable, ran, code, remainingMs, attempt: 1});
     assert.equal(decision.retry ? decision.place : decision.reason, expected);
   });
 }
