--- a/apps/daemon/src/targetSupervisor.ts
+++ b/apps/daemon/src/targetSupervisor.ts
@@ -2,6 +2,7 @@
 import type {LocalTarget, TargetChange, TargetListener} from '@medlarlane/announce';
 import type {ControlClient} from '@medlarlane/control-client';
 import type {Directory} from '@medlarlane/directory';
+import {timeoutSignal} from '@medlarlane/lifecycle';
 import type {BackgroundTasks, Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
 import type {Registration, ServiceDocument} from '@medlarlane/model';
@@ -17,10 +18,12 @@
   readonly tasks: BackgroundTasks;
   readonly logger: Logger;
   /** What this daemon registers besides its service and incarnation. */
-  readonly facts: Omit<Registration, 'service' | 'incarnation'>;
+  readonly facts: () => Omit<Registration, 'service' | 'incarnation'>;
   readonly drainTimeoutMs: number;
 }
 
+const DRAIN_REPEAT_INTERVAL_MS = 300;
+
 /**
  * Follows the announced target: opens connections to it, registers a session for its service, and
  * drains or gives up the session when the target leaves or fails.
@@ -57,8 +60,8 @@
   /** Moves the ranges away, lets running requests end, and gives up the session. */
   async drain(reason: string): Promise<void> {
     const {controlClient, clock, drainTimeoutMs, logger} = this.opts;
+    logger.info({reason}, 'Draining.');
     const untilMs = clock.nowMs() + drainTimeoutMs;
-    controlClient.drain();
     await this.waitUntilMovedAway(untilMs);
     // Requests for services that are not split by key stop coming once the drain is in force.
     await this.waitUntilIdle(untilMs);
@@ -66,6 +69,11 @@
     await controlClient.giveUp(reason);
   }
 
+  /** Cuts what still runs at the target. */
+  async close(): Promise<void> {
+    await this.closeTarget();
+  }
+
   private enqueue(step: () => Promise<void>): void {
     this.work = this.work.then(step).catch((failure: unknown) => {
       this.opts.logger.error({err: failure}, 'Following the target failed.');
@@ -111,7 +119,6 @@
     const {directory, lease, clock} = this.opts;
     const service = directory.session(lease.sessionId)?.service;
     if (service === undefined) return;
-    const signal = AbortSignal.timeout(Math.max(0, untilMs - clock.nowMs()));
     const ownsRanges = (): boolean =>
       directory
         .ranges(service)
@@ -121,15 +128,17 @@
       directory
         .sessionsOf(service)
         .some(({sessionId, draining}) => sessionId !== lease.sessionId && !draining);
-    while (lease.isValid() && ownsRanges() && hasSuccessor()) {
-      await directory.nextChange(signal).catch(() => undefined);
-      if (signal.aborted) return;
+    while (lease.isValid() && clock.nowMs() < untilMs && ownsRanges() && hasSuccessor()) {
+      // Repeated, because the message is lost when the leader changes.
+      if (!directory.session(lease.sessionId)?.draining) this.opts.controlClient.drain();
+      const waitMs = Math.min(DRAIN_REPEAT_INTERVAL_MS, untilMs - clock.nowMs());
+      await directory.nextChange(timeoutSignal(waitMs)).catch(() => undefined);
     }
   }
 
   private async waitUntilIdle(untilMs: number): Promise<void> {
     const {ownership, clock} = this.opts;
-    const signal = AbortSignal.timeout(Math.max(0, untilMs - clock.nowMs()));
+    const signal = timeoutSignal(untilMs - clock.nowMs());
     await ownership.waitUntilAllIdle(signal).catch(() => undefined);
   }
 
@@ -146,7 +155,7 @@
 
   private register(service: string | undefined): void {
     this.opts.controlClient.register({
-      ...this.opts.facts,
+      ...this.opts.facts(),
       incarnation: createIncarnation(),
       ...(service === undefined ? {} : {service}),
     });
--- a/control/control-state/src/stateSnapshot.ts
+++ b/control/control-state/src/stateSnapshot.ts
@@ -1,7 +1,13 @@
 import {z} from 'zod';
 import {isErrorCode} from '@medlarlane/errors';
 import type {ErrorCode} from '@medlarlane/errors';
-import {nameSchema, rangeSchema, serviceNameSchema, sessionSchema} from '@medlarlane/model';
+import {
+  nameSchema,
+  poisonReportSchema,
+  rangeSchema,
+  serviceNameSchema,
+  sessionSchema,
+} from '@medlarlane/model';
 
 const errorCodeSchema = z.custom<ErrorCode>(
   (value) => typeof value === 'string' && isErrorCode(value),
@@ -48,9 +54,12 @@
 export const stateSnapshotSchema = z.object({
   index: z.int(),
   teams: z.array(z.object({team: nameSchema, publicKeyPem: z.string()})),
-  documents: z.array(z.object({service: serviceNameSchema, revisions: z.array(documentRevisionSchema)})),
+  documents: z.array(
+    z.object({service: serviceNameSchema, revisions: z.array(documentRevisionSchema)}),
+  ),
   sessions: z.array(sessionSchema),
   assignments: z.array(z.object({service: serviceNameSchema, ranges: z.array(rangeSchema)})),
   changes: z.array(rememberedChangeSchema),
+  poison: z.array(z.object({reportedAtMs: z.int(), report: poisonReportSchema})),
 });
 export type StateSnapshot = z.infer<typeof stateSnapshotSchema>;
--- a/routing/forwarder/src/localServer.ts
+++ b/routing/forwarder/src/localServer.ts
@@ -1,11 +1,13 @@
 import {createHash} from 'node:crypto';
 import {Either, Left, Right} from 'purify-ts/Either';
 import type {Dispatcher} from 'undici';
-import type {AdmissionOutcome, AdmissionQueue, Permit} from '@medlarlane/admission';
+import type {AdmissionOutcome, AdmissionQueue} from '@medlarlane/admission';
 import type {IdempotencyTable, RecordedResponse, Run} from '@medlarlane/dedupe';
 import type {Directory} from '@medlarlane/directory';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
+import {timeoutSignal} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
+import type {LoadMeter} from '@medlarlane/load-meter';
 import type {Ownership, RunningRequest} from '@medlarlane/ownership';
 import {requestFingerprints} from '@medlarlane/poison';
 import type {PoisonTable} from '@medlarlane/poison';
@@ -23,10 +25,20 @@
   readonly admission: AdmissionQueue;
 }
 
+/** How a request at the local target ended. */
+export interface RequestEnding {
+  readonly outcome: AdmissionOutcome;
+  readonly durationMs: number;
+  /** Whether the whole response arrived; a failed request may have been answered with status 500. */
+  readonly isAnswered: boolean;
+}
+
 /** What became of requests at the local target. */
 export interface TargetOutcomeObserver {
   sent(requestId: string, fingerprints: () => string[]): void;
-  ended(requestId: string, outcome: AdmissionOutcome, durationMs: number): void;
+  ended(requestId: string, ending: RequestEnding): void;
+  /** The target accepts no connection. */
+  refused(): void;
 }
 
 export interface LocalServerOptions {
@@ -34,6 +46,7 @@
   readonly directory: Directory;
   readonly idempotency: IdempotencyTable;
   readonly poison: PoisonTable;
+  readonly loadMeter: LoadMeter;
   readonly clock: Clock;
   /** The target that runs requests now; `undefined` while none is announced or it has failed. */
   readonly target: () => LocalTargetPort | undefined;
@@ -50,6 +63,8 @@
   readonly isComplete: boolean;
 }
 
+type Ended = Omit<RequestEnding, 'durationMs'>;
+
 // How long a daemon that was named as owner waits until its own directory says so.
 const CATCH_UP_LIMIT_MS = 1000;
 
@@ -90,21 +105,21 @@
   private async enter(exchange: Exchange): Promise<RunningRequest> {
     const {ownership, directory, clock} = this.opts;
     const service = exchange.document.service;
-    const signal = AbortSignal.timeout(Math.max(0, exchange.deadlineMs - clock.nowMs()));
     const catchUpUntilMs = clock.nowMs() + CATCH_UP_LIMIT_MS;
     for (;;) {
       const entered = ownership.enter(service, exchange.position);
       if (typeof entered !== 'string') return entered;
-      const mayCatchUp =
-        exchange.senderIndex > directory.appliedIndex && clock.nowMs() < catchUpUntilMs;
       if (entered === 'LEASE_EXPIRED') throw new MedlarlaneError('LEASE_EXPIRED');
-      if (entered === 'NOT_OWNER' && !mayCatchUp) throw this.notOwner(exchange);
-      const waitSignal =
+      const isBehind = exchange.senderIndex > directory.appliedIndex;
+      if (entered === 'NOT_OWNER' && !isBehind) throw this.notOwner(exchange);
+      const untilMs =
         entered === 'NOT_OWNER'
-          ? AbortSignal.any([signal, AbortSignal.timeout(CATCH_UP_LIMIT_MS)])
-          : signal;
-      await directory.nextChange(waitSignal).catch(() => {
-        if (signal.aborted) throw new MedlarlaneError('DEADLINE_EXCEEDED');
+          ? Math.min(catchUpUntilMs, exchange.deadlineMs)
+          : exchange.deadlineMs;
+      await directory.nextChange(timeoutSignal(untilMs - clock.nowMs())).catch(() => {
+        throw entered === 'NOT_OWNER'
+          ? this.notOwner(exchange)
+          : new MedlarlaneError('DEADLINE_EXCEEDED');
       });
     }
   }
@@ -131,6 +146,7 @@
       id,
       digest: digestOf(exchange),
       deadlineMs,
+      signal: exchange.callerGone,
     });
     if (begun.kind === 'recorded') return this.replay(exchange, begun.response);
     try {
@@ -155,40 +171,33 @@
   ): Promise<Served> {
     const target = this.opts.target();
     if (!target) throw new MedlarlaneError('NO_TARGET');
-    const {callerId, deadlineMs} = exchange;
-    const permit = await target.admission.acquire({callerId, deadlineMs});
+    const {callerId, deadlineMs, callerGone} = exchange;
+    const permit = await target.admission.acquire({callerId, deadlineMs, signal: callerGone});
     const startedMs = this.opts.clock.nowMs();
-    let outcome: AdmissionOutcome = 'unsent';
+    let ended: Ended = {outcome: 'unsent', isAnswered: false};
     try {
       if (!running.isStillOwned()) throw new MedlarlaneError('LEASE_EXPIRED');
-      return await this.send(exchange, running, run, target, (ended) => (outcome = ended));
+      return await this.send(exchange, running, run, target, (report) => (ended = report));
     } finally {
-      this.end(exchange, permit, outcome, this.opts.clock.nowMs() - startedMs);
+      const durationMs = this.opts.clock.nowMs() - startedMs;
+      permit.release({durationMs, outcome: ended.outcome});
+      this.opts.outcomes.ended(exchange.requestId, {...ended, durationMs});
     }
   }
 
-  private end(
-    {requestId}: Exchange,
-    permit: Permit,
-    outcome: AdmissionOutcome,
-    durationMs: number,
-  ): void {
-    permit.release({durationMs, outcome});
-    this.opts.outcomes.ended(requestId, outcome, durationMs);
-  }
-
   private async send(
     exchange: Exchange,
     running: RunningRequest,
     run: Run | undefined,
     target: LocalTargetPort,
-    report: (outcome: AdmissionOutcome) => void,
+    report: (ended: Ended) => void,
   ): Promise<Served> {
     const {request, response, document, requestId} = exchange;
     const {requestTimeoutMs} = document.targets;
     const recorder = run ? new ResponseRecorder() : undefined;
     const remainingMs = exchange.deadlineMs - this.opts.clock.nowMs();
     if (remainingMs <= 0) throw new MedlarlaneError('DEADLINE_EXCEEDED');
+    this.measureLoad(exchange);
     this.opts.outcomes.sent(requestId, () => fingerprintsOf(exchange));
     let outcome: RelayOutcome;
     try {
@@ -201,31 +210,39 @@
         response,
         timeoutMs: Math.min(remainingMs, requestTimeoutMs),
         intercepts: isTargetRefusal,
-        responseHeaders: (headers) => this.answerHeaders(exchange, headers),
+        responseHeaders: (headers) => this.answerHeaders(exchange, running, headers),
         observer: recorder,
         outlivesCaller: run !== undefined,
       });
     } catch (thrown) {
       if (!(thrown instanceof RelayFailure)) throw thrown;
-      report(ADMISSION_OUTCOMES[thrown.reason]);
+      report({outcome: ADMISSION_OUTCOMES[thrown.reason], isAnswered: false});
       if (thrown.reason === 'cancelled') this.opts.cancel(requestId);
+      if (thrown.reason === 'connect') this.opts.outcomes.refused();
       throw targetError(thrown);
     }
     return this.conclude(outcome, run, recorder, report);
   }
 
+  private measureLoad({document, position}: Exchange): void {
+    if (position === undefined) return;
+    const range = this.opts.directory.range(document.service, position);
+    if (range) this.opts.loadMeter.record(range.startPosition, position);
+  }
+
   private conclude(
     outcome: RelayOutcome,
     run: Run | undefined,
     recorder: ResponseRecorder | undefined,
-    report: (outcome: AdmissionOutcome) => void,
+    report: (ended: Ended) => void,
   ): Served {
     if (outcome.kind === 'intercepted') {
       // A target that checks its grants, or sheds load, promises that it did not run the request.
-      report('shed');
+      report({outcome: 'shed', isAnswered: true});
       throw new MedlarlaneError(outcome.status === 503 ? 'OVERLOADED' : 'LEASE_EXPIRED');
     }
-    report(!outcome.isComplete || outcome.status >= 500 ? 'failed' : 'ok');
+    const failed = !outcome.isComplete || outcome.status >= 500;
+    report({outcome: failed ? 'failed' : 'ok', isAnswered: outcome.isComplete});
     if (outcome.isComplete) run?.finish(recorder?.response);
     else run?.markUnknown();
     return {status: outcome.status, isComplete: outcome.isComplete};
@@ -248,12 +265,14 @@
 
   private answerHeaders(
     exchange: Exchange,
+    running: RunningRequest,
     headers: ResponseHeaders,
   ): ReturnType<typeof targetResponseHeaders> {
     return {
       ...targetResponseHeaders(headers),
       [HEADER.owner]: this.opts.ownerAddress(),
       [HEADER.requestId]: exchange.requestId,
+      [HEADER.epoch]: String(running.epoch),
       [HEADER.load]: String(this.opts.loadHint()),
     };
   }
@@ -264,12 +283,14 @@
 }
 
 function targetError(failure: RelayFailure): MedlarlaneError {
-  const code = ({
-    connect: 'TARGET_FAILED',
-    reset: 'TARGET_FAILED',
-    timeout: 'TARGET_TIMEOUT',
-    cancelled: 'CANCELLED',
-  } as const)[failure.reason];
+  const code = (
+    {
+      connect: 'TARGET_FAILED',
+      reset: 'TARGET_FAILED',
+      timeout: 'TARGET_TIMEOUT',
+      cancelled: 'CANCELLED',
+    } as const
+  )[failure.reason];
   return new MedlarlaneError(code, undefined, {ran: failure.ran, cause: failure});
 }
 
@@ -294,4 +315,3 @@
     .update(body.firstBytes)
     .digest('base64');
 }
-
