--- /dev/null
+++ b/routing/retry/test/retry.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ERROR_ANSWERS} from '@medlarlane/errors';
+import type {ErrorCode, Ran} from '@medlarlane/errors';
+import {ManualClock} from '@medlarlane/lifecycle';
+import {RetryBudget, retryDecision} from '@medlarlane/retry';
+
+const CODES = Object.keys(ERROR_ANSWERS) as ErrorCode[];
+
+test('A non-repeatable request that may have run is never retried, whatever the error', () => {
+  for (const code of CODES) {
+    const failed = {repeatable: false, ran: 'unknown', attempt: 1, remainingMs: 60_000} as const;
+    assert.equal(retryDecision({...failed, code}).retry, false, code);
+  }
+});
+
+test('A request is retried once at most, whatever the error', () => {
+  for (const code of CODES) {
+    const failed = {repeatable: true, ran: 'no', attempt: 2, remainingMs: 60_000} as const;
+    assert.equal(retryDecision({...failed, code}).retry, false, code);
+  }
+});
+
+type Row = [name: string, repeatable: boolean, ran: Ran, code: ErrorCode, remainingMs: number];
+
+const CASES: ReadonlyArray<readonly [expected: string, row: Row]> = [
+  ['owner', ['A payment follows its key to the new owner', false, 'no', 'NOT_OWNER', 1_000]],
+  [
+    'may-have-run',
+    ['A payment on a broken connection stops', false, 'unknown', 'TARGET_FAILED', 1_000],
+  ],
+  ['owner', ['A payment that was never sent is sent again', false, 'no', 'TARGET_FAILED', 1_000]],
+  [
+    'owner',
+    ['A read on a broken connection is sent again', true, 'unknown', 'TARGET_FAILED', 1_000],
+  ],
+  ['other-instance', ['An overloaded instance gets no retry', true, 'no', 'OVERLOADED', 1_000]],
+  ['deadline', ['A read with too little time left stops', true, 'no', 'NO_OWNER', 110]],
+  ['error-kind', ['A request that crashes targets stops', true, 'no', 'POISON_REQUEST', 1_000]],
+];
+
+for (const [expected, [name, repeatable, ran, code, remainingMs]] of CASES) {
+  test(name, () => {
+    const decision = retryDecision({repeatable, ran, code, remainingMs, attempt: 1});
+    assert.equal(decision.retry ? decision.place : decision.reason, expected);
+  });
+}
+
+test('Retries stay at a tenth of the traffic when every request fails', async () => {
+  const clock = new ManualClock();
+  const budget = new RetryBudget({clock, floorRps: 1});
+  let requests = 0;
+  let retries = 0;
+  for (let step = 0; step < 600; step += 1) {
+    for (let count = 0; count < 10; count += 1) {
+      requests += 1;
+      budget.onRequest();
+      if (budget.tryTake()) retries += 1;
+    }
+    await clock.advance(100);
+  }
+  const floor = 60;
+  assert.ok(retries <= requests * 0.1 + floor + 10, `${retries} of ${requests}`);
+  assert.ok(retries >= requests * 0.1, `${retries} of ${requests}`);
+});
+
+test('Traffic of the past does not pay for a later storm of retries', async () => {
+  const clock = new ManualClock();
+  const budget = new RetryBudget({clock, floorRps: 1});
+  for (let count = 0; count < 10_000; count += 1) budget.onRequest();
+  assert.equal(budget.available, 1_010);
+  await clock.advance(11_000);
+  assert.equal(budget.available, 10);
+});
