--- a/bench/src/placementRun.ts
+++ b/bench/src/placementRun.ts
@@ -36,7 +36,8 @@
 export const HOT_KEYS = 230;
 const KEYS = 200_000;
 const ZIPF_EXPONENT = 1.1;
-const REQUESTS_PER_ROUND = 200_000;
+/** 13,500 requests/s per daemon, as in the design, for one round. */
+const REQUESTS_PER_SERVER = 67_500;
 const RANGES_PER_SERVER = 16;
 const REPORTED_KEYS_PER_SERVER = 64;
 
@@ -51,9 +52,11 @@
   private readonly keyOfRank: Int32Array;
   private nextSessionId = 1;
   private epoch = 1;
+  private readonly requests: number;
 
   constructor(private readonly opts: PlacementRunOptions) {
     this.random = xoroshiro128plus(opts.seed);
+    this.requests = opts.servers * REQUESTS_PER_SERVER;
     this.positions = Float64Array.from({length: KEYS}, () =>
       Math.floor(uniformFloat64(this.random) * POSITION_END),
     ).sort();
@@ -78,10 +81,9 @@
 
   /** Counts one interval of requests per key. */
   count(): Float64Array {
+    const byRank = this.sampler.counts(this.random, this.requests);
     const counts = new Float64Array(KEYS);
-    for (let request = 0; request < REQUESTS_PER_ROUND; request++) {
-      counts[this.keyOfRank[this.sampler.sample(this.random)]!]! += 1;
-    }
+    for (let rank = 0; rank < KEYS; rank++) counts[this.keyOfRank[rank]!] = byRank[rank]!;
     return counts;
   }
 
@@ -98,7 +100,7 @@
       for (; key < KEYS && this.positions[key]! < end; key++) {
         rateRps += counts[key]!;
         // Keys with fewer requests than this are not among the hottest of a server.
-        if (counts[key]! < REQUESTS_PER_ROUND / 20_000) continue;
+        if (counts[key]! < REQUESTS_PER_SERVER / 1_000) continue;
         const keys = keysOfServer.get(ownerSessionId) ?? [];
         keys.push({position: this.positions[key]!, rateRps: counts[key]!});
         keysOfServer.set(ownerSessionId, keys);
@@ -129,9 +131,10 @@
     const owners = new Set(this.ranges.map(({ownerSessionId}) => ownerSessionId));
     this.sessions = sessions.filter(({draining, sessionId}) => !draining || owners.has(sessionId));
     const max = Math.max(...serverLoads.values());
+    const total = counts.reduce((sum, load) => sum + load, 0);
     return {
-      maxOverMean: (max * sessions.length) / REQUESTS_PER_ROUND,
-      maxOverLevel: this.maxOverLevel(serverLoads, hottest),
+      maxOverMean: (max * sessions.length) / total,
+      maxOverLevel: maxOverLevel(serverLoads, hottest, total),
       movedShare: moves.reduce((sum, move) => sum + widthOf(move), 0) / POSITION_END,
       moves: moves.length,
       ranges: this.ranges.length,
@@ -170,7 +173,7 @@
       const {sessionId} = nodes[node % nodes.length]!;
       loads.set(sessionId, (loads.get(sessionId) ?? 0) + counts[key]!);
     }
-    return (Math.max(...loads.values()) * this.sessions.length) / REQUESTS_PER_ROUND;
+    return (Math.max(...loads.values()) * this.sessions.length) / counts.reduce((a, b) => a + b, 0);
   }
 
   private assignEvenly(): void {
@@ -204,26 +207,6 @@
     this.ranges.splice(at, 1, ...parts);
   }
 
-  private maxOverLevel(
-    serverLoads: ReadonlyMap<number, number>,
-    hottestKeys: ReadonlyMap<number, number>,
-  ): number {
-    const servers = serverLoads.size;
-    let level = REQUESTS_PER_ROUND / servers;
-    let pinnedLoad = 0;
-    let pinned = 0;
-    for (const load of [...hottestKeys.values()].sort((a, b) => b - a)) {
-      if (load <= level || pinned + 1 >= servers) break;
-      pinnedLoad += load;
-      pinned++;
-      level = (REQUESTS_PER_ROUND - pinnedLoad) / (servers - pinned);
-    }
-    const ratios = [...serverLoads].map(
-      ([sessionId, load]) => load / Math.max(level, hottestKeys.get(sessionId) ?? 0),
-    );
-    return Math.max(...ratios);
-  }
-
   private randomRank(): number {
     return uniformInt(this.random, 0, KEYS - 1);
   }
@@ -235,6 +218,27 @@
   }
 }
 
+function maxOverLevel(
+  serverLoads: ReadonlyMap<number, number>,
+  hottestKeys: ReadonlyMap<number, number>,
+  total: number,
+): number {
+  const servers = serverLoads.size;
+  let level = total / servers;
+  let pinnedLoad = 0;
+  let pinned = 0;
+  for (const load of [...hottestKeys.values()].sort((a, b) => b - a)) {
+    if (load <= level || pinned + 1 >= servers) break;
+    pinnedLoad += load;
+    pinned++;
+    level = (total - pinnedLoad) / (servers - pinned);
+  }
+  const ratios = [...serverLoads].map(
+    ([sessionId, load]) => load / Math.max(level, hottestKeys.get(sessionId) ?? 0),
+  );
+  return Math.max(...ratios);
+}
+
 function widthOf({fromPosition, toPosition}: Move): number {
   return toPosition - fromPosition;
 }
--- a/control/placement/src/loadModel.ts
+++ b/control/placement/src/loadModel.ts
@@ -23,13 +23,10 @@
   readonly serverRps: Float64Array;
 }
 
-/** A reported density this far below the median of the servers counts as a missing report. */
-const LYING_DENSITY_SHARE = 0.02;
-
 /**
- * Turns reports into a load per range. A range without a usable report, and every range of a
- * server whose reports are near zero while the others are loaded, counts with the median density
- * of the other servers. Without any load the width in positions counts.
+ * Turns reports into a load per range. A range without a usable report counts with the density of
+ * its server's other ranges, or with the median density of the servers when its server reports
+ * little or reports zero while the others are loaded. Without any load the width counts.
  */
 export function buildLoadModel(input: PlacementInput): LoadModel {
   const servers = [...input.sessions].sort((a, b) => a.sessionId - b.sessionId);
@@ -44,7 +41,9 @@
   }
   const hotKeysOfRange = locateHotKeys(ranges, input.hotKeys);
   const restRps = reportedRest(input, hotKeysOfRange);
-  fillMissing(restRps, widths, serverOfRange, servers.length);
+  const hasHotKeys = new Uint8Array(servers.length);
+  for (const at of hotKeysOfRange.keys()) hasHotKeys[serverOfRange[at]!] = 1;
+  fillMissing(restRps, widths, serverOfRange, hasHotKeys);
   const model: LoadModel = {
     servers,
     serverOfRange,
@@ -167,27 +166,36 @@
   restRps: Float64Array,
   widths: Float64Array,
   serverOfRange: Int32Array,
-  serverCount: number,
+  hasHotKeys: Uint8Array,
 ): void {
+  const serverCount = hasHotKeys.length;
   const knownRps = new Float64Array(serverCount);
   const knownWidth = new Float64Array(serverCount);
+  const ownedWidth = new Float64Array(serverCount);
   for (let at = 0; at < restRps.length; at++) {
     const server = serverOfRange[at]!;
-    if (server < 0 || Number.isNaN(restRps[at]!)) continue;
+    if (server < 0) continue;
+    ownedWidth[server]! += widths[at]!;
+    if (Number.isNaN(restRps[at]!)) continue;
     knownRps[server]! += restRps[at]!;
     knownWidth[server]! += widths[at]!;
   }
-  const density = medianDensity(knownRps, knownWidth);
-  const trusted = Array.from(
-    knownRps,
-    (rps, server) => rps >= LYING_DENSITY_SHARE * density * knownWidth[server]!,
-  );
+  const median = medianDensity(knownRps, knownWidth);
   const anyLoad = knownRps.some((rps) => rps > 0);
+  // Zero for all positions is more often a fault of the target than the truth.
+  const lies = Array.from(knownRps, (rps, server) => rps === 0 && !hasHotKeys[server]);
+  // A server that reports most of its positions is the best estimate for its other ones.
+  const density = Array.from(knownRps, (rps, server) =>
+    !lies[server] && knownWidth[server]! > ownedWidth[server]! / 2
+      ? rps / knownWidth[server]!
+      : median,
+  );
   for (let at = 0; at < restRps.length; at++) {
     const server = serverOfRange[at]!;
-    const known = !Number.isNaN(restRps[at]!) && (server < 0 || trusted[server]!);
     if (!anyLoad) restRps[at] = widths[at]! / POSITION_END;
-    else if (!known) restRps[at] = widths[at]! * density;
+    else if (server < 0) restRps[at] = 0;
+    else if (lies[server] || Number.isNaN(restRps[at]!))
+      restRps[at] = widths[at]! * density[server]!;
   }
 }
 
--- a/control/placement/src/planMoves.ts
+++ b/control/placement/src/planMoves.ts
@@ -110,12 +110,16 @@
     for (const {server, at} of leaving) this.evacuateRange(server, at);
   }
 
+  /** A range that fits nowhere is cut; parts below a twentieth of a server or of the range would only multiply the ranges. */
   private evacuateRange(server: number, rangeIndex: number): void {
-    const fits = rangeRps(this.model, rangeIndex) <= this.evacuationRoom(this.leastLoaded.peek());
+    const loadRps = rangeRps(this.model, rangeIndex);
+    const minRoom = Math.max(this.level, loadRps) / 20;
+    const roomOf = (to: number): number => Math.max(this.level - this.loads[to]!, minRoom);
+    const fits = loadRps <= roomOf(this.leastLoaded.peek());
     for (let piece of this.cut(rangeIndex, fits ? Infinity : this.minKeyRps)) {
       for (;;) {
         const to = this.destination(server);
-        const [part, rest] = fits ? [piece] : splitPiece(piece, this.evacuationRoom(to));
+        const [part, rest] = fits ? [piece] : splitPiece(piece, roomOf(to));
         this.add(part, server, to);
         if (!rest) break;
         piece = rest;
@@ -123,27 +127,27 @@
     }
   }
 
-  private evacuationRoom(server: number): number {
-    // Parts smaller than a twentieth of a server would only multiply the ranges.
-    return Math.max(this.level - this.loads[server]!, 0.05 * this.level);
-  }
-
   /** Moves load from servers over their limit, and to servers far below the level. */
   balance(): void {
-    for (const server of this.overLimit()) {
-      for (const piece of this.hotPieces(server)) this.moveKey(piece, server);
-    }
-    for (const server of this.overLimit()) this.moveRests(server, Infinity);
-    // A server that joins is filled by those that have most, although none is over its limit.
-    const isUnder = (server: number): boolean =>
-      this.loads[server]! < this.level * (1 - this.limits.underShare);
-    if (!this.eligible.some(isUnder)) return;
-    for (const server of this.byExcess(0)) {
-      for (const piece of this.hotPieces(server)) this.moveKeyToUnderloaded(piece, server);
-    }
+    const over = this.overLimit();
+    for (const server of over) this.movePinnedKey(server);
+    // The hottest keys first, whichever server has them, so that they find the largest gaps.
+    const keys = over.flatMap((server) => this.hotPieces(server).map((piece) => ({piece, server})));
+    keys.sort((a, b) => b.piece.loadRps - a.piece.loadRps || a.server - b.server);
+    for (const {piece, server} of keys) this.moveKey(piece, server);
+    for (const server of this.overLimit()) this.moveRests(server);
+    this.fillUnderloaded();
+  }
+
+  /** Fills servers that joined from those that have most, although none is over its limit. */
+  private fillUnderloaded(): void {
+    const limit = this.level * (1 - this.limits.underShare);
+    const under = new Set(this.eligible.filter((server) => this.loads[server]! < limit));
+    if (under.size === 0) return;
     for (const server of this.byExcess(0)) {
-      this.moveRests(server, this.level - this.slack());
+      for (const piece of this.hotPieces(server)) this.moveKeyToUnderloaded(piece, server, under);
     }
+    for (const server of this.byExcess(0)) this.moveRests(server, under);
   }
 
   private overLimit(): number[] {
@@ -156,6 +160,21 @@
       .sort((a, b) => this.excess(b) - this.excess(a) || a - b);
   }
 
+  /**
+   * A key hotter than the level leaves its server when another one has less load besides. This
+   * moves one position, where the server would otherwise have to give away all the others.
+   */
+  private movePinnedKey(server: number): void {
+    const piece = this.hotPieces(server)[0];
+    if (!piece || piece.loadRps <= this.level || this.full()) return;
+    const to = this.leastLoaded.peek();
+    const besides = this.loads[server]! - piece.loadRps;
+    if (to === server || this.loads[to]! + this.slack() >= besides) return;
+    this.add(piece, server, to);
+    this.capacity[to] = Math.max(this.capacity[to]!, piece.loadRps);
+    this.capacity[server] = Math.max(this.level, this.hotPieces(server)[0]?.loadRps ?? 0);
+  }
+
   /**
    * Moves a hot key to the least loaded server that has room for it. Without such a server, the
    * key goes to the server with the least load of hot keys when the higher load of the two falls,
@@ -179,18 +198,18 @@
     this.capacity[keyHost] = capacity;
   }
 
-  private moveKeyToUnderloaded(piece: Piece, server: number): void {
+  private moveKeyToUnderloaded(piece: Piece, server: number, under: Set<number>): void {
     const {loadRps} = piece;
     if (this.full() || loadRps > this.excess(server)) return;
     const to = this.destination(server);
-    if (this.loads[to]! + loadRps > this.level - this.slack()) return;
+    if (!under.has(to) || this.loads[to]! + loadRps > this.level - this.slack()) return;
     // Hot keys change soon; a server that held mostly hot keys would then be idle.
     if (this.keyLoads[to]! + loadRps > this.meanKeyLoad) return;
     this.add(piece, server, to);
   }
 
-  /** Moves positions without hot keys, the densest ranges first, to servers below `maxLoad`. */
-  private moveRests(server: number, maxLoad: number): void {
+  /** Moves positions without hot keys, the densest ranges first, to any server or only to those of `onlyTo`. */
+  private moveRests(server: number, onlyTo?: ReadonlySet<number>): void {
     const {restRps, widths} = this.model;
     const ranges = this.rangesOfServer[server]!.filter((at) => widths[at]! > 1);
     ranges.sort((a, b) => restRps[b]! / widths[b]! - restRps[a]! / widths[a]! || a - b);
@@ -200,7 +219,7 @@
         if (this.excess(server) <= this.slack() || this.full()) return;
         const piece = pieces[index]!;
         if (isPoint(piece)) continue;
-        const rest = this.moveRest(piece, server, maxLoad);
+        const rest = this.moveRest(piece, server, onlyTo);
         if (rest) pieces[index] = rest;
         else pieces.splice(index--, 1);
       }
@@ -208,14 +227,15 @@
   }
 
   /** Moves parts of a piece while that is worth its share of positions; returns what remains. */
-  private moveRest(start: Piece, server: number, maxLoad: number): Piece | undefined {
+  private moveRest(start: Piece, server: number, onlyTo?: ReadonlySet<number>): Piece | undefined {
     let piece = start;
     while (!this.full() && this.excess(server) > this.slack() / 2) {
       const width = piece.toPosition - piece.fromPosition;
       if (piece.loadRps / width < this.limits.minDensity * this.meanDensity) return piece;
       const to = this.destination(server);
-      if (to === server) return piece;
-      const room = Math.min(this.level, maxLoad) - this.loads[to]!;
+      if (to === server || onlyTo?.has(to) === false) return piece;
+      const maxLoad = onlyTo ? this.level - this.slack() : this.level;
+      const room = maxLoad - this.loads[to]!;
       const affordable = (piece.loadRps * this.shareLeft * POSITION_END) / width;
       const loadRps = Math.min(this.excess(server), room, affordable);
       if (loadRps <= 0 || room <= this.slack() / 4) return piece;
--- a/control/placement/src/waterLevel.ts
+++ b/control/placement/src/waterLevel.ts
@@ -1,5 +1,8 @@
 import {rangeRps, type LoadModel} from './loadModel.js';
 
+/** Least level, relative to the mean load; without it, a service whose load is all in hot keys would balance rounding errors. */
+const MIN_LEVEL_SHARE = 0.001;
+
 /**
  * The load that each server should have. A key hotter than the mean cannot be split: it fills one
  * server alone, and the other servers share the remaining load, the level.
@@ -10,7 +13,8 @@
 ): {level: number; capacity: Float64Array} {
   const total = model.serverRps.reduce((sum, load) => sum + load, 0);
   const capacity = new Float64Array(model.servers.length);
-  let level = total / eligible.length;
+  const mean = total / eligible.length;
+  let level = mean;
   let pinned = 0;
   let pinnedRps = 0;
   for (const {loadRps, server} of hottestFirst(model)) {
@@ -18,6 +22,7 @@
     pinned++;
     pinnedRps += loadRps;
     level = (total - pinnedRps) / (eligible.length - pinned);
+    level = Math.max(level, MIN_LEVEL_SHARE * mean);
     capacity[server] ||= loadRps;
   }
   for (const [server, load] of capacity.entries()) capacity[server] = Math.max(load, level);
