Add capacity tooling and the benches of message size and state memory

Cause: the capacity page needs figures that follow from recorded slopes. Change: scripts/capacity.mjs with formulas per role and the daily faults; benches for msgpack bytes and heap bytes; a joining server receives hot keys before other positions; at most 512 moves per plan, as a plan is one log entry that every replica applies at once. Conclusion: slopes of the running system are not measured yet.

--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -2,7 +2,9 @@
 import type {Bench} from './figure.js';
 import {hotKeySettle} from './hotKeySettle.js';
 import {imbalance} from './imbalance.js';
+import {messageSize} from './messageSize.js';
 import {planCost} from './planCost.js';
+import {stateMemory} from './stateMemory.js';
 
 /** All benches by name. */
 export const registry: Readonly<Record<string, Bench>> = {
@@ -26,4 +28,14 @@
     description: 'Time to plan the moves of one service of the design size',
     run: planCost,
   },
+  'message-size': {
+    kind: 'slope',
+    description: 'Bytes of ranges, sessions, documents and changes in msgpack',
+    run: messageSize,
+  },
+  'state-memory': {
+    kind: 'slope',
+    description: 'Heap bytes per range and per session in the control state',
+    run: stateMemory,
+  },
 };
--- /dev/null
+++ b/bench/src/sampleState.ts
@@ -0,0 +1,71 @@
+import {
+  POSITION_END,
+  serviceDocumentSchema,
+  type DirectoryChange,
+  type Range,
+  type ServiceDocument,
+  type Session,
+} from '@medlarlane/model';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+/** Log index of the samples; a system of the design size reaches it within weeks. */
+const LOG_INDEX = 5_000_000;
+
+/** Ranges with random bounds and owners among 2,300 sessions. */
+export function sampleRanges(count: number): Range[] {
+  const random = xoroshiro128plus(7);
+  const starts = Array.from({length: count}, (_, at) =>
+    at === 0 ? 0 : Math.floor(uniformFloat64(random) * POSITION_END),
+  );
+  return starts
+    .sort((a, b) => a - b)
+    .map((startPosition, at) => ({
+      startPosition,
+      ownerSessionId: LOG_INDEX + (at % 2_300),
+      nextSessionId: 0,
+      epoch: LOG_INDEX + at,
+    }));
+}
+
+export function sampleSessions(count: number): Session[] {
+  return Array.from({length: count}, (_, at) => {
+    const host = `10.${(at >> 16) & 255}.${(at >> 8) & 255}.${at & 255}`;
+    return {
+      sessionId: LOG_INDEX + at,
+      draining: false,
+      instanceId: `permit-desk-${at}`,
+      incarnation: `01890a5d-ac96-774b-bcce-${at.toString(16).padStart(12, '0')}`,
+      service: 'tharangam/permit-desk',
+      region: 'kerala-south',
+      availabilityZone: 'alappuzha',
+      callerAddress: `${host}:7100`,
+      peerAddress: `${host}:7101`,
+      adminAddress: `${host}:7103`,
+    };
+  });
+}
+
+export function sampleDocument(): ServiceDocument {
+  return serviceDocumentSchema.parse({
+    service: 'tharangam/permit-desk',
+    hosts: ['permit-desk.tharangam.example'],
+    weighsMost: 'unavailable-time',
+    splitByKey: true,
+    key: {from: 'path', segment: 1},
+    targets: {slots: 14, connections: 120, loadPath: '/load', checksGrants: true},
+  });
+}
+
+/** The change that starts or finishes the move of one hot key out of a range. */
+export function sampleMoveChange(): DirectoryChange {
+  const [range] = sampleRanges(1);
+  const key = 4_503_599_627_370_497;
+  return {
+    kind: 'ranges',
+    service: 'tharangam/permit-desk',
+    fromPosition: key,
+    toPosition: key + 1,
+    ranges: [{...range!, startPosition: key, nextSessionId: LOG_INDEX + 9}],
+  };
+}
--- a/control/placement/src/limits.ts
+++ b/control/placement/src/limits.ts
@@ -17,7 +17,7 @@
   readonly moveSharePerMinute: number;
   /** Longest elapsed time that counts, so that an idle leader does not save up its budget. */
   readonly maxElapsedMs: number;
-  /** Moves of one plan for the sake of load; each is a handover between two daemons. */
+  /** Moves of one plan for the sake of load. A plan is one log entry, which every replica applies at once. */
   readonly maxMoves: number;
   /** Additional load, relative to the level, that a cold server counts with as a destination. */
   readonly coldShare: number;
@@ -29,7 +29,7 @@
   underShare: 0.1,
   hotKeyShare: 0.02,
   maxElapsedMs: 60_000,
-  maxMoves: 4096,
+  maxMoves: 512,
 };
 
 export const PLACEMENT_LIMITS: Readonly<Record<'churn' | 'unavailable-time', PlacementLimits>> = {
--- a/control/placement/src/planMoves.ts
+++ b/control/placement/src/planMoves.ts
@@ -135,19 +135,25 @@
     const keys = over.flatMap((server) => this.hotPieces(server).map((piece) => ({piece, server})));
     keys.sort((a, b) => b.piece.loadRps - a.piece.loadRps || a.server - b.server);
     for (const {piece, server} of keys) this.moveKey(piece, server);
+    this.moveKeysToUnderloaded();
     for (const server of this.overLimit()) this.moveRests(server);
-    this.fillUnderloaded();
+    // A server that joined is filled by those that have most, although none is over its limit.
+    const under = this.underLimit();
+    if (under.size === 0) return;
+    for (const server of this.byExcess(0)) this.moveRests(server, under);
   }
 
-  /** Fills servers that joined from those that have most, although none is over its limit. */
-  private fillUnderloaded(): void {
-    const limit = this.level * (1 - this.limits.underShare);
-    const under = new Set(this.eligible.filter((server) => this.loads[server]! < limit));
+  private moveKeysToUnderloaded(): void {
+    const under = this.underLimit();
     if (under.size === 0) return;
     for (const server of this.byExcess(0)) {
       for (const piece of this.hotPieces(server)) this.moveKeyToUnderloaded(piece, server, under);
     }
-    for (const server of this.byExcess(0)) this.moveRests(server, under);
+  }
+
+  private underLimit(): Set<number> {
+    const limit = this.level * (1 - this.limits.underShare);
+    return new Set(this.eligible.filter((server) => this.loads[server]! < limit));
   }
 
   private overLimit(): number[] {
@@ -200,7 +206,7 @@
 
   private moveKeyToUnderloaded(piece: Piece, server: number, under: Set<number>): void {
     const {loadRps} = piece;
-    if (this.full() || loadRps > this.excess(server)) return;
+    if (this.full() || loadRps > this.excess(server) + this.slack()) return;
     const to = this.destination(server);
     if (!under.has(to) || this.loads[to]! + loadRps > this.level - this.slack()) return;
     // Hot keys change soon; a server that held mostly hot keys would then be idle.
--- /dev/null
+++ b/scripts/capacity.mjs
@@ -0,0 +1,372 @@
+/**
+ * Writes the figures of docs/CAPACITY.md from the recorded slopes in bench/recorded/*.jsonl.
+ * With `--check` it writes nothing and exits 1 when the page and the recorded slopes differ.
+ */
+import {existsSync, readFileSync, readdirSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+
+const root = path.resolve(import.meta.dirname, '..');
+const PAGE = path.join(root, 'docs/CAPACITY.md');
+const RECORDED = path.join(root, 'bench/recorded');
+const BEGIN = '<!-- capacity:begin -->';
+const END = '<!-- capacity:end -->';
+
+/** Design size, from sections 2 and 11 of docs/design.md. */
+const DAEMONS = 2_300;
+const RANGES_PER_DAEMON = 16;
+const HOT_KEYS = 230;
+const RANGES = DAEMONS * RANGES_PER_DAEMON + HOT_KEYS;
+const KEYS = 1.4e9;
+const REGIONS = 4;
+const ZONES = 12;
+const REPLICAS = 12;
+const RENEWALS_PER_SECOND = 1 / 0.3;
+const DOCUMENT_CHANGES_PER_SECOND = 1_200 / 86_400;
+
+/** Assumptions, which the design page does not state. */
+const DOCUMENTS = 300;
+const HOT_KEY_PERIOD_S = 300;
+const RACK_DAEMONS = 24;
+const PLAN_PERIOD_S = 5;
+
+/** Each hot key that changes is moved: one change starts the move and one finishes it. */
+const MOVE_CHANGES_PER_SECOND = (2 * HOT_KEYS) / HOT_KEY_PERIOD_S;
+const DAEMONS_PER_GROUP = DAEMONS / REGIONS;
+
+const watchBytesPerSecond = (v) =>
+  MOVE_CHANGES_PER_SECOND * v['message-size.per-move-change'] +
+  DOCUMENT_CHANGES_PER_SECOND * v['message-size.per-document'];
+const snapshotBytes = (v) =>
+  RANGES * v['message-size.per-range'] +
+  DAEMONS * v['message-size.per-session'] +
+  DOCUMENTS * v['message-size.per-document'];
+const stateBytes = (v) =>
+  RANGES * v['state-memory.per-range'] + DAEMONS * v['state-memory.per-session'];
+const keysOf = (daemons) => (KEYS * daemons) / DAEMONS;
+const lossChangeBytes = (daemons) => (v) =>
+  (daemons * RANGES_PER_DAEMON * v['message-size.per-move-change']) / 1_000;
+const MESSAGE_SIZES = ['message-size.per-move-change', 'message-size.per-document'];
+
+/** One row per figure; `slopes` are names of recorded figures, `compute` receives their values. */
+const FIGURES = {
+  Daemon: [
+    {
+      figure: 'CPU for renewals and directory changes',
+      formula: 'renewals/s x renewal CPU + changes/s x change CPU',
+      slopes: ['renewal-cost.daemon-cpu', 'directory-cost.change-cpu'],
+      compute: (v) =>
+        (RENEWALS_PER_SECOND * v['renewal-cost.daemon-cpu'] +
+          (MOVE_CHANGES_PER_SECOND + DOCUMENT_CHANGES_PER_SECOND) *
+            v['directory-cost.change-cpu']) /
+        1e4,
+      unit: '% of a core',
+      limit: 2.4,
+    },
+    {
+      figure: 'Memory of the directory copy',
+      formula: 'ranges x bytes per range + sessions x bytes per session',
+      slopes: ['state-memory.per-range', 'state-memory.per-session'],
+      compute: (v) => stateBytes(v) / 1e6,
+      unit: 'MB',
+      limit: 256,
+    },
+    {
+      figure: 'Memory with the process itself',
+      formula: 'memory of an idle daemon + directory copy',
+      slopes: ['daemon-memory.idle', 'state-memory.per-range', 'state-memory.per-session'],
+      compute: (v) => v['daemon-memory.idle'] + stateBytes(v) / 1e6,
+      unit: 'MB',
+      limit: 256,
+    },
+    {
+      figure: 'Traffic of the watch stream',
+      formula: 'move changes/s x bytes + document changes/s x bytes',
+      slopes: MESSAGE_SIZES,
+      compute: (v) => watchBytesPerSecond(v) / 1_000,
+      unit: 'KB/s',
+      limit: 3,
+    },
+    {
+      figure: 'Traffic of the watch stream and the lease',
+      formula: 'watch stream + renewals/s x bytes per renewal and answer',
+      slopes: [...MESSAGE_SIZES, 'renewal-cost.bytes'],
+      compute: (v) =>
+        (watchBytesPerSecond(v) + RENEWALS_PER_SECOND * v['renewal-cost.bytes']) / 1_000,
+      unit: 'KB/s',
+      limit: 3,
+    },
+    {
+      figure: 'Snapshot after a restart',
+      formula: 'ranges, sessions and documents x bytes of each',
+      slopes: ['message-size.per-range', 'message-size.per-session', 'message-size.per-document'],
+      compute: (v) => snapshotBytes(v) / 1e6,
+      unit: 'MB',
+    },
+  ],
+  'Control replica': [
+    {
+      figure: 'Instances dedicated to control',
+      formula: '3 replicas x regions',
+      slopes: [],
+      compute: () => 3 * REGIONS,
+      unit: 'instances',
+      limit: 16,
+    },
+    {
+      figure: 'Memory of the state',
+      formula: 'ranges x bytes per range + sessions x bytes per session',
+      slopes: ['state-memory.per-range', 'state-memory.per-session'],
+      compute: (v) => stateBytes(v) / 1e6,
+      unit: 'MB',
+    },
+    {
+      figure: 'Traffic to its watchers',
+      formula: 'daemons / replicas x traffic of one watch stream',
+      slopes: MESSAGE_SIZES,
+      compute: (v) => ((DAEMONS / REPLICAS) * watchBytesPerSecond(v)) / 1_000,
+      unit: 'KB/s',
+    },
+    {
+      figure: 'CPU to apply and send changes',
+      formula: 'changes/s x (apply CPU + watchers x send CPU)',
+      slopes: ['replica-cost.apply-cpu', 'replica-cost.watch-send-cpu'],
+      compute: (v) =>
+        ((MOVE_CHANGES_PER_SECOND + DOCUMENT_CHANGES_PER_SECOND) *
+          (v['replica-cost.apply-cpu'] + (DAEMONS / REPLICAS) * v['replica-cost.watch-send-cpu'])) /
+        1e4,
+      unit: '% of a core',
+    },
+    {
+      figure: 'Log written per day',
+      formula: 'changes per day x bytes of a log entry',
+      slopes: ['log-cost.bytes-per-entry'],
+      compute: (v) =>
+        ((MOVE_CHANGES_PER_SECOND + DOCUMENT_CHANGES_PER_SECOND) *
+          86_400 *
+          v['log-cost.bytes-per-entry']) /
+        1e6,
+      unit: 'MB',
+    },
+  ],
+  'Control leader': [
+    {
+      figure: 'CPU for renewals',
+      formula: 'daemons of the group x renewals/s x renewal CPU',
+      slopes: ['renewal-cost.leader-cpu'],
+      compute: (v) =>
+        (DAEMONS_PER_GROUP * RENEWALS_PER_SECOND * v['renewal-cost.leader-cpu']) / 1e4,
+      unit: '% of a core',
+      limit: 100,
+    },
+    {
+      figure: 'Time of one plan, all daemons in one service',
+      formula: 'recorded time at the design size',
+      slopes: ['plan-cost.design-size'],
+      compute: (v) => v['plan-cost.design-size'],
+      unit: 'ms',
+      limit: 100,
+    },
+    {
+      figure: 'CPU for planning',
+      formula: `ranges of the group x planning time per range / ${PLAN_PERIOD_S} s`,
+      slopes: ['plan-cost.per-range'],
+      compute: (v) => ((RANGES / REGIONS) * v['plan-cost.per-range']) / PLAN_PERIOD_S / 1e4,
+      unit: '% of a core',
+    },
+    {
+      figure: 'Memory of the load reports',
+      formula: 'ranges of the group x bytes per range load',
+      slopes: ['state-memory.per-range-load'],
+      compute: (v) => ((RANGES / REGIONS) * v['state-memory.per-range-load']) / 1e6,
+      unit: 'MB',
+    },
+    {
+      figure: 'Time to replace a lost leader',
+      formula: 'recorded time from the loss to the first commit',
+      slopes: ['election.time'],
+      compute: (v) => v['election.time'],
+      unit: 's',
+      limit: 0.8,
+    },
+  ],
+  CLI: [
+    {
+      figure: 'Time until a change is in force everywhere',
+      formula: 'recorded time of apply --wait',
+      slopes: ['apply-change.in-force'],
+      compute: (v) => v['apply-change.in-force'],
+      unit: 's',
+      limit: 8,
+    },
+    {
+      figure: 'Changes that one group commits',
+      formula: 'recorded commits/s of one group x seconds per day',
+      slopes: ['apply-change.commits-per-second'],
+      compute: (v) => v['apply-change.commits-per-second'] * 86_400,
+      unit: 'changes/day',
+      atLeast: 1_200,
+    },
+  ],
+  'Daily faults': [
+    ...faultRows('3 instances lost', 3, {slope: 'failover.time', limit: 3}),
+    ...faultRows('140 instances restarted', 2 * 140, {slope: 'planned-move.gap', limit: 3}),
+    ...faultRows('A rack lost', RACK_DAEMONS, {slope: 'failover-rack.time', limit: 3}),
+    ...faultRows('A zone lost', DAEMONS / ZONES, {slope: 'failover-zone.time', limit: 3}),
+    {
+      figure: 'A region cut off for an hour: keys moved',
+      formula: 'none, while the targets of a service run in its home region',
+      slopes: [],
+      compute: () => 0,
+      unit: 'keys',
+    },
+    {
+      figure: 'A region cut off for an hour: time that callers there cannot use other regions',
+      formula: 'length of the cut',
+      slopes: [],
+      compute: () => 3_600,
+      unit: 's',
+    },
+    {
+      figure: 'A region cut off for an hour: changes to catch up',
+      formula: 'changes/s x 3,600 s x bytes, at most one snapshot',
+      slopes: [...MESSAGE_SIZES, 'message-size.per-range', 'message-size.per-session'],
+      compute: (v) => Math.min(watchBytesPerSecond(v) * 3_600, snapshotBytes(v)) / 1e6,
+      unit: 'MB per daemon',
+    },
+    {
+      figure: 'A region cut off for an hour: time until services of other regions refuse there',
+      formula: 'recorded time from the cut to the refusal',
+      slopes: ['region-cut.stale'],
+      compute: (v) => v['region-cut.stale'],
+      unit: 's',
+      limit: 8,
+    },
+  ],
+};
+
+const block = render(readSlopes());
+const page = readFileSync(PAGE, 'utf8');
+const begin = page.indexOf(BEGIN);
+const end = page.indexOf(END);
+if (begin < 0 || end < begin) throw new Error('docs/CAPACITY.md has no markers');
+const updated = `${page.slice(0, begin + BEGIN.length)}\n${block}\n${page.slice(end)}`;
+if (process.argv.includes('--check')) {
+  if (updated !== page) {
+    console.error('docs/CAPACITY.md is out of date, run "npm run capacity"');
+    process.exit(1);
+  }
+} else {
+  writeFileSync(PAGE, updated);
+}
+
+/** Ranges and keys that move, bytes that each daemon receives, and the time without an owner. */
+function faultRows(fault, daemons, unavailable) {
+  const ranges = daemons * RANGES_PER_DAEMON;
+  return [
+    {
+      figure: `${fault}: keys moved`,
+      formula: `keys x ${short(daemons)} / daemons`,
+      slopes: [],
+      compute: () => keysOf(daemons),
+      unit: 'keys',
+    },
+    {
+      figure: `${fault}: messages to daemons`,
+      formula: `${short(ranges)} ranges and ${short(daemons)} sessions x daemons`,
+      slopes: [],
+      compute: () => (ranges + daemons) * DAEMONS,
+      unit: 'changes',
+    },
+    {
+      figure: `${fault}: bytes to each daemon`,
+      formula: `${short(ranges)} ranges x bytes per change`,
+      slopes: ['message-size.per-move-change'],
+      compute: lossChangeBytes(daemons),
+      unit: 'KB',
+    },
+    {
+      figure: `${fault}: unavailable time of a key`,
+      formula: `recorded ${unavailable.slope}`,
+      slopes: [unavailable.slope],
+      compute: (v) => v[unavailable.slope],
+      unit: 's',
+      limit: unavailable.limit,
+    },
+  ];
+}
+
+/** The latest record of each figure. */
+function readSlopes() {
+  const slopes = new Map();
+  const files = existsSync(RECORDED) ? readdirSync(RECORDED) : [];
+  for (const file of files.filter((name) => name.endsWith('.jsonl')).sort()) {
+    for (const line of readFileSync(path.join(RECORDED, file), 'utf8').split('\n')) {
+      if (line === '') continue;
+      const record = JSON.parse(line);
+      slopes.set(record.name, record);
+    }
+  }
+  return slopes;
+}
+
+function render(slopes) {
+  const sections = Object.entries(FIGURES).map(([title, rows]) => {
+    const lines = rows.map((row) => renderRow(row, slopes));
+    return [
+      `## ${title}`,
+      '',
+      '| Figure | Formula | Value | Limit | Verdict |',
+      '| --- | --- | --- | --- | --- |',
+      ...lines,
+    ].join('\n');
+  });
+  return `\n${[...sections, renderSlopes(slopes)].join('\n\n')}\n`;
+}
+
+function renderRow({figure, formula, slopes: names, compute, unit, limit, atLeast}, slopes) {
+  const known = names.every((name) => slopes.has(name));
+  const value = known
+    ? compute(Object.fromEntries(names.map((name) => [name, slopes.get(name).value])))
+    : undefined;
+  const limitText =
+    limit !== undefined ? `at most ${short(limit)}` : atLeast ? `at least ${short(atLeast)}` : '';
+  const cells = [
+    figure,
+    formula,
+    known ? `${short(value)} ${unit}` : 'not measured',
+    limitText === '' ? 'none stated' : `${limitText} ${unit}`,
+    verdict(value, limit, atLeast),
+  ];
+  return `| ${cells.join(' | ')} |`;
+}
+
+function verdict(value, limit, atLeast) {
+  if (value === undefined) return 'not measured';
+  if (limit !== undefined) return value <= limit ? 'met' : 'not met';
+  if (atLeast !== undefined) return value >= atLeast ? 'met' : 'not met';
+  return '';
+}
+
+function renderSlopes(slopes) {
+  const names = [
+    ...new Set(Object.values(FIGURES).flatMap((rows) => rows.flatMap((row) => row.slopes))),
+  ].sort();
+  const lines = names.map((name) => {
+    const record = slopes.get(name);
+    if (!record) return `| ${name} | not measured |  |  |`;
+    const {value, unit, commit, date} = record;
+    return `| ${name} | ${short(value)} ${unit} | ${commit} | ${date.slice(0, 10)} |`;
+  });
+  return [
+    '## Recorded slopes',
+    '',
+    '| Slope | Value | Commit | Date |',
+    '| --- | --- | --- | --- |',
+    ...lines,
+  ].join('\n');
+}
+
+function short(value) {
+  const rounded = Number(value.toPrecision(3));
+  return rounded.toLocaleString('en-US', {maximumFractionDigits: 6});
+}
