--- a/control/placement/src/loadModel.ts
+++ b/control/placement/src/loadModel.ts
@@ -23,26 +23,27 @@
   readonly serverRps: Float64Array;
 }
 
-/** A reported density this far below the median of the servers counts as a missing report. */
-const LYING_DENSITY_SHARE = 0.02;
-
 /**
- * Turns reports into a load per range. A range without a usable report, and every range of a
- * server whose reports are near zero while the others are loaded, counts with the median density
- * of the other servers. Without any load the width in positions counts.
+ * Turns reports into a load per range. A range without a usable report counts with the density of
+ * its server's other ranges, or with the median density of the servers when its server reports
+ * little or reports zero while the others are loaded. Without any load the width counts.
  */
 export function buildLoadModel(input: PlacementInput): LoadModel {
   const servers = [...input.sessions].sort((a, b) => a.sessionId - b.sessionId);
   const indexById = new Map(servers.map(({sessionId}, index) => [sessionId, index]));
   const {ranges} = input;
-  const widths = Float64Array.from(ranges, (range, at) => widthOf(ranges, at, range));
-  const serverOfRange = Int32Array.from(
-    ranges,
-    (range) => indexById.get(range.nextSessionId || range.ownerSessionId) ?? -1,
-  );
+  const widths = new Float64Array(ranges.length);
+  const serverOfRange = new Int32Array(ranges.length);
+  for (let at = 0; at < ranges.length; at++) {
+    const {startPosition, ownerSessionId, nextSessionId} = ranges[at]!;
+    widths[at] = (ranges[at + 1]?.startPosition ?? POSITION_END) - startPosition;
+    serverOfRange[at] = indexById.get(nextSessionId || ownerSessionId) ?? -1;
+  }
   const hotKeysOfRange = locateHotKeys(ranges, input.hotKeys);
   const restRps = reportedRest(input, hotKeysOfRange);
-  fillMissing(restRps, widths, serverOfRange, servers.length);
+  const hasHotKeys = new Uint8Array(servers.length);
+  for (const at of hotKeysOfRange.keys()) hasHotKeys[serverOfRange[at]!] = 1;
+  fillMissing(restRps, widths, serverOfRange, hasHotKeys);
   const model: LoadModel = {
     servers,
     serverOfRange,
@@ -150,40 +151,51 @@
   input: PlacementInput,
   hotKeysOfRange: ReadonlyMap<number, readonly HotKey[]>,
 ): Float64Array {
-  return Float64Array.from(input.ranges, ({startPosition}, at) => {
-    const reported = input.rangeLoads.get(startPosition);
-    if (!isUsable(reported)) return Number.NaN;
-    let rest = reported;
-    for (const {rateRps} of hotKeysOfRange.get(at) ?? []) rest -= rateRps;
-    return Math.max(0, rest);
-  });
+  const restRps = new Float64Array(input.ranges.length);
+  for (let at = 0; at < restRps.length; at++) {
+    const reported = input.rangeLoads.get(input.ranges[at]!.startPosition);
+    restRps[at] = isUsable(reported) ? reported : Number.NaN;
+  }
+  for (const [at, hotKeys] of hotKeysOfRange) {
+    for (const {rateRps} of hotKeys) restRps[at] = Math.max(0, restRps[at]! - rateRps);
+  }
+  return restRps;
 }
 
 function fillMissing(
   restRps: Float64Array,
   widths: Float64Array,
   serverOfRange: Int32Array,
-  serverCount: number,
+  hasHotKeys: Uint8Array,
 ): void {
+  const serverCount = hasHotKeys.length;
   const knownRps = new Float64Array(serverCount);
   const knownWidth = new Float64Array(serverCount);
+  const ownedWidth = new Float64Array(serverCount);
   for (let at = 0; at < restRps.length; at++) {
     const server = serverOfRange[at]!;
-    if (server < 0 || Number.isNaN(restRps[at]!)) continue;
+    if (server < 0) continue;
+    ownedWidth[server]! += widths[at]!;
+    if (Number.isNaN(restRps[at]!)) continue;
     knownRps[server]! += restRps[at]!;
     knownWidth[server]! += widths[at]!;
   }
-  const density = medianDensity(knownRps, knownWidth);
-  const trusted = Array.from(
-    knownRps,
-    (rps, server) => rps >= LYING_DENSITY_SHARE * density * knownWidth[server]!,
-  );
+  const median = medianDensity(knownRps, knownWidth);
   const anyLoad = knownRps.some((rps) => rps > 0);
+  // Zero for all positions is more often a fault of the target than the truth.
+  const lies = Array.from(knownRps, (rps, server) => rps === 0 && !hasHotKeys[server]);
+  // A server that reports most of its positions is the best estimate for its other ones.
+  const density = Array.from(knownRps, (rps, server) =>
+    !lies[server] && knownWidth[server]! > ownedWidth[server]! / 2
+      ? rps / knownWidth[server]!
+      : median,
+  );
   for (let at = 0; at < restRps.length; at++) {
     const server = serverOfRange[at]!;
-    const known = !Number.isNaN(restRps[at]!) && (server < 0 || trusted[server]!);
     if (!anyLoad) restRps[at] = widths[at]! / POSITION_END;
-    else if (!known) restRps[at] = widths[at]! * density;
+    else if (server < 0) restRps[at] = 0;
+    else if (lies[server] || Number.isNaN(restRps[at]!))
+      restRps[at] = widths[at]! * density[server]!;
   }
 }
 
@@ -197,10 +209,6 @@
   return densities[densities.length >> 1] ?? 0;
 }
 
-function widthOf(ranges: readonly Range[], at: number, range: Range): number {
-  return (ranges[at + 1]?.startPosition ?? POSITION_END) - range.startPosition;
-}
-
 function isUsable(rateRps: number | undefined): rateRps is number {
   return rateRps !== undefined && Number.isFinite(rateRps) && rateRps >= 0;
 }
