--- /dev/null
+++ b/targets/announce/test/startTargetListener.test.ts
@@ -0,0 +1,183 @@
+import assert from 'node:assert/strict';
+import {request as httpRequest} from 'node:http';
+import {test} from 'node:test';
+import type {TestContext} from 'node:test';
+import {startTargetListener} from '@medlarlane/announce';
+import type {TargetChange, TargetListener, TargetListenerOptions} from '@medlarlane/announce';
+import {MedlarlaneError} from '@medlarlane/errors';
+import {ManualClock} from '@medlarlane/lifecycle';
+
+const FIRST = {service: 'prairie-crag/wallboard', port: 7101, incarnation: 'first'};
+
+test('A target is announced once, re-announced after a restart and withdrawn', async (t) => {
+  const {listener, kinds} = await start(t);
+  assert.equal((await send(listener, 'PUT', FIRST)).status, 204);
+  assert.equal((await send(listener, 'PUT', FIRST)).status, 204);
+  assert.deepEqual(listener.current, {
+    service: FIRST.service,
+    address: '127.0.0.1:7101',
+    incarnation: 'first',
+  });
+  await send(listener, 'PUT', {...FIRST, incarnation: 'second'});
+  assert.equal((await send(listener, 'DELETE', {incarnation: 'second'})).status, 204);
+  assert.deepEqual(kinds(), ['announced', 'reannounced', 'withdrawn']);
+  assert.equal(listener.current, undefined);
+});
+
+test('A late announcement does not bring back a withdrawn incarnation', async (t) => {
+  const {listener, kinds} = await start(t);
+  await send(listener, 'PUT', FIRST);
+  const withdrawn = await sendText(listener, 'DELETE', '', '/v1/target?incarnation=first');
+  assert.equal(withdrawn.status, 204);
+  assert.equal((await send(listener, 'PUT', FIRST)).status, 409);
+  assert.equal((await send(listener, 'DELETE', FIRST)).status, 204);
+  assert.deepEqual(kinds(), ['announced', 'withdrawn']);
+});
+
+test('A withdrawal is answered only when the daemon has finished its work', async (t) => {
+  let finish = (): void => undefined;
+  const finished = new Promise<void>((resolve) => (finish = resolve));
+  const {listener} = await start(t, {finishWork: () => finished});
+  await send(listener, 'PUT', FIRST);
+  let answered = false;
+  const withdrawal = send(listener, 'DELETE', FIRST).then(() => (answered = true));
+  // A successor must not take over while the old target still has work.
+  while (listener.current) await new Promise(setImmediate);
+  const successor = await send(listener, 'PUT', {...FIRST, port: 7102, incarnation: 'second'});
+  assert.equal(successor.status, 409);
+  assert.equal(answered, false);
+  finish();
+  await withdrawal;
+});
+
+test('Silence of 3 s is reported, and a pause of the daemon itself is not silence', async (t) => {
+  const clock = new PausableClock();
+  const {listener, kinds} = await start(t, {clock});
+  await send(listener, 'PUT', FIRST);
+  await clock.advance(2749);
+  await send(listener, 'PUT', FIRST);
+  await clock.advance(3000);
+  assert.equal(listener.current?.incarnation, 'first');
+  await clock.advance(1);
+  assert.deepEqual(kinds(), ['announced', 'silent']);
+  assert.equal(listener.current, undefined);
+
+  await send(listener, 'PUT', FIRST);
+  clock.pausedMs += 60_000;
+  await clock.advance(250);
+  assert.deepEqual(kinds(), ['announced', 'silent', 'announced']);
+});
+
+test('Another target is refused while one lives and accepted after it is forgotten', async (t) => {
+  const {listener, kinds} = await start(t);
+  const other = {...FIRST, port: 7102, incarnation: 'other'};
+  await send(listener, 'PUT', FIRST);
+  assert.equal((await send(listener, 'PUT', other)).status, 409);
+  assert.equal((await send(listener, 'DELETE', other)).status, 409);
+  assert.equal(listener.current?.incarnation, 'first');
+  listener.forget('other');
+  assert.equal(listener.current?.incarnation, 'first');
+  listener.forget('first');
+  assert.equal((await send(listener, 'PUT', other)).status, 204);
+  assert.deepEqual(kinds(), ['announced', 'announced']);
+});
+
+const REFUSED: Array<{name: string; method: string; path?: string; body: string; status: number}> =
+  [
+    {name: 'no JSON', method: 'PUT', body: '{"service":', status: 400},
+    {name: 'an empty body', method: 'PUT', body: '', status: 400},
+    {
+      name: 'a missing port',
+      method: 'PUT',
+      body: '{"service":"a/b","incarnation":"x"}',
+      status: 400,
+    },
+    {name: 'port 0', method: 'PUT', body: JSON.stringify({...FIRST, port: 0}), status: 400},
+    {name: 'no team', method: 'PUT', body: JSON.stringify({...FIRST, service: 'b'}), status: 400},
+    {name: 'a large body', method: 'PUT', body: JSON.stringify('x'.repeat(5000)), status: 413},
+    {name: 'another method', method: 'POST', body: '{}', status: 405},
+    {name: 'another path', method: 'PUT', path: '/v2/target', body: '{}', status: 404},
+    {name: 'no incarnation', method: 'DELETE', body: '{}', status: 400},
+  ];
+
+for (const {name, method, path, body, status} of REFUSED) {
+  test(`A request with ${name} is refused with ${status} and changes nothing`, async (t) => {
+    const {listener, kinds} = await start(t);
+    const answer = await sendText(listener, method, body, path);
+    assert.equal(answer.status, status);
+    assert.equal(answer.contentType, 'application/problem+json');
+    const problem = JSON.parse(answer.text) as {status: number; code: string; ran: string};
+    assert.deepEqual(
+      [problem.status, problem.code, problem.ran],
+      [status, 'REQUEST_INVALID', 'no'],
+    );
+    assert.deepEqual(kinds(), []);
+  });
+}
+
+test('The listener does not open a port beyond the loopback interface', async () => {
+  await assert.rejects(
+    startTargetListener({host: '0.0.0.0', port: 0}),
+    (error) => error instanceof MedlarlaneError && error.code === 'SETTINGS_INVALID',
+  );
+});
+
+/** A clock whose process was paused: time has passed, and no sleeper was woken. */
+class PausableClock extends ManualClock {
+  pausedMs = 0;
+
+  override nowMs(): number {
+    return super.nowMs() + this.pausedMs;
+  }
+}
+
+async function start(
+  t: TestContext,
+  opts: Partial<TargetListenerOptions> = {},
+): Promise<{listener: TargetListener; kinds: () => string[]}> {
+  const listener = await startTargetListener({port: 0, clock: new ManualClock(), ...opts});
+  t.after(() => listener.close());
+  const changes: TargetChange[] = [];
+  listener.onChange((change) => changes.push(change));
+  return {listener, kinds: () => changes.map(({kind}) => kind)};
+}
+
+interface Answer {
+  status: number;
+  contentType: string | undefined;
+  text: string;
+}
+
+function send(listener: TargetListener, method: string, body: unknown): Promise<Answer> {
+  return sendText(listener, method, JSON.stringify(body));
+}
+
+function sendText(
+  listener: TargetListener,
+  method: string,
+  body: string,
+  path = '/v1/target',
+): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const request = httpRequest(`http://${listener.address}${path}`, {
+      method,
+      agent: false,
+      // Without a length, Node.js sends the body of a DELETE unframed.
+      headers: {'content-length': Buffer.byteLength(body)},
+    });
+    request.on('error', reject);
+    request.on('response', (response) => {
+      let text = '';
+      response.setEncoding('utf8');
+      response.on('data', (chunk: string) => (text += chunk));
+      response.on('end', () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          contentType: response.headers['content-type'],
+          text,
+        }),
+      );
+    });
+    request.end(body);
+  });
+}
