Add the link to the local target and the contract tests

Cause: the daemon probes its target, grants it ownership and must learn quickly that it died. Ruled out: measuring a grant's expiry from receipt alone. A grant that waits in the socket buffer of a frozen target would be valid for its full time after the thaw, while another server owns the keys. Change: targets/target-link with probes, grants, drain, cancellation, load reports and an idle connection whose end, confirmed by a refused connect, reports a dead process. The target answers each grant with a token of its own clock, the next grant returns it, and the expiry is measured from the moment the token was issued; the first grant gives no time. Targets without tokens work as before. Conclusion: a real process stopped and continued beyond the lease ran nothing that had waited. For targets that issue no token the delayed grant remains open.

--- a/targets/example-target/src/grantChecker.ts
+++ b/targets/example-target/src/grantChecker.ts
@@ -14,6 +14,8 @@
   epoch: z.int().min(0),
   expiresInMs: z.number().min(0).max(60_000),
   ranges: z.array(grantRangeSchema).max(100_000).optional(),
+  /** Token of an earlier answer: the expiry is measured from when the token was issued. */
+  clockToken: z.string().max(256).optional(),
 });
 export type Grant = z.infer<typeof grantSchema>;
 
@@ -23,12 +25,22 @@
   /** Newest epochs granted; kept after a range leaves the grant, so that old requests stay refused. */
   private newest: GrantRange[] = [];
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly incarnation: string,
+    private readonly clock: Clock,
+  ) {}
 
-  /** Accepts a grant; `false` when a newer epoch was granted before. */
+  /** A token for the next grant. It names this moment on the clock of this process. */
+  issueToken(): string {
+    return `${this.incarnation}@${this.clock.nowMs()}`;
+  }
+
+  /** Accepts a grant; `false` when a newer epoch was granted before or the token is not ours. */
   accept(grant: Grant): boolean {
     if (this.current && grant.epoch < this.current.grant.epoch) return false;
-    this.current = {grant, expiresAtMs: this.clock.nowMs() + grant.expiresInMs};
+    const measuredFromMs = this.measuredFromMs(grant.clockToken);
+    if (measuredFromMs === undefined) return false;
+    this.current = {grant, expiresAtMs: measuredFromMs + grant.expiresInMs};
     for (const range of grant.ranges ?? []) this.remember(range);
     return true;
   }
@@ -52,6 +64,15 @@
     return epoch < newestEpoch ? 'the epoch of the request is older than the grant' : undefined;
   }
 
+  private measuredFromMs(clockToken: string | undefined): number | undefined {
+    const nowMs = this.clock.nowMs();
+    if (clockToken === undefined) return nowMs;
+    const separator = clockToken.lastIndexOf('@');
+    if (clockToken.slice(0, separator) !== this.incarnation) return undefined;
+    const issuedMs = Number(clockToken.slice(separator + 1));
+    return issuedMs >= 0 && issuedMs <= nowMs ? issuedMs : undefined;
+  }
+
   private remember(added: GrantRange): void {
     const replaced = (old: GrantRange): boolean =>
       old.startPosition >= added.startPosition &&
--- a/targets/example-target/src/startExampleTarget.ts
+++ b/targets/example-target/src/startExampleTarget.ts
@@ -85,6 +85,7 @@
 type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void> | void;
 
 class RunningTarget implements ExampleTarget {
+  port = 0;
   readonly incarnation: string;
   private readonly name: string;
   private readonly clock: Clock;
@@ -97,6 +98,7 @@
   private readonly idleWaiters: Array<() => void> = [];
   private announcer: Announcer | undefined;
   private thawed: Promise<void> | undefined;
+  private readonly thaw = new AbortController();
   private stopping: Promise<void> | undefined;
   private inFlight = 0;
   private draining = false;
@@ -115,14 +117,10 @@
     this.clock = opts.clock ?? systemClock;
     this.logger = loggerFor('target', opts.logger ?? silentLogger);
     this.incarnation = opts.incarnation ?? randomUUID();
-    this.grants = new GrantChecker(this.clock);
+    this.grants = new GrantChecker(this.incarnation, this.clock);
     this.server = createServer((request, response) => void this.handle(request, response));
   }
 
-  get port(): number {
-    return (this.server.address() as AddressInfo).port;
-  }
-
   get address(): string {
     return `127.0.0.1:${this.port}`;
   }
@@ -132,6 +130,7 @@
       this.server.once('error', reject);
       this.server.listen(port, '127.0.0.1', resolve);
     });
+    this.port = (this.server.address() as AddressInfo).port;
     const {daemon, service} = this.opts;
     this.logger.info({port: this.port, service}, 'Target listens');
     if (daemon === undefined) return;
@@ -158,9 +157,12 @@
   }
 
   freeze(durationMs: number): void {
-    const thawed = this.clock.sleep(durationMs).then(() => {
-      if (this.thawed === thawed) this.thawed = undefined;
-    });
+    const thawed = this.clock
+      .sleep(durationMs, {signal: this.thaw.signal})
+      .catch(() => undefined)
+      .then(() => {
+        if (this.thawed === thawed) this.thawed = undefined;
+      });
     this.thawed = thawed;
   }
 
@@ -172,6 +174,8 @@
   async kill(): Promise<void> {
     const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
     this.server.closeAllConnections();
+    this.thaw.abort();
+    for (const abort of this.working.values()) abort.abort();
     await this.announcer?.stop();
     await closed;
   }
@@ -303,10 +307,10 @@
     const grant = grantSchema.safeParse(JSON.parse(await readText(request)));
     if (!grant.success) return sendJson(response, 400, {problem: grant.error.message});
     if (!this.grants.accept(grant.data)) {
-      return sendJson(response, 409, {problem: 'a newer epoch was granted before'});
+      return sendJson(response, 409, {problem: 'the epoch or the clock token is out of date'});
     }
     this.counts.grants += 1;
-    response.writeHead(204).end();
+    sendJson(response, 200, {clockToken: this.grants.issueToken()});
   }
 
   private startDraining(response: ServerResponse): void {
--- /dev/null
+++ b/targets/target-link/test/targetContract.test.ts
@@ -0,0 +1,290 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {test} from 'node:test';
+import type {TestContext} from 'node:test';
+import {request} from 'undici';
+import {startTargetListener} from '@medlarlane/announce';
+import {parseFault, startExampleTarget} from '@medlarlane/example-target';
+import type {ExampleTargetOptions, TargetStats} from '@medlarlane/example-target';
+import {rulesOf, sendWork, SERVICE, startLink, startTargetProcess, until} from './support.js';
+
+const LIMIT = {timeout: 30_000};
+
+const PROBES: Array<{
+  name: string;
+  target: Partial<ExampleTargetOptions>;
+  freeze?: boolean;
+  ok: boolean;
+  reason: string | undefined;
+}> = [
+  {name: 'a healthy target', target: {}, ok: true, reason: undefined},
+  {name: 'a target that takes 6 ms', target: {probeDelayMs: 6}, ok: true, reason: undefined},
+  {name: 'a frozen target', target: {}, freeze: true, ok: false, reason: 'timeout'},
+];
+
+for (const {name, target, freeze, ok, reason} of PROBES) {
+  test(`Three probes of ${name} are observed as ${reason ?? 'ok'}`, LIMIT, async (t) => {
+    const running = await startExampleTarget({service: SERVICE, ...target});
+    t.after(() => running.kill());
+    if (freeze) running.freeze(3_600_000);
+    const timeoutMs = ok ? 10_000 : 30;
+    const probe = {path: '/healthz', intervalMs: 20, timeoutMs, failures: 3};
+    const {probes, isGone} = startLink(t, running.address, {rules: rulesOf({probe})});
+    await until(() => probes.length >= 3);
+    assert.deepEqual(
+      probes.slice(0, 3).map((seen) => [seen.ok, seen.reason, seen.failed]),
+      [1, 2, 3].map((count) => [ok, reason, !ok && count === 3]),
+    );
+    // Timers may fire a fraction of a millisecond early.
+    if (target.probeDelayMs) assert.ok(probes.every(({latencyMs}) => latencyMs >= 5));
+    assert.equal(isGone(), false, 'a frozen target is not a dead process');
+  });
+}
+
+const MALFORMED: Array<{name: string; answer: string; reason: RegExp}> = [
+  {name: 'garbage', answer: '\u0000 not HTTP\r\n\r\n', reason: /./},
+  {
+    name: 'an oversized body',
+    answer: `HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n${'x'.repeat(200_000)}`,
+    reason: /larger than 65536 bytes/,
+  },
+  {
+    name: 'a cut body',
+    answer: 'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf',
+    reason: /./,
+  },
+  {
+    name: 'a server error',
+    answer: 'HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n',
+    reason: /^status 500$/,
+  },
+];
+
+for (const {name, answer, reason} of MALFORMED) {
+  test(`A probe answered with ${name} counts as failed`, LIMIT, async (t) => {
+    const {probes} = startLink(t, await startRawServer(t, answer));
+    await until(() => probes.length > 0);
+    assert.equal(probes[0]?.ok, false);
+    assert.match(probes[0]?.reason ?? '', reason);
+  });
+}
+
+test('A killed target process is reported although no probe is due', LIMIT, async (t) => {
+  const {child, address} = await startTargetProcess(t, []);
+  const probe = {path: '/healthz', intervalMs: 3_600_000, timeoutMs: 250, failures: 3};
+  const {isGone, probes} = startLink(t, address, {rules: rulesOf({probe})});
+  await until(() => probes.length === 1);
+  assert.equal(isGone(), false);
+  child.kill('SIGKILL');
+  await until(isGone);
+});
+
+test('A target that closes idle connections is not reported as gone', LIMIT, async (t) => {
+  let connections = 0;
+  const server = createServer((socket) => {
+    connections += 1;
+    socket.destroy();
+  });
+  const {isGone} = startLink(t, await listen(t, server));
+  await until(() => connections > 20);
+  assert.equal(isGone(), false);
+});
+
+test(
+  'A target refuses work without a grant, outside its ranges and of old epochs',
+  LIMIT,
+  async (t) => {
+    const target = await startExampleTarget({service: SERVICE, checksGrants: true});
+    t.after(() => target.kill());
+    const ranges = [{startPosition: 100, endPosition: 200, epoch: 7}];
+    const grant = {epoch: 9, leaseRemainingMs: 60_000, ranges};
+    const {link} = startLink(t, target.address, {
+      rules: rulesOf({checksGrants: true}),
+      grant: () => grant,
+    });
+    assert.equal(await link.pushGrant(), true);
+    const cases = [
+      {position: 100, epoch: 7, status: 200},
+      {position: 199, epoch: 8, status: 200},
+      {position: 100, epoch: 6, status: 409},
+      {position: 200, epoch: 9, status: 409},
+      {position: 99, epoch: 9, status: 409},
+    ];
+    for (const {position, epoch, status} of cases) {
+      const headers = {'medlarlane-position': `${position}`, 'medlarlane-epoch': `${epoch}`};
+      const answer = await sendWork(target.address, headers);
+      assert.equal(answer.status, status, JSON.stringify({position, epoch}));
+      assert.equal(answer.ran, status === 409 ? 'no' : undefined);
+    }
+    assert.equal((await sendWork(target.address)).status, 409, 'a request without epoch');
+    assert.equal(target.stats().runs, 2);
+  },
+);
+
+test(
+  'A target frozen beyond the lease runs nothing that waited in its sockets',
+  LIMIT,
+  async (t) => {
+    const {child, address} = await startTargetProcess(t, ['--checks-grants']);
+    const leaseMs = 1200;
+    let leaseEndMs = performance.now() + 60_000;
+    const {link} = startLink(t, address, {
+      rules: rulesOf({checksGrants: true}),
+      grant: () => {
+        const leaseRemainingMs = leaseEndMs - performance.now();
+        return leaseRemainingMs > 0 ? {epoch: 5, leaseRemainingMs} : undefined;
+      },
+    });
+    const headers = {'medlarlane-epoch': '5'};
+    assert.equal(await link.pushGrant(), true);
+    assert.equal((await sendWork(address, headers)).status, 200);
+
+    leaseEndMs = performance.now() + leaseMs;
+    await link.pushGrant();
+    const grantsBefore = (await statsOf(address)).grants;
+    child.kill('SIGSTOP');
+    // A grant and then a request reach the socket buffers while the process stands still.
+    assert.equal(await link.pushGrant(), false);
+    const waiting = sendWork(address, headers);
+    await until(() => performance.now() > leaseEndMs);
+    child.kill('SIGCONT');
+    await until(async () => (await statsOf(address)).grants > grantsBefore);
+    for (const work of [waiting, sendWork(address, headers)]) {
+      const answer = await work;
+      assert.deepEqual([answer.status, answer.ran], [409, 'no']);
+    }
+    assert.equal((await statsOf(address)).runs, 1);
+  },
+);
+
+test('A cancelled request ends early and says that it may have run', LIMIT, async (t) => {
+  const target = await startExampleTarget({service: SERVICE, delayMs: 3_600_000});
+  t.after(() => target.kill());
+  const {link} = startLink(t, target.address);
+  const work = sendWork(target.address, {'medlarlane-request-id': 'a/b'});
+  await until(() => target.stats().runs === 1);
+  assert.equal(await link.cancel('other'), false);
+  assert.equal(await link.cancel('a/b'), true);
+  const answer = await work;
+  assert.deepEqual([answer.status, answer.ran], [499, 'unknown']);
+});
+
+test('Drain notification and load reports reach the daemon and the target', LIMIT, async (t) => {
+  const target = await startExampleTarget({service: SERVICE, slots: 14});
+  t.after(() => target.kill());
+  const loads: unknown[] = [];
+  const {link} = startLink(t, target.address, {
+    rules: rulesOf({loadPath: '/load'}),
+    onLoadReport: (load) => loads.push(load),
+  });
+  assert.equal(await link.notifyDrain(), true);
+  assert.equal(target.stats().draining, true);
+  await until(() => loads.length > 0);
+  assert.deepEqual(loads[0], {slots: 14, inFlight: 0, queued: 0});
+});
+
+const FAULTS: Array<{name: string; fault: string; outcome: 'broken' | 'crashed' | 'ok'}> = [
+  {name: 'a cut body', fault: 'cut', outcome: 'broken'},
+  {name: 'garbage', fault: 'garbage', outcome: 'broken'},
+  {name: 'a crash', fault: 'crash', outcome: 'crashed'},
+  {name: 'a delay', fault: 'delay=10', outcome: 'ok'},
+  {name: 'a short freeze', fault: 'freeze=20', outcome: 'ok'},
+];
+
+for (const {name, fault, outcome} of FAULTS) {
+  test(`The fault switch for ${name} makes a request ${outcome}`, LIMIT, async (t) => {
+    let crashed = false;
+    const target = await startExampleTarget({
+      service: SERVICE,
+      allowFaults: true,
+      crash: () => {
+        crashed = true;
+        void target.kill();
+      },
+    });
+    t.after(() => target.kill());
+    const work = sendWork(target.address, {'medlarlane-fault': fault});
+    if (outcome === 'ok') assert.equal((await work).status, 200);
+    else await assert.rejects(work);
+    assert.equal(crashed, outcome === 'crashed');
+    assert.equal(target.stats().runs, 1, 'the run is counted although its answer is lost');
+  });
+}
+
+test('Fault headers are ignored unless the option allows them', LIMIT, async (t) => {
+  const target = await startExampleTarget({service: SERVICE});
+  t.after(() => target.kill());
+  assert.equal((await sendWork(target.address, {'medlarlane-fault': 'cut'})).status, 200);
+  assert.equal(parseFault('explode'), undefined);
+});
+
+test(
+  'A restart at the same port is re-announced, a second target waits for the first',
+  LIMIT,
+  async (t) => {
+    const listener = await startTargetListener({port: 0});
+    t.after(() => listener.close());
+    const kinds: string[] = [];
+    listener.onChange(({kind}) => kinds.push(kind));
+    const opts = {service: SERVICE, daemon: listener.address};
+    const first = await startExampleTarget(opts);
+    await until(() => kinds.length === 1);
+    await first.kill();
+    const restarted = await startExampleTarget({...opts, port: first.port});
+    await until(() => kinds.length === 2);
+    assert.equal(listener.current?.incarnation, restarted.incarnation);
+
+    const second = await startExampleTarget(opts);
+    t.after(() => second.kill());
+    const {isGone} = startLink(t, restarted.address, {
+      onGone: () => listener.forget(restarted.incarnation),
+    });
+    assert.equal(isGone(), false);
+    assert.equal(listener.current?.incarnation, restarted.incarnation);
+    await restarted.kill();
+    await until(() => listener.current?.incarnation === second.incarnation);
+    assert.deepEqual(kinds, ['announced', 'reannounced', 'announced']);
+  },
+);
+
+test(
+  'A stopping target serves until the daemon confirms and cuts off no request',
+  LIMIT,
+  async (t) => {
+    let confirm = (): void => undefined;
+    const confirmed = new Promise<void>((resolve) => (confirm = resolve));
+    const listener = await startTargetListener({port: 0, finishWork: () => confirmed});
+    t.after(() => listener.close());
+    const opts = {service: SERVICE, daemon: listener.address, delayMs: 100};
+    const target = await startExampleTarget(opts);
+    await until(() => listener.current !== undefined);
+    const stopped = target.stop();
+    await until(() => listener.current === undefined);
+    const late = sendWork(target.address);
+    await until(() => target.stats().inFlight === 1);
+    confirm();
+    assert.equal((await late).status, 200);
+    await stopped;
+  },
+);
+
+async function statsOf(address: string): Promise<TargetStats> {
+  return (await (await request(`http://${address}/stats`)).body.json()) as TargetStats;
+}
+
+async function startRawServer(t: TestContext, answer: string): Promise<string> {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => socket.end(answer));
+  });
+  return listen(t, server);
+}
+
+async function listen(t: TestContext, server: ReturnType<typeof createServer>): Promise<string> {
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  t.after(() => server.close());
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
