Add certificates for mutual TLS with rotation without a restart

Cause: peer and control listeners authenticate both sides, and certificates expire while they run. Ruled out: one fixed undici connector, which keeps the first certificate. Conclusion: on a live HTTP/1.1 and HTTP/2 server old connections live on, new ones get the new certificate, and clients without a certificate, of another or of a replaced authority are refused.

--- /dev/null
+++ b/kernel/tls/test/tls.test.ts
@@ -0,0 +1,318 @@
+import assert from 'node:assert/strict';
+import {X509Certificate} from 'node:crypto';
+import {once} from 'node:events';
+import {copyFile, mkdtemp, rm, writeFile} from 'node:fs/promises';
+import http2 from 'node:http2';
+import https from 'node:https';
+import type {AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {test} from 'node:test';
+import type {TestContext} from 'node:test';
+import tls from 'node:tls';
+import type {TLSSocket} from 'node:tls';
+import {Agent, request} from 'undici';
+import {MedlarlaneError} from '@medlarlane/errors';
+import {issueTestCertificates} from '@medlarlane/fixtures';
+import type {IssuedFiles} from '@medlarlane/fixtures';
+import {createLogger} from '@medlarlane/logger';
+import type {Logger} from '@medlarlane/logger';
+import {clientTlsOptions, loadTlsMaterial, watchTlsMaterial} from '@medlarlane/tls';
+import type {ClientTlsOptions, ServerTlsOptions, TlsFiles, TlsWatcher} from '@medlarlane/tls';
+
+const LIMIT = {timeout: 30_000};
+const DAY_MS = 86_400_000;
+
+const BROKEN: Array<{
+  name: string;
+  files: (folder: string) => Promise<TlsFiles>;
+  problem: RegExp;
+}> = [
+  {
+    name: 'an expired certificate',
+    files: async (folder) =>
+      one(await issueTestCertificates(folder, ['a'], {validFromMs: -DAY_MS, validToMs: -1000})),
+    problem: /certFile: the certificate expired/,
+  },
+  {
+    name: 'a certificate of the future',
+    files: async (folder) => one(await issueTestCertificates(folder, ['a'], {validFromMs: 60_000})),
+    problem: /not valid before/,
+  },
+  {
+    name: "another certificate's key",
+    files: async (folder) => {
+      const {a, b} = await issueTestCertificates(folder, ['a', 'b']);
+      return {...one({a}), keyFile: one({b}).keyFile};
+    },
+    problem: /keyFile: the key does not belong/,
+  },
+  {
+    name: 'another authority of the same name',
+    files: async (folder) => ({
+      ...one(await issueTestCertificates(folder, ['a'])),
+      caFile: one(await issueTestCertificates(path.join(folder, 'other'), ['a'])).caFile,
+    }),
+    problem: /not signed by a valid authority/,
+  },
+  {
+    name: 'a server certificate as authority',
+    files: async (folder) => {
+      const files = one(await issueTestCertificates(folder, ['a']));
+      return {...files, caFile: files.certFile};
+    },
+    problem: /not signed by a valid authority/,
+  },
+  {
+    name: 'a key file without a key',
+    files: async (folder) => {
+      const files = one(await issueTestCertificates(folder, ['a']));
+      await writeFile(files.keyFile, 'nothing');
+      return files;
+    },
+    problem: /keyFile: the file holds no readable private key/,
+  },
+  {
+    name: 'missing files',
+    files: async (folder) => ({
+      certFile: path.join(folder, 'x'),
+      keyFile: path.join(folder, 'y'),
+      caFile: path.join(folder, 'z'),
+    }),
+    problem: /certFile: ENOENT.*keyFile: ENOENT.*caFile: ENOENT/,
+  },
+];
+
+for (const {name, files, problem} of BROKEN) {
+  test(`Loading ${name} is refused with the problem`, LIMIT, async (t) => {
+    const broken = await files(await createFolder(t));
+    await assert.rejects(loadTlsMaterial(broken), (error) => {
+      assert.ok(error instanceof MedlarlaneError);
+      assert.equal(error.code, 'SETTINGS_INVALID');
+      assert.match((error.details['problems'] as string[]).join(' '), problem);
+      return true;
+    });
+  });
+}
+
+interface LiveServer {
+  port: number;
+  /** Opens a connection and sends a request on it whenever called. */
+  connect(options: Partial<ClientTlsOptions>): Promise<LiveConnection>;
+}
+
+interface LiveConnection {
+  /** Sends a request and returns the serial number of the server's certificate. */
+  call(): Promise<string>;
+  close(): void;
+}
+
+const SERVERS: Record<
+  string,
+  (t: TestContext, watcher: TlsWatcher, options: ServerTlsOptions) => Promise<LiveServer>
+> = {
+  'HTTP/1.1': startHttp1,
+  'HTTP/2': startHttp2,
+};
+
+for (const [protocol, start] of Object.entries(SERVERS)) {
+  test(`Rotation on a live ${protocol} server keeps old connections`, LIMIT, async (t) => {
+    const {folder, files, watcher} = await startWatcher(t);
+    const server = await start(t, watcher, watcher.serverTlsOptions());
+    const oldSerial = serialOf(watcher.material.cert);
+    const old = await server.connect(watcher.clientTlsOptions());
+    assert.equal(await old.call(), oldSerial);
+
+    const replacement = await issueTestCertificates(path.join(folder, 'new'), ['daemon']);
+    await install(one(replacement), files);
+    assert.equal(await watcher.reload(), true);
+    const newSerial = serialOf(watcher.material.cert);
+    assert.notEqual(newSerial, oldSerial);
+    const fresh = await server.connect(watcher.clientTlsOptions());
+    assert.equal(await fresh.call(), newSerial);
+    assert.equal(await old.call(), oldSerial);
+    old.close();
+    fresh.close();
+  });
+
+  test(`A ${protocol} server refuses clients without a certificate it trusts`, LIMIT, async (t) => {
+    const {folder, files, watcher} = await startWatcher(t);
+    const server = await start(t, watcher, watcher.serverTlsOptions());
+    const call = async (options: Partial<ClientTlsOptions>): Promise<string> => {
+      const connection = await server.connect(options);
+      return connection.call().finally(() => connection.close());
+    };
+    const {ca} = watcher.material;
+    await assert.rejects(call({ca}), 'a client without a certificate');
+    const other = await issueTestCertificates(path.join(folder, 'other'), ['daemon']);
+    const foreign = clientTlsOptions(await loadTlsMaterial(one(other)));
+    await assert.rejects(call({...foreign, ca}), 'a client of another authority');
+    await assert.rejects(call(foreign), 'a client that does not trust the server');
+    assert.equal(await call(watcher.clientTlsOptions()), serialOf(watcher.material.cert));
+
+    // After the authority is replaced, its former clients are refused too.
+    const former = watcher.clientTlsOptions();
+    await install(one(other), files);
+    await watcher.reload();
+    await assert.rejects(
+      call({...former, ca: watcher.material.ca}),
+      'a client of the old authority',
+    );
+  });
+}
+
+test('One connector of undici uses the old and then the new material', LIMIT, async (t) => {
+  const {folder, files, watcher} = await startWatcher(t);
+  const server = await startHttp1(t, watcher, watcher.serverTlsOptions());
+  const connect = watcher.clientConnector({timeoutMs: 5000});
+  const call = async (): Promise<string> => {
+    const agent = new Agent({connect});
+    t.after(() => agent.destroy());
+    const answer = await request(`https://127.0.0.1:${server.port}/`, {dispatcher: agent});
+    return answer.body.text();
+  };
+  assert.equal(await call(), 'served');
+  // The authority changes as well, so a handshake with the old material would fail.
+  const replacement = await issueTestCertificates(path.join(folder, 'new'), ['daemon']);
+  await install(one(replacement), files);
+  await watcher.reload();
+  assert.equal(await call(), 'served');
+});
+
+test(
+  'Broken new files keep the old material, are logged once and can be repaired',
+  LIMIT,
+  async (t) => {
+    const lines: string[] = [];
+    const logger = createLogger();
+    logger.error = ((_fields: object, message: string) =>
+      lines.push(message)) as unknown as Logger['error'];
+    logger.child = (() => logger) as unknown as Logger['child'];
+    const {folder, files, watcher} = await startWatcher(t, logger);
+    const before = watcher.material;
+    const replacement = one(await issueTestCertificates(path.join(folder, 'new'), ['daemon']));
+    await copyFile(replacement.certFile, files.certFile);
+    assert.equal(await watcher.reload(), false);
+    assert.equal(await watcher.reload(), false);
+    assert.equal(watcher.material, before);
+    assert.equal(lines.length, 1);
+    await install(replacement, files);
+    assert.equal(await watcher.reload(), true);
+  },
+);
+
+async function startWatcher(
+  t: TestContext,
+  logger?: Logger,
+): Promise<{folder: string; files: TlsFiles; watcher: TlsWatcher}> {
+  const folder = await createFolder(t);
+  const files = one(await issueTestCertificates(folder, ['daemon']));
+  const watcher = await watchTlsMaterial(files, logger ? {logger} : {});
+  t.after(() => watcher.close());
+  return {folder, files, watcher};
+}
+
+async function startHttp1(
+  t: TestContext,
+  watcher: TlsWatcher,
+  options: ServerTlsOptions,
+): Promise<LiveServer> {
+  const server = https.createServer(options, (_request, response) => response.end('served'));
+  const port = await listen(t, watcher, server);
+  t.after(() => server.closeAllConnections());
+  return {
+    port,
+    connect: async (clientOptions) => {
+      const agent = new https.Agent({keepAlive: true, maxSockets: 1, ...clientOptions});
+      return {
+        call: () =>
+          new Promise((resolve, reject) => {
+            const call = https.get({host: '127.0.0.1', port, agent}, (response) => {
+              const serial = serialOfPeer(response.socket, response.socket as TLSSocket);
+              response.resume().once('end', () => resolve(serial));
+            });
+            call.once('error', reject);
+          }),
+        close: () => agent.destroy(),
+      };
+    },
+  };
+}
+
+async function startHttp2(
+  t: TestContext,
+  watcher: TlsWatcher,
+  options: ServerTlsOptions,
+): Promise<LiveServer> {
+  const server = http2.createSecureServer(options);
+  server.on('stream', (stream) => {
+    stream.respond({':status': 200});
+    stream.end('served');
+  });
+  server.on('sessionError', () => undefined);
+  const port = await listen(t, watcher, server);
+  return {
+    port,
+    connect: async (clientOptions) => {
+      const session = http2.connect(`https://127.0.0.1:${port}`, clientOptions);
+      let failure: unknown;
+      session.on('error', (error) => (failure = error));
+      t.after(() => session.destroy());
+      return {
+        call: async () => {
+          const stream = session.request({':path': '/'});
+          stream.resume();
+          // A session that was refused may close its streams without an error of their own.
+          const status = await new Promise<number | undefined>((resolve, reject) => {
+            stream.once('error', reject);
+            stream.once('response', (headers) => resolve(headers[':status']));
+            stream.once('close', () => resolve(undefined));
+          });
+          if (status !== 200) throw failure ?? new Error('The stream closed without a response');
+          return serialOfPeer(session, session.socket as TLSSocket);
+        },
+        close: () => session.destroy(),
+      };
+    },
+  };
+}
+
+async function listen(t: TestContext, watcher: TlsWatcher, server: tls.Server): Promise<number> {
+  watcher.keepUpdated(server);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  t.after(() => server.close());
+  return (server.address() as AddressInfo).port;
+}
+
+async function createFolder(t: TestContext): Promise<string> {
+  const folder = await mkdtemp(path.join(tmpdir(), 'medlarlane-tls-'));
+  t.after(() => rm(folder, {recursive: true}));
+  return folder;
+}
+
+async function install(from: TlsFiles, to: TlsFiles): Promise<void> {
+  await copyFile(from.certFile, to.certFile);
+  await copyFile(from.keyFile, to.keyFile);
+  await copyFile(from.caFile, to.caFile);
+}
+
+function one(issued: Record<string, IssuedFiles | undefined>): IssuedFiles {
+  const files = Object.values(issued)[0];
+  assert.ok(files);
+  return files;
+}
+
+function serialOf(pem: string): string {
+  return new X509Certificate(pem).serialNumber;
+}
+
+/** Serial numbers by connection: Node.js returns the peer's certificate only at first. */
+const serials = new WeakMap<object, string>();
+
+function serialOfPeer(connection: object, socket: TLSSocket): string {
+  const serial = serials.get(connection) ?? socket.getPeerX509Certificate()?.serialNumber;
+  assert.ok(serial);
+  serials.set(connection, serial);
+  return serial;
+}
