--- a/targets/announce/src/startTargetListener.ts
+++ b/targets/announce/src/startTargetListener.ts
@@ -142,12 +142,14 @@
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     try {
-      const path = (request.url ?? '').split('?')[0];
-      if (path !== '/v1/target') throw new HttpProblem(404, `No resource at ${path}`);
+      const {pathname, searchParams} = new URL(request.url ?? '', 'http://daemon');
+      if (pathname !== '/v1/target') throw new HttpProblem(404, `No resource at ${pathname}`);
       if (request.method === 'PUT') {
         this.announce(await readBody(request, announcementSchema));
       } else if (request.method === 'DELETE') {
-        await this.withdraw((await readBody(request, withdrawalSchema)).incarnation);
+        // Some HTTP clients cannot send a body with DELETE, so the query is accepted as well.
+        const named = searchParams.get('incarnation');
+        await this.withdraw(named ?? (await readBody(request, withdrawalSchema)).incarnation);
       } else {
         response.setHeader('allow', 'PUT, DELETE');
         throw new HttpProblem(405, `Method ${request.method} is not supported`);
