Follow the local target by probes, grants and its process; spread reports of crashes

Cause: a target that died or froze was noticed only by refused connections, and a request that crashes targets was not recognised anywhere. Change: the supervisor uses the target link (probes, load reports, grants, watch of the process) and the health tracker, blames the requests in flight at a crash and reports them through the log; grants follow each change of the directory; failures that callers can provoke eject at most half of a service.

--- a/apps/daemon/src/startDaemon.ts
+++ b/apps/daemon/src/startDaemon.ts
@@ -29,7 +29,7 @@
     const controlClient = await kernel.get('controlClient');
     const targetListener = await kernel.get('targetListener');
     controlClient.start();
-    supervisor.start(targetListener);
+    supervisor.start();
     return {
       addresses: {
         ...(await kernel.get('addresses')),
--- a/apps/daemon/src/targetSupervisor.ts
+++ b/apps/daemon/src/targetSupervisor.ts
@@ -2,58 +2,92 @@
 import type {LocalTarget, TargetChange, TargetListener} from '@medlarlane/announce';
 import type {ControlClient} from '@medlarlane/control-client';
 import type {Directory} from '@medlarlane/directory';
+import type {Verdict} from '@medlarlane/health';
 import {timeoutSignal} from '@medlarlane/lifecycle';
 import type {BackgroundTasks, Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
 import type {Registration, ServiceDocument} from '@medlarlane/model';
 import type {Lease, Ownership} from '@medlarlane/ownership';
-import {OpenTarget} from './localTarget.js';
+import {EjectionGuard} from './ejectionGuard.js';
+import {OpenTarget} from './openTarget.js';
 
 export interface TargetSupervisorOptions {
   readonly controlClient: ControlClient;
   readonly directory: Directory;
   readonly lease: Lease;
   readonly ownership: Ownership;
+  readonly listener: TargetListener;
   readonly clock: Clock;
   readonly tasks: BackgroundTasks;
   readonly logger: Logger;
   /** What this daemon registers besides its service and incarnation. */
   readonly facts: () => Omit<Registration, 'service' | 'incarnation'>;
   readonly drainTimeoutMs: number;
+  /** The target's process ended without withdrawal. */
+  readonly onCrash: () => void;
 }
 
 const DRAIN_REPEAT_INTERVAL_MS = 300;
+// A target that fails its work but answers probes is not tried again at once.
+const PASSIVE_FAILURE_PAUSE_MS = 10_000;
+
+type ChangeHandler = (target: LocalTarget) => Promise<void>;
 
 /**
  * Follows the announced target: opens connections to it, registers a session for its service, and
  * drains or gives up the session when the target leaves or fails.
  */
 export class TargetSupervisor {
-  private target: OpenTarget | undefined;
+  private open: OpenTarget | undefined;
   private work: Promise<void> = Promise.resolve();
-
-  constructor(private readonly opts: TargetSupervisorOptions) {}
+  private pausedUntilMs = -Infinity;
+  private readonly ejections: EjectionGuard;
+
+  private readonly handlers: Readonly<Record<TargetChange['kind'], ChangeHandler>> = {
+    announced: (target) => this.openTarget(target),
+    reannounced: async (target) => {
+      await this.closeTarget();
+      await this.openTarget(target);
+    },
+    withdrawn: async () => {
+      await this.drain('target withdrawn');
+      await this.closeTarget();
+      this.register(undefined);
+    },
+    silent: async (target) => {
+      if (this.open?.target.incarnation === target.incarnation) this.fail('no announcement');
+    },
+  };
+
+  constructor(private readonly opts: TargetSupervisorOptions) {
+    this.ejections = new EjectionGuard(opts.directory, opts.clock);
+  }
 
   /** The target that runs requests now. */
   get current(): OpenTarget | undefined {
-    return this.target;
+    return this.open;
   }
 
   /** Registers this daemon without a target, and follows the announcements. */
-  start(listener: TargetListener): void {
+  start(): void {
+    const {listener, directory} = this.opts;
     this.register(undefined);
-    listener.onChange((change) => this.enqueue(() => this.handle(change)));
+    listener.onChange(({kind, target}) => this.enqueue(() => this.handlers[kind](target)));
+    directory.onChange(() => this.followDirectory());
   }
 
   /** The target failed: it serves nothing more until it announces itself anew. */
   fail(reason: string): void {
-    const failed = this.target;
+    const failed = this.open;
     if (!failed) return;
-    this.target = undefined;
+    this.open = undefined;
     this.opts.logger.warn({reason, address: failed.address}, 'Target failed.');
     this.enqueue(async () => {
+      await this.opts.controlClient.giveUp(reason);
       await failed.close();
-      await this.reregister(undefined, reason);
+      this.register(undefined);
+      // The next announcement, of this process or of its successor, opens it again.
+      this.opts.listener.forget(failed.target.incarnation);
     });
   }
 
@@ -62,6 +96,7 @@
     const {controlClient, clock, drainTimeoutMs, logger} = this.opts;
     logger.info({reason}, 'Draining.');
     const untilMs = clock.nowMs() + drainTimeoutMs;
+    await this.open?.link.notifyDrain();
     await this.waitUntilMovedAway(untilMs);
     // Requests for services that are not split by key stop coming once the drain is in force.
     await this.waitUntilIdle(untilMs);
@@ -69,6 +104,11 @@
     await controlClient.giveUp(reason);
   }
 
+  /** Resolves when the changes of the target seen so far have been acted upon. */
+  settled(): Promise<void> {
+    return this.work;
+  }
+
   /** Cuts what still runs at the target. */
   async close(): Promise<void> {
     await this.closeTarget();
@@ -76,35 +116,52 @@
 
   private enqueue(step: () => Promise<void>): void {
     this.work = this.work.then(step).catch((failure: unknown) => {
+      if (this.opts.tasks.signal.aborted) return;
       this.opts.logger.error({err: failure}, 'Following the target failed.');
     });
   }
 
-  private async handle({kind, target}: TargetChange): Promise<void> {
-    const handlers = {
-      announced: () => this.open(target),
-      reannounced: async () => {
-        await this.closeTarget();
-        await this.open(target);
-      },
-      withdrawn: async () => {
-        await this.drain('target withdrawn');
-        await this.closeTarget();
-        this.register(undefined);
-      },
-      silent: async () => {
-        this.fail('no announcement');
-      },
-    };
-    await handlers[kind]();
-  }
-
-  private async open(announced: LocalTarget): Promise<void> {
+  private async openTarget(announced: LocalTarget): Promise<void> {
+    const {clock, tasks, logger, ownership, lease} = this.opts;
     const document = await this.waitForDocument(announced.service);
-    this.target = new OpenTarget(announced, document);
+    const pauseMs = this.pausedUntilMs - clock.nowMs();
+    if (pauseMs > 0) await clock.sleep(pauseMs, {signal: tasks.signal});
+    const opened = new OpenTarget(announced, document, {
+      clock,
+      logger,
+      grant: () => (lease.isValid() ? ownership.grant(lease.remainingMs) : undefined),
+      onGone: () => this.handleGone(opened),
+      onVerdict: (verdict) => this.handleVerdict(opened, verdict),
+    });
+    this.open = opened;
     await this.reregister(announced.service, 'target announced');
   }
 
+  private handleGone(gone: OpenTarget): void {
+    if (this.open !== gone) return;
+    this.opts.onCrash();
+    this.fail('process ended');
+  }
+
+  private handleVerdict(judged: OpenTarget, {state, reason}: Verdict): void {
+    if (state !== 'failed' || this.open !== judged) return;
+    if (reason === 'passive-failures') {
+      if (!this.ejections.isAllowed(judged.target.service)) return;
+      this.pausedUntilMs = this.opts.clock.nowMs() + PASSIVE_FAILURE_PAUSE_MS;
+    }
+    this.fail(reason ?? 'unhealthy');
+  }
+
+  /** Passes a new document, and a grant of newly owned ranges, on to the target. */
+  private followDirectory(): void {
+    const {open} = this;
+    if (!open) return;
+    const document = this.opts.directory.document(open.target.service)?.document;
+    if (document) open.link.updateRules(document);
+    this.ejections.observe(open.target.service);
+    void open.link.pushGrant();
+  }
+
   /** A target may announce itself before its team applies the document. */
   private async waitForDocument(service: string): Promise<ServiceDocument> {
     for (;;) {
@@ -143,8 +200,8 @@
   }
 
   private async closeTarget(): Promise<void> {
-    const closing = this.target;
-    this.target = undefined;
+    const closing = this.open;
+    this.open = undefined;
     await closing?.close();
   }
 
--- a/apps/daemon/src/wireDaemon.ts
+++ b/apps/daemon/src/wireDaemon.ts
@@ -20,6 +20,7 @@
 import {LoadMeter} from '@medlarlane/load-meter';
 import {createLogger, loggerFor} from '@medlarlane/logger';
 import {openLogStore} from '@medlarlane/log-store';
+import type {PoisonReport} from '@medlarlane/model';
 import {Lease, Ownership, RangeReleaser} from '@medlarlane/ownership';
 import {PoisonTable} from '@medlarlane/poison';
 import {RetryBudget} from '@medlarlane/retry';
@@ -162,7 +163,13 @@
     })
     .register('poison', async (services) => {
       const {instanceId} = await services.get('settings');
-      return new PoisonTable({reporterId: instanceId, clock: await services.get('clock')});
+      const clock = await services.get('clock');
+      // The count of crashes starts anew with each process, so the reporter must be new as well.
+      const poison = new PoisonTable({reporterId: `${instanceId}.${clock.wallMs()}`, clock});
+      (await services.get('directory')).onPoison((report, reportedAtMs) => {
+        poison.merge(withAge(report, Math.max(0, clock.wallMs() - reportedAtMs)));
+      });
+      return poison;
     })
     .register(
       'inFlightRequests',
@@ -195,6 +202,8 @@
         directory: await services.get('directory'),
         lease: await services.get('lease'),
         ownership: await services.get('ownership'),
+        listener: await services.get('targetListener'),
+        onCrash: await reportCrash(services),
         clock: await services.get('clock'),
         tasks: await services.get('tasks'),
         logger: loggerFor('target', await services.get('logger')),
@@ -225,10 +234,13 @@
         target: () => targetSupervisor.current,
         outcomes: {
           sent: (requestId, fingerprints) => inFlightRequests.sent(requestId, fingerprints),
-          ended: (requestId, ending) => inFlightRequests.ended(requestId, ending),
+          ended: (requestId, ending) => {
+            inFlightRequests.ended(requestId, ending);
+            targetSupervisor.current?.takeOutcome(ending);
+          },
           refused: () => targetSupervisor.fail('connection refused'),
         },
-        cancel: () => undefined,
+        cancel: (requestId) => void targetSupervisor.current?.link.cancel(requestId),
         loadHint: () => inFlightRequests.count,
         ownerAddress: () => addresses.caller,
       });
@@ -256,6 +268,7 @@
       const controlClient = await services.get('controlClient');
       const idempotency = await services.get('idempotency');
       const peers = await services.get('peers');
+      const targetSupervisor = await services.get('targetSupervisor');
       const releaser = new RangeReleaser({
         lease: await services.get('lease'),
         ownership: await services.get('ownership'),
@@ -263,8 +276,11 @@
         tasks: await services.get('tasks'),
         clock: await services.get('clock'),
         logger: loggerFor('release', await services.get('logger')),
-        handOver: (destination, ranges, signal) =>
-          handOver(destination, ranges, signal, {idempotency, peers}),
+        handOver: async (destination, ranges, signal) => {
+          // A target that checks grants gives the ranges up before the next owner may gain them.
+          await targetSupervisor.current?.link.pushGrant();
+          await handOver(destination, ranges, signal, {idempotency, peers});
+        },
         resume: ({service, range, endPosition}) =>
           idempotency.resume({service, from: range.startPosition, to: endPosition}),
         release: (ranges) => controlClient.release(ranges),
@@ -328,12 +344,25 @@
         await startTargetListener({
           ...targetListen,
           logger: await services.get('logger'),
+          // The supervisor asks for this listener, so it is looked up when it is needed.
+          finishWork: async () => (await services.get('targetSupervisor')).settled(),
         }),
         (listener) => listener.close(),
       );
     });
 }
 
+/** Blames the requests in flight at a crash, here and on all other daemons. */
+async function reportCrash(services: Kernel): Promise<() => void> {
+  const inFlightRequests = await services.get('inFlightRequests');
+  const poison = await services.get('poison');
+  const controlClient = await services.get('controlClient');
+  return () => {
+    poison.crashed(inFlightRequests.blame());
+    if (!poison.isEmpty) controlClient.reportPoison(poison.export());
+  };
+}
+
 /** The address that others use for a listener. */
 function told(listen: HostPort, {port}: {port: number}, settings: DaemonSettings): string {
   return formatHostPort(advertisedAddress({host: listen.host, port}, settings));
@@ -349,6 +378,15 @@
   return isUnspecified(host) ? {} : {localAddress: host};
 }
 
+/** A report as it is after some time on its way. */
+function withAge(report: PoisonReport, elapsedMs: number): PoisonReport {
+  return report.map(({fingerprint, quarantinedForMs, crashes}) => ({
+    fingerprint,
+    ...(quarantinedForMs === undefined ? {} : {quarantinedForMs: quarantinedForMs + elapsedMs}),
+    crashes: crashes.map((crash) => ({...crash, ageMs: crash.ageMs + elapsedMs})),
+  }));
+}
+
 function firstMembers({controlReplicas}: DaemonSettings): {
   voters: string[];
   learners: string[];
--- a/routing/ownership/src/ownership.ts
+++ b/routing/ownership/src/ownership.ts
@@ -17,6 +17,13 @@
   leave(): void;
 }
 
+/** Ranges with their epochs, for targets that check grants. */
+export interface OwnershipGrant {
+  readonly epoch: number;
+  readonly leaseRemainingMs: number;
+  readonly ranges?: ReadonlyArray<{startPosition: number; endPosition: number; epoch: number}>;
+}
+
 interface RunningEntry {
   readonly service: string;
   readonly position: number | undefined;
@@ -67,6 +74,22 @@
     };
   }
 
+  /** What the local target may work on for the next `leaseRemainingMs`. */
+  grant(leaseRemainingMs: number): OwnershipGrant {
+    const {sessionId} = this.lease;
+    const service = this.directory.session(sessionId)?.service;
+    const table = service === undefined ? undefined : this.directory.ranges(service);
+    if (service === undefined || !table) return {epoch: sessionId, leaseRemainingMs};
+    const ranges = table.all.flatMap((range, index) => {
+      const owned = range.ownerSessionId === sessionId;
+      if (!owned || this.releasing.has(releaseKey(service, range))) return [];
+      const {startPosition, epoch} = range;
+      return [{startPosition, endPosition: table.endOf(index), epoch}];
+    });
+    // Every change of the directory has a higher index, so later grants have higher epochs.
+    return {epoch: this.directory.appliedIndex, leaseRemainingMs, ranges};
+  }
+
   get runningCount(): number {
     return this.running.size;
   }
