Add metrics, traces, alert rules and a dashboard

Ruled out: instruments created where they are used, because rules and pages could not be checked against them; a global OpenTelemetry provider, because two daemons in one process would share it. Change: kernel/telemetry with one typed table of metrics, a registry per process, and a tracer with W3C traceparent whose spans are one shared object when no collector is set; ops/ with Prometheus rules and a Grafana dashboard; docs/operations/metrics.md.

--- /dev/null
+++ b/kernel/telemetry/test/createTracer.test.ts
@@ -0,0 +1,131 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {test} from 'node:test';
+import type {TestContext} from 'node:test';
+import {createTracer} from '@medlarlane/telemetry';
+import type {HeaderValues, Tracer} from '@medlarlane/telemetry';
+
+const LIMIT = {timeout: 30_000};
+const TRACE_ID = '0af7651916cd43dd8448eb211c80319c';
+const PARENT = {traceparent: `00-${TRACE_ID}-b7ad6b7169203331-01`};
+const UNSAMPLED = {traceparent: `00-${TRACE_ID}-b7ad6b7169203331-00`};
+
+interface CollectedSpan {
+  traceId: string;
+  spanId: string;
+  parentSpanId?: string;
+  name: string;
+  status: {code?: number; message?: string};
+}
+
+interface TracesBody {
+  resourceSpans: Array<{
+    resource: {attributes: Array<{key: string; value: {stringValue?: string}}>};
+    scopeSpans: Array<{spans: CollectedSpan[]}>;
+  }>;
+}
+
+test('Spans of two hops reach the collector as one trace', LIMIT, async (t) => {
+  const {url, spans, bodies} = await startCollector(t);
+  const entry = create(t, url, 1);
+  const owner = create(t, url, 1);
+  const hop = entry.startHop('entry', PARENT, {'medlarlane.service': 'a/b'});
+  const forward = hop.child('forward');
+  const headers: HeaderValues = {};
+  forward.inject(headers);
+  const next = owner.startHop('owner', headers);
+  assert.equal(next.recording, true);
+  next.fail('OVERLOADED');
+  for (const span of [next, forward, hop]) span.end();
+  await Promise.all([entry.flush(), owner.flush()]);
+
+  const byName = new Map(spans().map((span) => [span.name, span]));
+  assert.deepEqual([...byName.keys()].sort(), ['entry', 'forward', 'owner']);
+  for (const span of byName.values()) assert.equal(span.traceId, TRACE_ID);
+  assert.equal(byName.get('entry')?.parentSpanId, 'b7ad6b7169203331');
+  assert.equal(byName.get('forward')?.parentSpanId, byName.get('entry')?.spanId);
+  assert.equal(byName.get('owner')?.parentSpanId, byName.get('forward')?.spanId);
+  assert.equal(byName.get('owner')?.status.message, 'OVERLOADED');
+  const names = bodies.flatMap(({resourceSpans}) =>
+    resourceSpans.flatMap(({resource}) =>
+      resource.attributes
+        .filter(({key}) => key === 'service.name')
+        .map(({value}) => value.stringValue),
+    ),
+  );
+  assert.deepEqual([...new Set(names)], ['medlarlaned']);
+});
+
+test('A trace that its caller does not sample is passed on and not recorded', LIMIT, async (t) => {
+  const {url, spans} = await startCollector(t);
+  const tracer = create(t, url, 1);
+  const hop = tracer.startHop('entry', UNSAMPLED);
+  const headers: HeaderValues = {};
+  hop.inject(headers);
+  hop.end();
+  await tracer.flush();
+  assert.equal(hop.recording, false);
+  assert.match(String(headers['traceparent']), new RegExp(`^00-${TRACE_ID}-[0-9a-f]{16}-00$`));
+  assert.deepEqual(spans(), []);
+});
+
+test(
+  'A malformed traceparent starts a new trace instead of failing the request',
+  LIMIT,
+  async (t) => {
+    const {url, spans} = await startCollector(t);
+    const tracer = create(t, url, 1);
+    for (const traceparent of ['', 'x', `00-${'0'.repeat(32)}-${'0'.repeat(16)}-01`]) {
+      tracer.startHop('entry', {traceparent}).end();
+    }
+    await tracer.flush();
+    assert.deepEqual(
+      spans().map(({parentSpanId}) => parentSpanId || undefined),
+      [undefined, undefined, undefined],
+    );
+  },
+);
+
+test('Without a collector every span is the same object and writes no header', () => {
+  const tracer = createTracer({otlpUrl: '', sampleRatio: 1, serviceName: 'medlarlaned'});
+  const hop = tracer.startHop('entry', PARENT);
+  const headers: HeaderValues = {};
+  hop.child('forward').inject(headers);
+  assert.deepEqual(headers, {});
+  assert.equal(hop, tracer.startHop('owner', {}));
+  assert.equal(hop.recording, false);
+});
+
+function create(t: TestContext, otlpUrl: string, sampleRatio: number): Tracer {
+  const tracer = createTracer({otlpUrl, sampleRatio, serviceName: 'medlarlaned'});
+  t.after(() => tracer.close());
+  return tracer;
+}
+
+async function startCollector(
+  t: TestContext,
+): Promise<{url: string; bodies: TracesBody[]; spans: () => CollectedSpan[]}> {
+  const bodies: TracesBody[] = [];
+  const server = createServer((request, response) => {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('end', () => {
+      assert.equal(request.url, '/v1/traces');
+      bodies.push(JSON.parse(Buffer.concat(chunks).toString('utf8')) as TracesBody);
+      response.writeHead(200, {'content-type': 'application/json'}).end('{}');
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  t.after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const spans = (): CollectedSpan[] =>
+    bodies.flatMap(({resourceSpans}) =>
+      resourceSpans.flatMap(({scopeSpans}) => scopeSpans.flatMap((scope) => scope.spans)),
+    );
+  return {url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, bodies, spans};
+}
