--- a/targets/announce/src/startTargetListener.ts
+++ b/targets/announce/src/startTargetListener.ts
@@ -199,7 +199,8 @@
     this.withdrawnIncarnation = target.incarnation;
     this.emit({kind: 'withdrawn', target});
     try {
-      await this.opts.finishWork?.(target);
+      // Called in a later turn, so that a call that throws at once still ends this withdrawal.
+      await Promise.resolve().then(() => this.opts.finishWork?.(target));
     } finally {
       this.withdrawing = undefined;
     }
--- a/targets/announce/test/startTargetListener.test.ts
+++ b/targets/announce/test/startTargetListener.test.ts
@@ -50,6 +50,17 @@
   await withdrawal;
 });
 
+test('A failure to finish the work does not block the next target', async (t) => {
+  const finishWork = (): Promise<void> => {
+    throw new Error('broken');
+  };
+  const {listener} = await start(t, {finishWork});
+  await send(listener, 'PUT', FIRST);
+  assert.equal((await send(listener, 'DELETE', FIRST)).status, 500);
+  const next = await send(listener, 'PUT', {...FIRST, incarnation: 'second'});
+  assert.equal(next.status, 204);
+});
+
 test('Silence of 3 s is reported, and a pause of the daemon itself is not silence', async (t) => {
   const clock = new PausableClock();
   const {listener, kinds} = await start(t, {clock});
--- a/targets/example-target/src/startExampleTarget.ts
+++ b/targets/example-target/src/startExampleTarget.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import {once} from 'node:events';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
@@ -230,6 +231,8 @@
     this.inFlight += 1;
     try {
       await this.run(path, requestId, abort.signal, request, response);
+      // The request is in flight until its response is written out.
+      if (!response.writableFinished && !response.destroyed) await once(response, 'close');
     } finally {
       this.working.delete(requestId);
       this.inFlight -= 1;
--- a/targets/target-link/src/targetLink.ts
+++ b/targets/target-link/src/targetLink.ts
@@ -246,6 +246,9 @@
         this.clockToken = tokenOf(text);
         return true;
       }
+      // A refused token is asked for anew.
+      this.clockToken = undefined;
+      this.tokenAsked = false;
       this.logger.warn({status}, 'Grant was refused');
     } catch (error) {
       this.logger.debug({reason: reasonOf(error)}, 'Grant failed');
--- a/targets/target-link/test/targetContract.test.ts
+++ b/targets/target-link/test/targetContract.test.ts
@@ -270,6 +270,50 @@
   },
 );
 
+test('A target process finishes its requests after SIGTERM and exits with 0', LIMIT, async (t) => {
+  const listener = await startTargetListener({port: 0});
+  t.after(() => listener.close());
+  const args = ['--daemon', listener.address, '--delay-ms', '300'];
+  const {child, address} = await startTargetProcess(t, args);
+  await until(() => listener.current !== undefined);
+  const work = sendWork(address);
+  await until(async () => (await statsOf(address)).inFlight === 1);
+  child.kill('SIGTERM');
+  assert.equal((await work).status, 200);
+  const [exitCode] = (await once(child, 'exit')) as [number | null];
+  assert.equal(exitCode, 0);
+  assert.equal(listener.current, undefined);
+});
+
+const BAD_GRANTS: Array<{name: string; body: string}> = [
+  {name: 'no JSON', body: '{"epoch":'},
+  {name: 'an empty body', body: ''},
+  {name: 'no epoch', body: '{"expiresInMs":1000}'},
+  {name: 'a negative time', body: '{"epoch":9,"expiresInMs":-1}'},
+  {name: 'an oversized body', body: JSON.stringify({epoch: 9, x: 'x'.repeat(1_100_000)})},
+];
+
+for (const {name, body} of BAD_GRANTS) {
+  test(
+    `A grant with ${name} is refused and leaves the earlier grant in force`,
+    LIMIT,
+    async (t) => {
+      const target = await startExampleTarget({service: SERVICE, checksGrants: true});
+      t.after(() => target.kill());
+      const put = async (text: string): Promise<number> => {
+        const url = `http://${target.address}/.medlarlane/grant`;
+        const answer = await request(url, {method: 'PUT', body: text});
+        await answer.body.dump();
+        return answer.statusCode;
+      };
+      assert.equal(await put('{"epoch":5,"expiresInMs":60000}'), 200);
+      assert.equal(await put(body), 400);
+      assert.equal((await sendWork(target.address, {'medlarlane-epoch': '5'})).status, 200);
+      assert.equal(target.stats().grants, 1);
+    },
+  );
+}
+
 async function statsOf(address: string): Promise<TargetStats> {
   return (await (await request(`http://${address}/stats`)).body.json()) as TargetStats;
 }
