Wire mutual TLS, metrics and the tracer into the daemon

Cause: the packages existed but the daemon ran without TLS and exposed no metrics. Figures: the new test starts seven daemons with mutual TLS, is refused without a certificate and without the operator token, and replaces the certificate under traffic with no failed request. Conclusion: not yet covered: reconnecting of long-lived control connections after the old certificate has expired. Spans are created by no hop yet.

--- a/apps/daemon/src/openTarget.ts
+++ b/apps/daemon/src/openTarget.ts
@@ -42,6 +42,7 @@
   readonly link: TargetLink;
   private readonly health: HealthTracker;
   private readonly slots: number;
+  private readonly limit: LearnedLimit;
 
   constructor(
     readonly target: LocalTarget,
@@ -57,10 +58,8 @@
       keepAliveTimeout: KEEP_ALIVE_MS,
       connect: {timeout: connectTimeoutMs},
     });
-    this.admission = new AdmissionQueue({
-      limit: new LearnedLimit({slots, connections, coldStartMs, clock}),
-      clock,
-    });
+    this.limit = new LearnedLimit({slots, connections, coldStartMs, clock});
+    this.admission = new AdmissionQueue({limit: this.limit, clock});
     this.health = new HealthTracker({slots, clock});
     this.link = new TargetLink({
       target,
@@ -78,6 +77,11 @@
     return this.target.address;
   }
 
+  /** Requests that the target may run at the same time, as learned. */
+  get concurrencyLimit(): number {
+    return this.limit.limit;
+  }
+
   get verdict(): Verdict {
     return this.health.verdict(this.address);
   }
--- a/apps/daemon/src/startControlListener.ts
+++ b/apps/daemon/src/startControlListener.ts
@@ -1,5 +1,5 @@
 import {createSecureServer, createServer} from 'node:http2';
-import type {SecureServerOptions, ServerHttp2Session} from 'node:http2';
+import type {Http2SecureServer, SecureServerOptions, ServerHttp2Session} from 'node:http2';
 import type {AddressInfo} from 'node:net';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import type {ConnectRouter} from '@connectrpc/connect';
@@ -14,13 +14,16 @@
 
 export interface ControlListener {
   readonly port: number;
+  /** The server with TLS, whose certificate can be replaced. */
+  readonly secureServer: Http2SecureServer | undefined;
   close(): Promise<void>;
 }
 
 /** Starts the HTTP/2 listener for lease, watch, consensus and admin RPC. */
 export async function startControlListener(opts: ControlListenerOptions): Promise<ControlListener> {
   const handler = connectNodeAdapter({routes: opts.routes});
-  const server = opts.tls ? createSecureServer(opts.tls, handler) : createServer(handler);
+  const secureServer = opts.tls ? createSecureServer(opts.tls, handler) : undefined;
+  const server = secureServer ?? createServer(handler);
   const sessions = new Set<ServerHttp2Session>();
   server.on('session', (session) => {
     sessions.add(session);
@@ -35,6 +38,7 @@
   });
   return {
     port: (server.address() as AddressInfo).port,
+    secureServer,
     close: () =>
       new Promise((resolve) => {
         server.close(() => resolve());
--- a/apps/daemon/src/wireDaemon.ts
+++ b/apps/daemon/src/wireDaemon.ts
@@ -1,5 +1,6 @@
 import {createHash} from 'node:crypto';
 import {readFile} from 'node:fs/promises';
+import {Server as HttpsServer} from 'node:https';
 import {startTargetListener} from '@medlarlane/announce';
 import {createConnectTransport, startReplica} from '@medlarlane/consensus';
 import {ControlClient} from '@medlarlane/control-client';
@@ -26,6 +27,11 @@
 import {RetryBudget} from '@medlarlane/retry';
 import {advertisedAddress, formatHostPort, isUnspecified} from '@medlarlane/settings';
 import type {DaemonSettings, HostPort} from '@medlarlane/settings';
+import {createMetrics, createTracer} from '@medlarlane/telemetry';
+import {watchTlsMaterial} from '@medlarlane/tls';
+import {DirectoryMeter} from './directoryMeter.js';
+import {countRequest, exposeMetrics} from './exposeMetrics.js';
+import type {MetricSources} from './exposeMetrics.js';
 import {startAdminListener} from './adminListener.js';
 import {InFlightRequests} from './inFlightRequests.js';
 import type {} from './services.js';
@@ -53,6 +59,24 @@
     .register('logger', () =>
       createLogger({level: settings.logLevel, bindings: {instanceId: settings.instanceId}}),
     )
+    .register('metrics', () => createMetrics({runtime: true}))
+    .register('tracer', (_services, store) =>
+      store.use(
+        createTracer({
+          otlpUrl: settings.otlpUrl,
+          sampleRatio: settings.traceSampleRatio,
+          serviceName: 'medlarlaned',
+        }),
+        (tracer) => tracer.close(),
+      ),
+    )
+    .register('tls', async (services, store) => {
+      const {tlsCert, tlsKey, tlsCa} = settings;
+      if (tlsCert === undefined || tlsKey === undefined || tlsCa === undefined) return undefined;
+      const files = {certFile: tlsCert, keyFile: tlsKey, caFile: tlsCa};
+      const watcher = await watchTlsMaterial(files, {logger: await services.get('logger')});
+      return store.use(watcher, (opened) => opened.close());
+    })
     .register('tasks', async (services, store) => {
       const logger = loggerFor('task', await services.get('logger'));
       return new BackgroundTasks({
@@ -76,8 +100,13 @@
       const logStore = store.use(await openLogStore(dataFolder, {replicaId}), (opened) =>
         opened.close(),
       );
-      const transport = store.use(createConnectTransport(localAddressOf(settings)), (opened) =>
-        opened.close(),
+      const tls = await services.get('tls');
+      const transport = store.use(
+        createConnectTransport({
+          ...localAddressOf(settings),
+          ...(tls ? {tls: tls.clientTlsOptions()} : {}),
+        }),
+        (opened) => opened.close(),
       );
       return startControlService({
         group: settings.group,
@@ -112,21 +141,24 @@
       const {controlListen} = await services.get('settings');
       const controlService = await services.get('controlService');
       if (!controlService || !controlListen) return {port: 0};
-      return store.use(
-        await startControlListener({
-          ...controlListen,
-          routes: (router) => controlService.routes(router),
-        }),
-        (listener) => listener.close(),
-      );
+      const tls = await services.get('tls');
+      const listener = await startControlListener({
+        ...controlListen,
+        ...(tls ? {tls: {...tls.serverTlsOptions()}} : {}),
+        routes: (router) => controlService.routes(router),
+      });
+      if (listener.secureServer) tls?.keepUpdated(listener.secureServer);
+      return store.use(listener, (opened) => opened.close());
     })
     .register('controlClient', async (services) => {
       const settings = await services.get('settings');
       const loadMeter = await services.get('loadMeter');
       const inFlightRequests = await services.get('inFlightRequests');
+      const tls = await services.get('tls');
       const replicaAddresses = settings.controlReplicas.map(({address}) => formatHostPort(address));
       return new ControlClient({
         ...localAddressOf(settings),
+        ...(tls ? {tls: () => tls.clientTlsOptions()} : {}),
         replicaAddresses,
         lease: await services.get('lease'),
         directory: await services.get('directory'),
@@ -152,6 +184,15 @@
       async (services) =>
         new Ownership(await services.get('lease'), await services.get('directory')),
     )
+    .register(
+      'directoryMeter',
+      async (services) =>
+        new DirectoryMeter({
+          directory: await services.get('directory'),
+          metrics: await services.get('metrics'),
+          clock: await services.get('clock'),
+        }),
+    )
     .register('loadMeter', async (services) => new LoadMeter({clock: await services.get('clock')}))
     .register('idempotency', async (services) => {
       const idempotency = new IdempotencyTable({clock: await services.get('clock')});
@@ -183,9 +224,16 @@
     .register('peers', async (services, store) => {
       const clock = await services.get('clock');
       const directory = await services.get('directory');
-      const peers = store.use(new Peers({connections: PEER_CONNECTIONS, clock}), (opened) =>
-        opened.close(),
+      const tls = await services.get('tls');
+      const peers = store.use(
+        new Peers({
+          connections: PEER_CONNECTIONS,
+          clock,
+          ...(tls ? {tls: () => tls.clientTlsOptions()} : {}),
+        }),
+        (opened) => opened.close(),
       );
+      tls?.onChange(() => void peers.reconnect());
       (await services.get('tasks')).run('peer connections', async (signal) => {
         for (;;) {
           await clock.sleep(PEER_CHECK_INTERVAL_MS, {signal});
@@ -297,6 +345,7 @@
       const settings = await services.get('settings');
       const controlClient = await services.get('controlClient');
       const clock = await services.get('clock');
+      const metrics = await services.get('metrics');
       const listener = await startCallerListener({
         ...settings.callerListen,
         router: await services.get('callerRouter'),
@@ -305,6 +354,7 @@
         logger: loggerFor('caller', await services.get('logger')),
         staleMs: () => clock.nowMs() - controlClient.lastCurrentAtMs,
         maxStaleMs: settings.maxStaleMs,
+        onRequest: (record) => countRequest(metrics, record),
       });
       (await services.get('addresses')).caller = told(settings.callerListen, listener, settings);
       return store.use(listener, (opened) => opened.close());
@@ -312,6 +362,7 @@
     .register('peerListener', async (services, store) => {
       const settings = await services.get('settings');
       const idempotency = await services.get('idempotency');
+      const tls = await services.get('tls');
       const listener = await startPeerListener({
         ...settings.peerListen,
         localServer: await services.get('localServer'),
@@ -319,7 +370,9 @@
         clock: await services.get('clock'),
         logger: loggerFor('peer', await services.get('logger')),
         importRecords: (chunk) => void idempotency.importRange(chunk),
+        ...(tls ? {tls: {...tls.serverTlsOptions()}} : {}),
       });
+      if (listener.server instanceof HttpsServer) tls?.keepUpdated(listener.server);
       (await services.get('addresses')).peer = told(settings.peerListen, listener, settings);
       return store.use(listener, (opened) => opened.close());
     })
@@ -327,12 +380,26 @@
       const settings = await services.get('settings');
       const controlClient = await services.get('controlClient');
       const clock = await services.get('clock');
+      const sources: MetricSources = {
+        metrics: await services.get('metrics'),
+        clock,
+        group: settings.group,
+        directory: await services.get('directory'),
+        directoryMeter: await services.get('directoryMeter'),
+        lease: await services.get('lease'),
+        controlClient,
+        controlService: await services.get('controlService'),
+        targetSupervisor: await services.get('targetSupervisor'),
+        idempotency: await services.get('idempotency'),
+        poison: await services.get('poison'),
+        tls: await services.get('tls'),
+      };
       const listener = await startAdminListener({
         ...settings.adminListen,
         controlClient,
         token: await readToken(settings.adminTokenFile),
         logger: loggerFor('admin', await services.get('logger')),
-        metrics: async () => ({contentType: 'text/plain', text: ''}),
+        metrics: () => exposeMetrics(sources),
         isReady: () => clock.nowMs() - controlClient.lastCurrentAtMs <= settings.maxStaleMs,
       });
       (await services.get('addresses')).admin = told(settings.adminListen, listener, settings);
--- /dev/null
+++ b/testing/certificates/src/index.ts
@@ -0,0 +1,2 @@
+export {issueTestCertificates} from './issueTestCertificates.js';
+export type {IssuedFiles, TestCertificateOptions} from './issueTestCertificates.js';
--- a/testing/fault-tables/src/scenario.ts
+++ b/testing/fault-tables/src/scenario.ts
@@ -32,6 +32,7 @@
   readonly serverCount?: number;
   readonly document?: Partial<DocumentInput>;
   readonly targetFlags?: readonly string[];
+  readonly adminToken?: string;
 }
 
 export async function startScenario(opts: ScenarioOptions = {}): Promise<Scenario> {
@@ -40,7 +41,8 @@
   try {
     const observer = await cluster.startDaemon({instanceId: 'observer'});
     const {admin} = observer.ready;
-    const team = createTeam('prairie-crag');
+    const {adminToken} = opts;
+    const team = createTeam('prairie-crag', adminToken === undefined ? {} : {token: adminToken});
     await eventually('the control leader', () => team.claim(admin));
     await team.apply(admin, documentOf(opts.document));
     const servers = await Promise.all(
