Keep the number of ranges bounded when hot keys change

Ruled out: merging without moves, because a former hot key often has another owner than its neighbours. Change: mergeRanges for the state machine; the planner returns narrow ranges with little load to the owner of a neighbouring range once there are more ranges than intended; a draining range is cut into at most 20 parts. Conclusion: bounded, once the control state calls mergeRanges.

--- a/bench/src/placementRun.ts
+++ b/bench/src/placementRun.ts
@@ -1,5 +1,5 @@
 import {POSITION_END, type Move, type Range} from '@medlarlane/model';
-import {assignOrphans, planMoves, type HotKey} from '@medlarlane/placement';
+import {assignOrphans, mergeRanges, planMoves, type HotKey} from '@medlarlane/placement';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -39,6 +39,7 @@
 /** 13,500 requests/s per daemon, as in the design, for one round. */
 const REQUESTS_PER_SERVER = 67_500;
 const RANGES_PER_SERVER = 16;
+const RANGES_PER_SERVICE = 128;
 const REPORTED_KEYS_PER_SERVER = 64;
 
 /** Drives `planMoves` with counted requests: each round counts, plans and starts the moves, which finish before the next round. */
@@ -128,6 +129,9 @@
       weighsMost,
     });
     for (const move of moves) this.apply(move);
+    this.ranges = mergeRanges(this.ranges, {
+      maxRanges: RANGES_PER_SERVER * sessions.length + RANGES_PER_SERVICE,
+    });
     const owners = new Set(this.ranges.map(({ownerSessionId}) => ownerSessionId));
     this.sessions = sessions.filter(({draining, sessionId}) => !draining || owners.has(sessionId));
     const max = Math.max(...serverLoads.values());
--- a/bench/src/sampleState.ts
+++ b/bench/src/sampleState.ts
@@ -57,15 +57,19 @@
   });
 }
 
-/** The change that starts or finishes the move of one hot key out of a range. */
+/** The change that starts the move of one hot key: its range and the two around it. */
 export function sampleMoveChange(): DirectoryChange {
-  const [range] = sampleRanges(1);
+  const [before, moving, after] = sampleRanges(3);
   const key = 4_503_599_627_370_497;
   return {
     kind: 'ranges',
     service: 'tharangam/permit-desk',
-    fromPosition: key,
-    toPosition: key + 1,
-    ranges: [{...range!, startPosition: key, nextSessionId: LOG_INDEX + 9}],
+    fromPosition: before!.startPosition,
+    toPosition: key + 1_000_000_000_000,
+    ranges: [
+      before!,
+      {...moving!, startPosition: key, nextSessionId: LOG_INDEX + 9},
+      {...after!, startPosition: key + 1},
+    ],
   };
 }
--- a/control/placement/src/index.ts
+++ b/control/placement/src/index.ts
@@ -7,3 +7,5 @@
 export type {HotKey, PlacementInput, PlacementSession} from './placementInput.js';
 export {planMoves} from './planMoves.js';
 export type {PlanOptions} from './planMoves.js';
+export {mergeRanges} from './mergeRanges.js';
+export type {MergeRangesOptions} from './mergeRanges.js';
--- a/control/placement/src/limits.ts
+++ b/control/placement/src/limits.ts
@@ -19,6 +19,11 @@
   readonly maxElapsedMs: number;
   /** Moves of one plan for the sake of load. A plan is one log entry, which every replica applies at once. */
   readonly maxMoves: number;
+  /** Ranges per server and in addition for the service, above which ranges of former hot keys are returned to their neighbours. */
+  readonly rangesPerServer: number;
+  readonly rangesPerService: number;
+  /** Such returns per plan. */
+  readonly maxReturns: number;
   /** Additional load, relative to the level, that a cold server counts with as a destination. */
   readonly coldShare: number;
 }
@@ -30,6 +35,9 @@
   hotKeyShare: 0.02,
   maxElapsedMs: 60_000,
   maxMoves: 512,
+  rangesPerServer: 16,
+  rangesPerService: 128,
+  maxReturns: 64,
 };
 
 export const PLACEMENT_LIMITS: Readonly<Record<'churn' | 'unavailable-time', PlacementLimits>> = {
--- a/control/placement/src/planMoves.ts
+++ b/control/placement/src/planMoves.ts
@@ -24,9 +24,13 @@
   const plan = new Plan(input, model, eligible, limits);
   plan.evacuate();
   plan.balance();
+  plan.returnColdRanges();
   return plan.moves();
 }
 
+/** Parts into which a range of a draining server is cut at most; smaller ones would only multiply the ranges. */
+const MAX_PARTS = 20;
+
 interface PlannedMove extends Move {
   readonly rangeIndex: number;
 }
@@ -110,16 +114,17 @@
     for (const {server, at} of leaving) this.evacuateRange(server, at);
   }
 
-  /** A range that fits nowhere is cut; parts below a twentieth of a server or of the range would only multiply the ranges. */
+  /** Moves a range to the least loaded server; one that fits nowhere is cut at its hot keys and further. */
   private evacuateRange(server: number, rangeIndex: number): void {
     const loadRps = rangeRps(this.model, rangeIndex);
-    const minRoom = Math.max(this.level, loadRps) / 20;
+    const minRoom = this.level / MAX_PARTS;
     const roomOf = (to: number): number => Math.max(this.level - this.loads[to]!, minRoom);
     const fits = loadRps <= roomOf(this.leastLoaded.peek());
     for (let piece of this.cut(rangeIndex, fits ? Infinity : this.minKeyRps)) {
-      for (;;) {
+      for (let parts = 1; ; parts++) {
         const to = this.destination(server);
-        const [part, rest] = fits ? [piece] : splitPiece(piece, roomOf(to));
+        const whole = fits || parts === MAX_PARTS;
+        const [part, rest] = whole ? [piece] : splitPiece(piece, roomOf(to));
         this.add(part, server, to);
         if (!rest) break;
         piece = rest;
@@ -156,6 +161,60 @@
     return new Set(this.eligible.filter((server) => this.loads[server]! < limit));
   }
 
+  /**
+   * Moves narrow ranges with little load, such as former hot keys, to the owner of a neighbouring
+   * range, so that the two can be merged. Only when the service has more ranges than intended.
+   */
+  returnColdRanges(): void {
+    const {ranges} = this.input;
+    const {rangesPerServer, rangesPerService, maxReturns} = this.limits;
+    const intended = rangesPerServer * this.eligible.length + rangesPerService;
+    let returns = Math.min(maxReturns, ranges.length - intended);
+    if (returns <= 0) return;
+    const touched = new Set(this.planned.map(({rangeIndex}) => rangeIndex));
+    const maxWidth = POSITION_END / (4 * intended);
+    // A return is tidiness only, so it must not raise the highest load; the margin covers rounding.
+    const highest = this.loads.reduce((a, b) => Math.max(a, b), 0);
+    const returnLimit = Math.min(this.level + this.slack(), highest) + 5e-10 * this.level;
+    for (let at = 0; at < ranges.length && returns > 0; at++) {
+      if (this.model.widths[at]! > maxWidth) continue;
+      if ([at - 1, at, at + 1].some((index) => touched.has(index))) continue;
+      if (this.returnRange(at, returnLimit)) {
+        touched.add(at);
+        returns--;
+      }
+    }
+  }
+
+  private returnRange(rangeIndex: number, returnLimit: number): boolean {
+    const {model, input} = this;
+    const server = model.serverOfRange[rangeIndex]!;
+    const to = this.widerNeighbour(rangeIndex);
+    const loadRps = rangeRps(model, rangeIndex);
+    // Half of the load at which a key is moved alone, so that it does not move to and fro.
+    if (server < 0 || to < 0 || loadRps > this.minKeyRps / 2) return false;
+    if (input.ranges[rangeIndex]!.nextSessionId !== 0) return false;
+    const share = model.widths[rangeIndex]! / POSITION_END;
+    if (share > this.shareLeft) return false;
+    if (this.loads[to]! + loadRps > returnLimit) return false;
+    for (const piece of this.cut(rangeIndex, Infinity)) this.add(piece, server, to);
+    return true;
+  }
+
+  /** Server of the wider neighbouring range, or -1 when the range needs no move or has nowhere to go. */
+  private widerNeighbour(rangeIndex: number): number {
+    const {serverOfRange, servers, widths} = this.model;
+    const server = serverOfRange[rangeIndex];
+    const neighbours = [rangeIndex - 1, rangeIndex + 1].filter(
+      (at) => at >= 0 && at < widths.length && this.input.ranges[at]!.nextSessionId === 0,
+    );
+    if (neighbours.some((at) => serverOfRange[at] === server)) return -1;
+    const candidates = neighbours
+      .filter((at) => serverOfRange[at]! >= 0 && !servers[serverOfRange[at]!]!.draining)
+      .sort((a, b) => widths[b]! - widths[a]! || a - b);
+    return candidates.length === 0 ? -1 : serverOfRange[candidates[0]!]!;
+  }
+
   private overLimit(): number[] {
     return this.byExcess(this.limits.overShare);
   }
--- a/control/placement/test/planMoves.test.ts
+++ b/control/placement/test/planMoves.test.ts
@@ -191,6 +191,17 @@
   assert.ok(moves.every(({fromSessionId}) => fromSessionId === 1));
 });
 
+test('A draining server is planned for in few moves when loads are too small to divide', () => {
+  const input = serviceInput({
+    servers: 2,
+    rangesPerServer: 1,
+    sessions: [session(1, {draining: true}), session(2), session(3)],
+    rateRps: () => Number.MIN_VALUE,
+  });
+  const moves = planMoves(input);
+  assert.ok(moves.length <= 20 && Math.abs(movedShare(moves) - 0.5) < 1e-9);
+});
+
 test('A service that weighs churn most moves less per interval than one that weighs unavailable time', () => {
   const shares = (['churn', 'unavailable-time'] as const).map((weighsMost) =>
     movedShare(
