--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,9 +1,12 @@
 import {churn} from './churn.js';
+import {controlCost} from './controlCost.js';
+import {dedupeCostBench} from './dedupeCostBench.js';
 import type {Bench} from './figure.js';
 import {hotKeySettle} from './hotKeySettle.js';
 import {imbalance} from './imbalance.js';
 import {messageSize} from './messageSize.js';
 import {planCost} from './planCost.js';
+import {queueOrderBench} from './queueOrderBench.js';
 import {stateMemory} from './stateMemory.js';
 
 /** All benches by name. */
@@ -23,6 +26,21 @@
     description: 'Planning rounds until the load is even again after the hot keys change',
     run: hotKeySettle,
   },
+  'control-cost': {
+    kind: 'slope',
+    description: 'Traffic and processor time of leases, reports and changes per daemon',
+    run: controlCost,
+  },
+  'dedupe-cost': {
+    kind: 'timed',
+    description: 'Time per request and bytes per record of at-most-once execution',
+    run: dedupeCostBench,
+  },
+  'queue-order': {
+    kind: 'timed',
+    description: 'Waits under first-come and under shortest-predicted-first order',
+    run: queueOrderBench,
+  },
   'plan-cost': {
     kind: 'slope',
     description: 'Time to plan the moves of one service of the design size',
