Name a planned move by its destination too; forget handovers of cancelled moves

Cause: a cancelled move that is started again keeps start and epoch, so a late chunk of the old handover could be taken for the new one. Change: the name of a move holds the destination; imports of moves that did not finish are discarded. Conclusion: build and the tests of dedupe pass; the case itself has no test yet.

--- a/routing/forwarder/src/handOver.ts
+++ b/routing/forwarder/src/handOver.ts
@@ -1,14 +1,17 @@
 import type {IdempotencyTable} from '@medlarlane/dedupe';
-import type {Session} from '@medlarlane/model';
+import type {Range, Session} from '@medlarlane/model';
 import type {ReleasedRange} from '@medlarlane/ownership';
 import {MedlarlaneError} from '@medlarlane/errors';
 import type {Peers} from './peers.js';
 
 export const HANDOVER_PATH = '/.medlarlane/handover';
 
-/** Names a planned move alike on both sides. */
-export function moveIdOf(startPosition: number, epoch: number): string {
-  return `${startPosition}@${epoch}`;
+/**
+ * Names a planned move alike on both sides. The destination is part of it: after a cancelled move the
+ * same range at the same epoch may move to another session.
+ */
+export function moveIdOf({startPosition, epoch, nextSessionId}: Range): string {
+  return `${startPosition}@${epoch}>${nextSessionId}`;
 }
 
 /**
@@ -22,8 +25,8 @@
   opts: {readonly idempotency: IdempotencyTable; readonly peers: Peers},
 ): Promise<void> {
   for (const {service, range, endPosition} of ranges) {
-    const {startPosition: from, epoch} = range;
-    const moveId = moveIdOf(from, epoch);
+    const from = range.startPosition;
+    const moveId = moveIdOf(range);
     const chunks = opts.idempotency.exportRange({service, from, to: endPosition, moveId});
     for await (const chunk of chunks) {
       const {statusCode, body} = await opts.peers.pool(destination).request({
--- a/routing/forwarder/src/recordCoverage.ts
+++ b/routing/forwarder/src/recordCoverage.ts
@@ -39,6 +39,14 @@
     this.noteIncoming(service);
   }
 
+  /** Forgets what was handed over for a move that did not finish here. */
+  private discardImport(service: string, from: number): void {
+    const table = this.opts.directory.ranges(service);
+    if (!table) return;
+    const to = table.endOf(table.indexOf(from));
+    this.opts.idempotency.discardImport({service, from, to});
+  }
+
   private reset(sessionId: number): void {
     this.opts.idempotency.releaseAll();
     this.sessionId = sessionId;
@@ -63,7 +71,7 @@
       const before = this.incoming.get(from);
       const range = {service, from, to};
       if (before && this.isPlanned(before)) {
-        idempotency.acceptMove({...range, moveId: moveIdOf(from, before.epoch)});
+        idempotency.acceptMove({...range, moveId: moveIdOf(before)});
       } else {
         idempotency.takeOver(range);
       }
@@ -81,11 +89,15 @@
 
   private noteIncoming(service: string): void {
     const ranges = this.opts.directory.ranges(service)?.all ?? [];
-    this.incoming = new Map(
+    const incoming = new Map(
       ranges
         .filter(({nextSessionId}) => nextSessionId === this.sessionId)
-        .map((range) => [range.startPosition, range]),
+        .map((range) => [range.startPosition, range] as const),
     );
+    for (const [from] of this.incoming) {
+      if (!incoming.has(from)) this.discardImport(service, from);
+    }
+    this.incoming = incoming;
   }
 }
 
