Let a joining server take more hot keys from each server

Ruled out: relieving servers over their limit less deeply, because the surplus came from the filling, not from the relief. Change: a server may give a hot key while it stays above the limit at which it receives load.

--- a/control/placement/src/planMoves.ts
+++ b/control/placement/src/planMoves.ts
@@ -265,7 +265,9 @@
 
   private moveKeyToUnderloaded(piece: Piece, server: number, under: Set<number>): void {
     const {loadRps} = piece;
-    if (this.full() || loadRps > this.excess(server) + this.slack()) return;
+    // The giving server stays above the limit at which it would itself receive load.
+    const reserve = (this.limits.underShare / 2) * this.level;
+    if (this.full() || loadRps > this.excess(server) + reserve) return;
     const to = this.destination(server);
     if (!under.has(to) || this.loads[to]! + loadRps > this.level - this.slack()) return;
     // Hot keys change soon; a server that held mostly hot keys would then be idle.
