Keep the speed of the machine out of the contract tests

Cause: control calls of 300 ms, probes of 250 ms and silence of 3 s could decide verdicts on a busy machine, and a wait for a request in flight could miss it. Ruled out: longer product defaults.

--- a/targets/target-link/src/targetLink.ts
+++ b/targets/target-link/src/targetLink.ts
@@ -12,7 +12,7 @@
 // Equal to the renewal interval of the lease, so that each renewal reaches the target once.
 const GRANT_INTERVAL_MS = 300;
 const LOAD_INTERVAL_MS = 500;
-const CONTROL_TIMEOUT_MS = 300;
+const DEFAULT_CONTROL_TIMEOUT_MS = 300;
 const MAX_ANSWER_BYTES = 65_536;
 // Probe, grant and load calls run at the same time; the rest serves cancellations.
 const MAX_CONNECTIONS = 8;
@@ -59,6 +59,8 @@
   readonly grant?: () => TargetGrant | undefined;
   readonly onProbe?: (observation: ProbeObservation) => void;
   readonly onLoadReport?: (report: LoadReport) => void;
+  /** Limit of grant, load, drain and cancel calls; default 300. */
+  readonly controlTimeoutMs?: number;
   /** Called once when the target's port refuses connections: its process is gone. */
   readonly onGone?: () => void;
   readonly clock?: Clock;
@@ -71,6 +73,7 @@
   private readonly clock: Clock;
   private readonly logger: Logger;
   private readonly tasks: BackgroundTasks;
+  private readonly controlTimeoutMs: number;
   private rules: TargetRules;
   private failuresInRow = 0;
   private highestEpoch = 0;
@@ -81,6 +84,7 @@
 
   constructor(private readonly opts: TargetLinkOptions) {
     this.rules = opts.rules;
+    this.controlTimeoutMs = opts.controlTimeoutMs ?? DEFAULT_CONTROL_TIMEOUT_MS;
     this.clock = opts.clock ?? systemClock;
     this.logger = loggerFor('target-link', opts.logger ?? silentLogger);
     this.pool = new Pool(`http://${opts.target.address}`, {connections: MAX_CONNECTIONS});
@@ -207,7 +211,7 @@
     const path = this.rules.targets.loadPath;
     if (path === undefined) return;
     try {
-      const {status, text} = await this.call({method: 'GET', path}, CONTROL_TIMEOUT_MS, signal);
+      const {status, text} = await this.call({method: 'GET', path}, this.controlTimeoutMs, signal);
       const report = loadReportSchema.safeParse(status === 200 ? JSON.parse(text) : undefined);
       if (report.success) this.opts.onLoadReport?.(report.data);
       else this.logger.debug({status}, 'Load report is unusable');
@@ -240,7 +244,7 @@
       const headers = {'content-type': 'application/json'};
       const {status, text} = await this.call(
         {method: 'PUT', path: '/.medlarlane/grant', headers, body},
-        CONTROL_TIMEOUT_MS,
+        this.controlTimeoutMs,
       );
       if (status >= 200 && status < 300) {
         this.clockToken = tokenOf(text);
@@ -258,7 +262,7 @@
 
   private async succeeds(request: Dispatcher.RequestOptions): Promise<boolean> {
     try {
-      const {status} = await this.call(request, CONTROL_TIMEOUT_MS);
+      const {status} = await this.call(request, this.controlTimeoutMs);
       return status >= 200 && status < 300;
     } catch (error) {
       this.logger.debug({path: request.path, reason: reasonOf(error)}, 'Control call failed');
