--- a/apps/daemon/src/exposeMetrics.ts
+++ b/apps/daemon/src/exposeMetrics.ts
@@ -1,5 +1,5 @@
 import type {ControlClient} from '@medlarlane/control-client';
-import type {ControlService} from '@medlarlane/control-service';
+import type {ControlObserver, ControlService} from '@medlarlane/control-service';
 import type {IdempotencyTable} from '@medlarlane/dedupe';
 import type {Directory} from '@medlarlane/directory';
 import type {RequestRecord} from '@medlarlane/forwarder';
@@ -45,6 +45,15 @@
   return metrics.expose();
 }
 
+/** Feeds the metrics that only the control leader can measure. */
+export function observeControl(metrics: Metrics): ControlObserver {
+  return {
+    loadMeasured: (service, imbalance) => metrics.imbalance.set({service}, imbalance),
+    ownerLost: (service, share, unavailableMs) =>
+      metrics.unavailableSeconds.inc({service}, (share * unavailableMs) / MS_PER_S),
+  };
+}
+
 /** Counts a caller's request. */
 export function countRequest(metrics: Metrics, record: RequestRecord): void {
   const {service, code, ran, durationMs} = record;
--- a/apps/daemon/src/wireDaemon.ts
+++ b/apps/daemon/src/wireDaemon.ts
@@ -30,7 +30,7 @@
 import {createMetrics, createTracer} from '@medlarlane/telemetry';
 import {watchTlsMaterial} from '@medlarlane/tls';
 import {DirectoryMeter} from './directoryMeter.js';
-import {countRequest, exposeMetrics} from './exposeMetrics.js';
+import {countRequest, exposeMetrics, observeControl} from './exposeMetrics.js';
 import type {MetricSources} from './exposeMetrics.js';
 import {startAdminListener} from './adminListener.js';
 import {InFlightRequests} from './inFlightRequests.js';
@@ -111,6 +111,7 @@
       return startControlService({
         group: settings.group,
         leaseTtlMs: settings.leaseTtlMs,
+        observer: observeControl(await services.get('metrics')),
         clock,
         tasks,
         logger,
--- a/control/control-service/src/leaderTasks.ts
+++ b/control/control-service/src/leaderTasks.ts
@@ -3,8 +3,10 @@
 import type {Logger} from '@medlarlane/logger';
 import {planMoves} from '@medlarlane/placement';
 import type {LoadAggregator} from '@medlarlane/placement';
+import type {ControlObserver} from './controlObserver.js';
 import type {ControlStateMachine} from './controlStateMachine.js';
 import type {Leadership} from './leadership.js';
+import {imbalanceOf, ownedShare} from './serviceLoad.js';
 
 export interface LeaderTasksOptions {
   readonly leadership: Leadership;
@@ -15,6 +17,7 @@
   readonly logger: Logger;
   readonly tasks: BackgroundTasks;
   readonly placementIntervalMs: number;
+  readonly observer?: ControlObserver | undefined;
 }
 
 // A twentieth of the time in which a lost key must be served again.
@@ -38,8 +41,16 @@
 }
 
 async function endExpired(opts: LeaderTasksOptions, sessionId: number): Promise<void> {
+  const session = opts.machine.state.session(sessionId);
+  const service = session?.service;
+  const ranges = opts.machine.state.ranges(service ?? '')?.all ?? [];
+  const share = ownedShare(ranges, sessionId);
+  const renewedAtMs = opts.leases.find(sessionId)?.renewedAtMs;
   try {
     await opts.leadership.endSession(sessionId, 'lease expired');
+    if (service !== undefined && renewedAtMs !== undefined) {
+      opts.observer?.ownerLost(service, share, opts.clock.nowMs() - renewedAtMs);
+    }
     opts.logger.warn({sessionId}, 'Lease expired; its ranges have new owners.');
   } catch (failure) {
     // The next leader repeats it after one lease.
@@ -67,11 +78,14 @@
   const document = state.document(service);
   if (!table || !document) return;
   const loads = opts.loads.loadsOf(table.all, opts.clock.nowMs());
+  const sessions = state.sessionsOf(service);
+  const imbalance = imbalanceOf(table.all, sessions, loads.rangeLoads);
+  if (imbalance !== undefined) opts.observer?.loadMeasured(service, imbalance);
   const isIdle = loads.rangeLoads.size === 0 && loads.hotKeys.length === 0;
   const moves = planMoves(
     {
       ranges: table.all,
-      sessions: state.sessionsOf(service),
+      sessions,
       ...loads,
       weighsMost: document.weighsMost,
       elapsedMs: opts.placementIntervalMs,
--- a/testing/certificates/src/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-export {issueTestCertificates} from './issueTestCertificates.js';
-export type {IssuedFiles, TestCertificateOptions} from './issueTestCertificates.js';
--- a/testing/fault-tables/test/mutualTls.test.ts
+++ b/testing/fault-tables/test/mutualTls.test.ts
@@ -6,7 +6,7 @@
 import {test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {request} from 'undici';
-import {issueTestCertificates} from '@medlarlane/certificates';
+import {issueTestCertificates} from '@medlarlane/test-support';
 import {KEYS, SERVICE, startScenario} from '@medlarlane/fault-tables';
 import {eventually, startTraffic} from '@medlarlane/fixtures';
 
