--- a/control/control-state/src/controlState.ts
+++ b/control/control-state/src/controlState.ts
@@ -12,7 +12,7 @@
   ServiceDocument,
   Session,
 } from '@medlarlane/model';
-import {assignOrphans} from '@medlarlane/placement';
+import {assignOrphans, mergeRanges} from '@medlarlane/placement';
 import {isTeamPublicKey} from '@medlarlane/signatures';
 import {ChangeHistory} from './changeHistory.js';
 import {ChangeMemory} from './changeMemory.js';
@@ -22,6 +22,8 @@
 
 // Fine enough that moving one range shifts less than 2% of the load between five servers.
 const INITIAL_RANGES = 256;
+// Splits for hot keys may add as many ranges again before they are merged.
+const RANGES_PER_SESSION = 16;
 const KEPT_REVISIONS = 50;
 // A report concerns one crash; two targets a day crash by themselves at the design size.
 const KEPT_POISON_REPORTS = 64;
@@ -338,9 +340,39 @@
       if (!released || range.nextSessionId === 0) return range;
       return {...range, ownerSessionId: range.nextSessionId, nextSessionId: 0, epoch: index};
     });
+    this.compact(service);
     return {ok: true, index};
   }
 
+  /** Merges ranges that splits for hot keys have left behind, in steps, so that it happens rarely. */
+  private compact(service: string): void {
+    const table = this.assignments.get(service);
+    const maxRanges = INITIAL_RANGES + RANGES_PER_SESSION * this.sessionsOf(service).length;
+    if (!table || table.all.length <= 2 * maxRanges) return;
+    const before = table.all;
+    const merged = new RangeTable(mergeRanges(before, {maxRanges}));
+    this.assignments.set(service, merged);
+    const starts = new Set(merged.all.map(({startPosition}) => startPosition));
+    merged.all.forEach((range, index) => {
+      const toPosition = merged.endOf(index);
+      const covers = before.some(
+        ({startPosition}) =>
+          startPosition > range.startPosition &&
+          startPosition < toPosition &&
+          !starts.has(startPosition),
+      );
+      if (!covers) return;
+      const fromPosition = range.startPosition;
+      this.pendingChanges.push({
+        kind: 'ranges',
+        service,
+        fromPosition,
+        toPosition,
+        ranges: [range],
+      });
+    });
+  }
+
   /** Gives ranges without owner to the sessions that can serve them. */
   private adoptOrphans(index: number, service: string): void {
     const table = this.assignments.get(service);
--- a/routing/forwarder/src/recordCoverage.ts
+++ b/routing/forwarder/src/recordCoverage.ts
@@ -66,8 +66,9 @@
 
   private coverNew(service: string, owned: readonly OwnedRange[]): void {
     const {idempotency} = this.opts;
-    for (const {startPosition: from, endPosition: to, epoch} of owned) {
-      if (this.wasOwned(from, epoch)) continue;
+    for (const gained of owned) {
+      if (this.wasOwned(gained)) continue;
+      const {startPosition: from, endPosition: to} = gained;
       const before = this.incoming.get(from);
       const range = {service, from, to};
       if (before && this.isPlanned(before)) {
@@ -78,8 +79,20 @@
     }
   }
 
-  private wasOwned(startPosition: number, epoch: number): boolean {
-    return this.owned.some((range) => covers(range, startPosition, epoch));
+  /**
+   * Whether this daemon has owned the whole range without interruption. A merge of own ranges gives
+   * the newest of their epochs; a range that was lost and regained has a newer one.
+   */
+  private wasOwned({startPosition, endPosition, epoch}: OwnedRange): boolean {
+    let coveredTo = startPosition;
+    let newestEpoch = 0;
+    for (const before of this.owned) {
+      if (before.endPosition <= coveredTo || before.startPosition > coveredTo) continue;
+      coveredTo = before.endPosition;
+      newestEpoch = Math.max(newestEpoch, before.epoch);
+      if (coveredTo >= endPosition) return epoch <= newestEpoch;
+    }
+    return false;
   }
 
   /** When the earlier owner has ended, it may have run requests after its handover. */
@@ -100,7 +113,3 @@
     this.incoming = incoming;
   }
 }
-
-function covers(range: OwnedRange, position: number, epoch: number): boolean {
-  return range.epoch === epoch && range.startPosition <= position && position < range.endPosition;
-}
