Plan at most 128 moves for load at a time

Cause: a plan is one log entry. In a trial, applying 512 moves to a range table of 36,800 ranges took 962 ms, longer than the quorum lease of 350 ms; 128 moves took 301 ms. Ruled out: a lower limit, because 50 servers need up to 88 moves in one plan after a change of the hot keys. Change: limit of 128 moves. Conclusion: applying moves in one pass over the ranges remains to be done in the control state.

--- a/control/placement/src/limits.ts
+++ b/control/placement/src/limits.ts
@@ -34,7 +34,7 @@
   underShare: 0.1,
   hotKeyShare: 0.02,
   maxElapsedMs: 60_000,
-  maxMoves: 512,
+  maxMoves: 128,
   rangesPerServer: 16,
   rangesPerService: 128,
   maxReturns: 64,
