--- a/control/consensus/test/createConnectTransport.test.ts
+++ b/control/consensus/test/createConnectTransport.test.ts
@@ -1,14 +1,20 @@
 import assert from 'node:assert/strict';
+import {mkdtemp, rm} from 'node:fs/promises';
 import {createServer} from 'node:http2';
 import type {Http2Server} from 'node:http2';
 import {connect, createServer as createTcpServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
 import {test} from 'node:test';
 import type {TestContext} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
-import {consensusRoutes, createConnectTransport} from '@medlarlane/consensus';
+import {consensusRoutes, createConnectTransport, startReplica} from '@medlarlane/consensus';
 import type {ConsensusRequest, ConsensusResponse} from '@medlarlane/consensus';
-import {until} from './replicaGroup.js';
+import {systemClock} from '@medlarlane/lifecycle';
+import {openLogStore} from '@medlarlane/log-store';
+import {CommandList} from './replicaGroup.js';
 
 const MEMBERS = {voters: ['a'], learners: ['b'], addresses: {a: '127.0.0.1:1', b: '127.0.0.1:2'}};
 const VOTE: ConsensusRequest = {
@@ -78,15 +84,54 @@
   await call();
   relay.silenceOpenConnections();
   await assert.rejects(call());
-  let answered = false;
-  const retry = async (): Promise<void> => {
-    while (!answered)
-      answered = await call().then(
-        () => true,
-        () => false,
-      );
+  // Every call that goes out on the old connection waits for its signal.
+  for (;;) {
+    const answered = await call().catch(() => undefined);
+    if (answered) break;
+  }
+});
+
+test('Three replicas on files and sockets commit, and keep the commands over a restart', async (t) => {
+  const folder = await mkdtemp(path.join(tmpdir(), 'consensus-'));
+  t.after(() => rm(folder, {recursive: true, force: true}));
+  const ids = ['a', 'b', 'c'];
+  const handlers = new Map<string, (request: ConsensusRequest) => Promise<ConsensusResponse>>();
+  const refuse = (): never => {
+    throw new Error('Replica is down');
   };
-  await Promise.all([retry(), until('a call is answered', () => answered)]);
+  const addresses: Record<string, string> = {};
+  for (const id of ids) {
+    addresses[id] = await serve(t, async (request) => (handlers.get(id) ?? refuse)(request));
+  }
+  const commands = Array.from({length: 200}, (_, i) => `command ${i}`);
+  for (const round of ['first', 'second']) {
+    const transport = createConnectTransport();
+    const replicas = await Promise.all(
+      ids.map(async (replicaId) => {
+        const store = await openLogStore(path.join(folder, replicaId), {replicaId});
+        const stateMachine = new CommandList();
+        const bootstrap = {voters: ids, learners: [], addresses};
+        const clock = systemClock;
+        const opts = {replicaId, store, transport, clock, stateMachine, bootstrap};
+        const replica = startReplica(opts);
+        handlers.set(replicaId, (request) => replica.handle(request));
+        return {replica, store, stateMachine};
+      }),
+    );
+    let leader = replicas.find(({replica}) => replica.isLeader());
+    for (; !leader; leader = replicas.find(({replica}) => replica.isLeader())) await delay(10);
+    if (round === 'first') {
+      await Promise.all(commands.map((text) => leader.replica.propose(Buffer.from(text))));
+    }
+    await leader.replica.readBarrier();
+    assert.deepEqual(leader.stateMachine.commands, commands);
+    handlers.clear();
+    for (const {replica, store} of replicas) {
+      await replica.close();
+      await store.close();
+    }
+    transport.close();
+  }
 });
 
 async function serve(
--- a/control/consensus/test/memoryNetwork.ts
+++ b/control/consensus/test/memoryNetwork.ts
@@ -1,5 +1,5 @@
-import {setTimeout as delay} from 'node:timers/promises';
 import type {ConsensusRequest, ConsensusResponse, ConsensusTransport} from '@medlarlane/consensus';
+import type {Clock} from '@medlarlane/lifecycle';
 
 type Handler = (request: ConsensusRequest) => Promise<ConsensusResponse>;
 
@@ -7,15 +7,16 @@
 export class MemoryNetwork {
   private readonly handlers = new Map<string, Handler>();
   private readonly cuts = new Set<string>();
-  private readonly frozen = new Map<string, Promise<void>>();
   /** Probability that a request or a response is lost. */
   lossRate = 0;
-  /** Delay of one message in milliseconds of real time. */
-  delayMs: () => number = () => 0;
-  /** Sees every request before it is delivered; returning false drops it. */
+  delayMs: (from: string, to: string) => number = () => 0;
+  /** Sees every request; returning false drops it. */
   filter: (from: string, to: string, request: ConsensusRequest) => boolean = () => true;
 
-  constructor(private readonly random: () => number = Math.random) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly random: () => number,
+  ) {}
 
   attach(replicaId: string, handler: Handler): void {
     this.handlers.set(replicaId, handler);
@@ -25,12 +26,16 @@
     this.handlers.delete(replicaId);
   }
 
-  /** Cuts messages from `from` to `to` only. */
   cutOneWay(from: string, to: string): void {
     this.cuts.add(`${from}>${to}`);
   }
 
-  /** Cuts a replica from all others in both directions. */
+  cut(one: string, other: string): void {
+    this.cutOneWay(one, other);
+    this.cutOneWay(other, one);
+  }
+
+  /** Cuts a replica from all others. */
   isolate(replicaId: string): void {
     this.cuts.add(replicaId);
   }
@@ -39,21 +44,10 @@
     this.cuts.clear();
   }
 
-  /** Holds back all messages from and to a replica until the returned function is called. */
-  freeze(replicaId: string): () => void {
-    let resume = (): void => undefined;
-    const frozen = new Promise<void>((resolve) => (resume = resolve));
-    this.frozen.set(replicaId, frozen);
-    return () => {
-      this.frozen.delete(replicaId);
-      resume();
-    };
-  }
-
   transportOf(from: string): ConsensusTransport {
     return {
-      call: async (to, _address, request, signal) => {
-        // A copy, so that replicas share no memory.
+      call: async (to, _address, request) => {
+        // Copies, so that replicas share no memory.
         const sent = structuredClone(request);
         await this.deliver(from, to);
         if (!this.filter(from, to, sent)) throw new Error('Message lost');
@@ -61,16 +55,14 @@
         if (!handler) throw new Error('Connection refused');
         const response = structuredClone(await handler(sent));
         await this.deliver(to, from);
-        signal.throwIfAborted();
         return response;
       },
     };
   }
 
   private async deliver(from: string, to: string): Promise<void> {
-    const delayMs = this.delayMs();
-    if (delayMs > 0) await delay(delayMs);
-    await Promise.all([this.frozen.get(from), this.frozen.get(to)]);
+    const delayMs = this.delayMs(from, to);
+    if (delayMs > 0) await this.clock.sleep(delayMs);
     const cut = this.cuts.has(from) || this.cuts.has(to) || this.cuts.has(`${from}>${to}`);
     if (cut || this.random() < this.lossRate) throw new Error('Message lost');
   }
--- a/control/consensus/test/replicaGroup.ts
+++ b/control/consensus/test/replicaGroup.ts
@@ -1,16 +1,15 @@
 import assert from 'node:assert/strict';
-import {mkdtemp, rm} from 'node:fs/promises';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
-import {setTimeout as delay} from 'node:timers/promises';
 import type {TestContext} from 'node:test';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {startReplica} from '@medlarlane/consensus';
-import type {Replica, ReplicaTimings, StateMachine} from '@medlarlane/consensus';
-import {systemClock} from '@medlarlane/lifecycle';
+import type {Replica, StateMachine} from '@medlarlane/consensus';
+import {ManualClock} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
-import {nodeFileSystem, openLogStore} from '@medlarlane/log-store';
-import type {FileSystem, LogStore, MemberSet, StoreFile} from '@medlarlane/log-store';
+import type {MemberSet} from '@medlarlane/log-store';
 import {MemoryNetwork} from './memoryNetwork.js';
+import {emptyDisk, MemoryStore} from './memoryStore.js';
+import type {MemoryDisk} from './memoryStore.js';
 
 /** A state machine that keeps the commands in order. */
 export class CommandList implements StateMachine {
@@ -21,7 +20,7 @@
   }
 
   snapshot(): Uint8Array {
-    return Buffer.from(JSON.stringify(this.commands));
+    return new Uint8Array(Buffer.from(JSON.stringify(this.commands)));
   }
 
   restore(payload: Uint8Array): void {
@@ -30,178 +29,206 @@
 }
 
 export interface TestReplica {
+  readonly id: string;
   readonly replica: Replica;
-  readonly store: LogStore;
+  readonly store: MemoryStore;
   readonly list: CommandList;
-  readonly files: DiskFaults;
-}
-
-export interface DiskFaults extends FileSystem {
-  /** Writes and syncs fail from now on. */
-  broken: boolean;
+  readonly clock: FreezableClock;
 }
 
 export interface ReplicaGroupOptions {
-  readonly clock?: Clock;
-  readonly timings?: Partial<ReplicaTimings>;
   readonly snapshotEveryEntries?: number;
-  readonly random?: () => number;
+  readonly seed?: number;
 }
 
-/** Replicas in one process on real files and an in-memory network. */
+/** Replicas in one process on one manual clock, an in-memory network and in-memory disks. */
 export class ReplicaGroup {
+  readonly clock = new ManualClock();
+  readonly random: () => number;
   readonly network: MemoryNetwork;
+  readonly disks = new Map<string, MemoryDisk>();
   readonly running = new Map<string, TestReplica>();
-  /** Leaders seen per term, over the life of the group. */
-  readonly leadersByTerm = new Map<number, Set<string>>();
+  /** Commands whose proposal resolved, with their position in the list of commands. */
+  readonly acknowledged = new Map<string, number>();
+  private readonly leadersByTerm = new Map<number, string>();
 
   constructor(
-    private readonly folder: string,
     readonly members: MemberSet,
     private readonly opts: ReplicaGroupOptions,
   ) {
-    this.network = new MemoryNetwork(opts.random);
+    const generator = xoroshiro128plus(opts.seed ?? 1);
+    this.random = () => uniformFloat64(generator);
+    this.network = new MemoryNetwork(this.clock, this.random);
   }
 
-  async start(
-    replicaId: string,
-    opts: {bootstrap?: boolean; folder?: string} = {},
-  ): Promise<TestReplica> {
-    const files = diskFaults();
-    const store = await openLogStore(path.join(this.folder, opts.folder ?? replicaId), {
-      replicaId,
-      files,
-    });
+  /** Starts a replica on the disk of its id. */
+  start(id: string, bootstrap = true): TestReplica {
+    const disk = this.disks.get(id) ?? emptyDisk();
+    this.disks.set(id, disk);
+    const store = new MemoryStore(id, disk, this.clock);
     const list = new CommandList();
-    const {clock, ...settings} = this.opts;
+    const clock = new FreezableClock(this.clock);
     const replica = startReplica({
-      ...settings,
-      clock: clock ?? systemClock,
-      replicaId,
+      replicaId: id,
       store,
-      transport: this.network.transportOf(replicaId),
+      clock,
+      transport: this.network.transportOf(id),
       stateMachine: list,
-      ...((opts.bootstrap ?? true) ? {bootstrap: this.members} : {}),
+      random: this.random,
+      ...(bootstrap ? {bootstrap: this.members} : {}),
+      ...(this.opts.snapshotEveryEntries
+        ? {snapshotEveryEntries: this.opts.snapshotEveryEntries}
+        : {}),
     });
     replica.onRoleChange(({role, term}) => {
       if (role !== 'leader') return;
-      const leaders = this.leadersByTerm.get(term) ?? new Set();
-      this.leadersByTerm.set(term, leaders.add(replicaId));
+      assert.equal(this.leadersByTerm.get(term) ?? id, id, `Term ${term} has two leaders`);
+      this.leadersByTerm.set(term, id);
+    });
+    this.network.attach(id, async (request) => {
+      await clock.thaw;
+      return replica.handle(request);
     });
-    this.network.attach(replicaId, (request) => replica.handle(request));
-    const started = {replica, store, list, files};
-    this.running.set(replicaId, started);
+    const started = {id, replica, store, list, clock};
+    this.running.set(id, started);
     return started;
   }
 
-  /** Ends a replica at once: it answers nothing more and its unsynced writes fail. */
-  async kill(replicaId: string): Promise<void> {
-    const {replica, store, files} = this.get(replicaId);
-    this.network.detach(replicaId);
-    this.running.delete(replicaId);
-    files.broken = true;
-    await replica.close();
-    await store.close();
+  /** Ends a replica at once; what it has not synced is lost. */
+  kill(id: string): void {
+    const {replica, store} = this.get(id);
+    this.network.detach(id);
+    this.running.delete(id);
+    void store.close();
+    void replica.close();
   }
 
-  get(replicaId: string): TestReplica {
-    const found = this.running.get(replicaId);
-    assert.ok(found, `Replica ${replicaId} runs`);
+  get(id: string): TestReplica {
+    const found = this.running.get(id);
+    assert.ok(found, `Replica ${id} runs`);
     return found;
   }
 
-  /** The replica that leads with a valid lease, once there is one. */
-  async leader(among: readonly string[] = [...this.running.keys()]): Promise<TestReplica> {
-    return until('a leader is ready', () =>
-      among
-        .map((id) => this.running.get(id))
-        .find((found) => found?.replica.isLeader() && found.replica.leaderLeaseValid()),
-    );
+  others(...ids: string[]): string[] {
+    return [...this.running.keys()].filter((id) => !ids.includes(id));
   }
 
-  /** Proposes until one leader accepts; the command may be in the log twice. */
-  async propose(command: string, among?: readonly string[]): Promise<void> {
+  /** Advances time in small steps and checks at each that at most one lease is valid. */
+  async run(durationMs: number): Promise<void> {
+    for (let spentMs = 0; spentMs < durationMs; spentMs += STEP_MS) {
+      await this.clock.advance(STEP_MS);
+      const valid = [...this.running.values()].filter(({replica}) => replica.leaderLeaseValid());
+      assert.ok(valid.length <= 1, `Leases of ${valid.map(({id}) => id).join(' and ')} overlap`);
+    }
+  }
+
+  async until<T>(what: string, condition: () => T | undefined | false): Promise<T> {
+    const limitMs = this.clock.nowMs() + 60_000;
     for (;;) {
-      const {replica} = await this.leader(among);
-      try {
-        await replica.propose(Buffer.from(command));
-        return;
-      } catch {
-        await delay(5);
-      }
+      const value = condition();
+      if (value !== undefined && value !== false) return value;
+      assert.ok(this.clock.nowMs() < limitMs, `Never happened: ${what}`);
+      await this.run(STEP_MS);
     }
   }
 
-  /** Waits until all running replicas have applied the same commands, and returns them. */
-  async agreement(among: readonly string[] = [...this.running.keys()]): Promise<string[]> {
-    await this.propose('agreement', among);
-    const {replica, list} = await this.leader(among);
-    const index = replica.commitIndex;
-    await until('all replicas have applied the log', () =>
-      among.every((id) => this.get(id).replica.appliedIndex >= index),
+  leader(among: readonly string[] = this.others()): Promise<TestReplica> {
+    return this.until('a leader is ready', () =>
+      among
+        .map((id) => this.get(id))
+        .find(({replica}) => replica.isLeader() && replica.leaderLeaseValid()),
     );
-    const commands = [...list.commands];
-    for (const id of among) {
-      assert.deepEqual(this.get(id).list.commands.slice(0, commands.length), commands);
+  }
+
+  /** Proposes once and records the acknowledgement; resolves with the error code or `ok`. */
+  async propose(to: TestReplica, command: string): Promise<string> {
+    try {
+      const {index, result} = await to.replica.propose(Buffer.from(command));
+      this.assertOnMajority(index);
+      this.acknowledged.set(command, result as number);
+      return 'ok';
+    } catch (failure) {
+      if (failure instanceof assert.AssertionError) throw failure;
+      return (failure as {code: string}).code;
     }
-    return commands;
   }
 
-  assertOneLeaderPerTerm(): void {
-    for (const [term, leaders] of this.leadersByTerm) {
-      assert.equal(leaders.size, 1, `Term ${term} has leaders ${[...leaders].join(', ')}`);
+  /** An acknowledged entry must be on the disks of a majority, not only in memory. */
+  private assertOnMajority(index: number): void {
+    const voters = this.others().flatMap((id) => this.get(id).replica.status().members.voters);
+    const disks = [...this.disks].filter(([id]) => voters.includes(id)).map(([, disk]) => disk);
+    const copies = disks.filter(
+      ({snapshot, entries}) =>
+        (snapshot?.index ?? 0) >= index || (entries.at(-1)?.index ?? 0) >= index,
+    );
+    assert.ok(copies.length * 2 > this.members.voters.length, `${copies.length} hold ${index}`);
+  }
+
+  /** Runs until a promise settles. */
+  async settle<T>(promise: Promise<T>): Promise<T> {
+    let settled = false;
+    const done = promise.finally(() => (settled = true));
+    done.catch(() => undefined);
+    await this.until('the promise settles', () => settled);
+    return done;
+  }
+
+  async commit(to: TestReplica, count: number, name = 'command'): Promise<void> {
+    const proposed = Array.from({length: count}, (_, i) => this.propose(to, `${name} ${i}`));
+    const outcomes = await this.settle(Promise.all(proposed));
+    assert.deepEqual([...new Set(outcomes)], ['ok']);
+  }
+
+  /** Waits until all running replicas agree, and checks that nothing acknowledged is lost. */
+  async agree(among: readonly string[] = this.others()): Promise<void> {
+    await this.until('all replicas have applied the same log', () => {
+      const replicas = among.map((id) => this.get(id).replica);
+      const leads = replicas.some((replica) => replica.isLeader());
+      return leads && new Set(replicas.map(({appliedIndex}) => appliedIndex)).size === 1;
+    });
+    const [first, ...rest] = among.map((id) => this.get(id).list.commands);
+    for (const commands of rest) assert.deepEqual(commands, first);
+    for (const [command, position] of this.acknowledged) {
+      assert.equal(first![position - 1], command, `${command} was acknowledged at ${position}`);
     }
   }
 }
 
-export async function startGroup(
+export function startGroup(
   test: TestContext,
   ids: readonly string[],
   opts: ReplicaGroupOptions = {},
-): Promise<ReplicaGroup> {
-  const folder = await mkdtemp(path.join(tmpdir(), 'consensus-'));
+): ReplicaGroup {
   const addresses = Object.fromEntries(ids.map((id) => [id, `${id}:1`]));
-  const group = new ReplicaGroup(folder, {voters: [...ids], learners: [], addresses}, opts);
-  test.after(async () => {
-    group.network.heal();
-    for (const id of [...group.running.keys()]) await group.kill(id);
-    await rm(folder, {recursive: true, force: true});
-  });
-  for (const id of ids) await group.start(id);
+  const group = new ReplicaGroup({voters: [...ids], learners: [], addresses}, opts);
+  for (const id of ids) group.start(id);
+  test.after(() => group.others().forEach((id) => group.kill(id)));
   return group;
 }
 
-/** Waits for a condition. The limit only ends a run that hangs. */
-export async function until<T>(
-  what: string,
-  condition: () => T | undefined | false,
-  limitMs = 60_000,
-): Promise<T> {
-  const startedMs = performance.now();
-  for (;;) {
-    const value = condition();
-    if (value !== undefined && value !== false) return value;
-    assert.ok(performance.now() - startedMs < limitMs, `Not within ${limitMs} ms: ${what}`);
-    await delay(5);
+/** A clock whose sleepers do not wake while the process is frozen, although time goes on. */
+export class FreezableClock implements Clock {
+  thaw: Promise<void> = Promise.resolve();
+  resume: () => void = () => undefined;
+
+  constructor(private readonly clock: Clock) {}
+
+  freeze(): void {
+    this.thaw = new Promise((resolve) => (this.resume = resolve));
+  }
+
+  nowMs(): number {
+    return this.clock.nowMs();
   }
-}
 
-function diskFaults(): DiskFaults {
-  const wrap = (file: StoreFile): StoreFile => ({
-    ...file,
-    write: async (bytes, position) => {
-      if (faults.broken) throw new Error('ENOSPC: no space left on device');
-      await file.write(bytes, position);
-    },
-    sync: async () => {
-      if (faults.broken) throw new Error('EIO: i/o error');
-      await file.sync();
-    },
-  });
-  const faults: DiskFaults = {
-    ...nodeFileSystem,
-    broken: false,
-    open: async (file, mode) => wrap(await nodeFileSystem.open(file, mode)),
-  };
-  return faults;
+  wallMs(): number {
+    return this.clock.wallMs();
+  }
+
+  async sleep(durationMs: number, opts: {signal?: AbortSignal} = {}): Promise<void> {
+    await this.clock.sleep(durationMs, opts);
+    await this.thaw;
+  }
 }
+
+const STEP_MS = 5;
