--- a/control/consensus/src/leadership.ts
+++ b/control/consensus/src/leadership.ts
@@ -154,14 +154,14 @@
   /** Resolves once everything committed before the call is applied. */
   async readBarrier(): Promise<void> {
     const {clock} = this.host;
-    const {signal} = this.tasks;
     const askedAtMs = clock.nowMs();
-    while (!this.stopped && this.host.commitIndex < this.noopIndex) await this.applied.wait(signal);
+    // Every wait ends when the term does, so that none needs an abort signal.
+    while (!this.stopped && this.host.commitIndex < this.noopIndex) await this.applied.wait();
     const readIndex = this.host.commitIndex;
     while (!this.stopped && !this.leaseValid() && this.quorumAckMs() < askedAtMs) {
-      await this.acknowledged.wait(signal);
+      await this.acknowledged.wait();
     }
-    while (!this.stopped && this.host.appliedIndex < readIndex) await this.applied.wait(signal);
+    while (!this.stopped && this.host.appliedIndex < readIndex) await this.applied.wait();
     if (this.stopped) throw new MedlarlaneError('NOT_LEADER');
   }
 
--- a/control/consensus/src/timings.ts
+++ b/control/consensus/src/timings.ts
@@ -22,7 +22,8 @@
   voteRefusalMs: 400,
   electionMinMs: 400,
   electionMaxMs: 700,
-  callTimeoutMs: 250,
+  // An answer that takes longer than the lease no longer counts for it.
+  callTimeoutMs: 350,
   appendTimeoutMs: 2_000,
   snapshotTimeoutMs: 30_000,
 };
--- a/control/consensus/src/wakeup.ts
+++ b/control/consensus/src/wakeup.ts
@@ -11,16 +11,16 @@
   }
 
   /** Resolves at the next `notify` or when `signal` aborts. */
-  wait(signal: AbortSignal): Promise<void> {
+  wait(signal?: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
-      if (signal.aborted) return resolve();
+      if (signal?.aborted) return resolve();
       const wake = (): void => {
         this.waiters.delete(wake);
-        signal.removeEventListener('abort', wake);
+        signal?.removeEventListener('abort', wake);
         resolve();
       };
       this.waiters.add(wake);
-      signal.addEventListener('abort', wake, {once: true});
+      signal?.addEventListener('abort', wake, {once: true});
     });
   }
 
--- a/control/log-store/src/folderLock.ts
+++ b/control/log-store/src/folderLock.ts
@@ -4,6 +4,7 @@
 import type {FileSystem} from './fileSystem.js';
 
 const LOCK_NAME = /^lock-(\d+)-(\d+)-([0-9a-z]+)-(\d+)$/;
+// By name only, because one folder may be reached by several paths.
 const heldInThisProcess = new Set<string>();
 let lockCount = 0;
 
@@ -19,10 +20,9 @@
   const boot = bootId();
   const ownName = `lock-${process.pid}-${startTimeTicks(process.pid) ?? 0}-${boot}-${++lockCount}`;
   const ownPath = path.join(folder, ownName);
-  const held = path.resolve(ownPath);
-  heldInThisProcess.add(held);
+  heldInThisProcess.add(ownName);
   const release = async (): Promise<void> => {
-    heldInThisProcess.delete(held);
+    heldInThisProcess.delete(ownName);
     await files.remove(ownPath).catch(() => undefined);
   };
   try {
@@ -30,7 +30,7 @@
     for (const name of await files.list(folder)) {
       const match = LOCK_NAME.exec(name);
       if (!match || name === ownName) continue;
-      if (isLive(path.resolve(folder, name), match, boot)) {
+      if (isLive(name, match, boot)) {
         throw new MedlarlaneError('LOG_LOCKED', `Data folder is in use by process ${match[1]}`, {
           details: {folder, processId: Number(match[1])},
         });
@@ -44,11 +44,11 @@
   return release;
 }
 
-function isLive(lockPath: string, match: RegExpExecArray, boot: string): boolean {
+function isLive(lockName: string, match: RegExpExecArray, boot: string): boolean {
   const processId = Number(match[1]);
   if (match[3] !== boot) return false;
   if (processId === process.pid && Number(match[2]) === (startTimeTicks(processId) ?? 0)) {
-    return heldInThisProcess.has(lockPath);
+    return heldInThisProcess.has(lockName);
   }
   const startTicks = startTimeTicks(processId);
   if (startTicks !== undefined) return startTicks === Number(match[2]);
--- a/control/log-store/test/openLogStore.test.ts
+++ b/control/log-store/test/openLogStore.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
-import {readdir, readFile, rm, writeFile} from 'node:fs/promises';
+import {readdir, readFile, rm, symlink, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 import {test} from 'node:test';
 import {fileURLToPath} from 'node:url';
@@ -159,6 +159,9 @@
   const folder = await temporaryFolder(t);
   const store = await openLogStore(folder);
   await assert.rejects(openLogStore(folder), {code: 'LOG_LOCKED'});
+  await symlink(folder, `${folder}-link`);
+  t.after(() => rm(`${folder}-link`));
+  await assert.rejects(openLogStore(`${folder}-link`), {code: 'LOG_LOCKED'});
   await store.append({entries: entries(1, 1)});
   await store.close();
   assert.equal((await recover(folder)).entries.length, 1);
