--- a/control/control-state/src/controlState.ts
+++ b/control/control-state/src/controlState.ts
@@ -7,6 +7,7 @@
   CommandOf,
   DirectoryChange,
   DirectorySnapshot,
+  Move,
   Range,
   Registration,
   ServiceDocument,
@@ -303,22 +304,30 @@
   private startMoves(index: number, {service, moves}: CommandOf<'startMoves'>): CommandResult {
     const table = this.assignments.get(service);
     if (!table) return failure('SERVICE_UNKNOWN', `Service ${service} is not split by key`);
-    for (const {fromPosition, toPosition, fromSessionId, toSessionId} of moves) {
-      const destination = this.sessions.get(toSessionId);
-      if (!destination || destination.draining || destination.service !== service) continue;
-      if (toSessionId === fromSessionId || fromPosition >= toPosition) continue;
-      table.splitAt(fromPosition);
-      table.splitAt(toPosition);
-      table.update((range) => {
-        const inside = range.startPosition >= fromPosition && range.startPosition < toPosition;
-        const movable = range.ownerSessionId === fromSessionId && range.nextSessionId === 0;
-        return inside && movable ? {...range, nextSessionId: toSessionId} : range;
-      });
-      this.publishSplit(service, fromPosition, toPosition);
-    }
+    const valid = moves
+      .filter((move) => this.isValidMove(service, move))
+      .sort((a, b) => a.fromPosition - b.fromPosition);
+    if (valid.length === 0) return {ok: true, index};
+    table.splitAt(...valid.flatMap(({fromPosition, toPosition}) => [fromPosition, toPosition]));
+    let next = 0;
+    table.update((range) => {
+      while (next < valid.length && valid[next]!.toPosition <= range.startPosition) next += 1;
+      const move = valid[next];
+      if (!move || move.fromPosition > range.startPosition) return range;
+      const movable = range.ownerSessionId === move.fromSessionId && range.nextSessionId === 0;
+      return movable ? {...range, nextSessionId: move.toSessionId} : range;
+    });
+    for (const move of valid) this.publishSplit(service, move.fromPosition, move.toPosition);
     return {ok: true, index};
   }
 
+  private isValidMove(service: string, move: Move): boolean {
+    const {fromPosition, toPosition, fromSessionId, toSessionId} = move;
+    const destination = this.sessions.get(toSessionId);
+    if (!destination || destination.draining || destination.service !== service) return false;
+    return toSessionId !== fromSessionId && fromPosition < toPosition;
+  }
+
   /** Publishes the ranges around a moved stretch, whose edges a split may have made. */
   private publishSplit(service: string, fromPosition: number, toPosition: number): void {
     const table = this.assignments.get(service)!;
--- a/routing/load-meter/src/loadMeter.ts
+++ b/routing/load-meter/src/loadMeter.ts
@@ -31,6 +31,8 @@
   private readonly reportedKeys = new Map<number, number>();
   private keys = new TopKeys(TRACKED_KEYS);
   private total = 0;
+  /** Ranges that had requests in the previous window. */
+  private seenStarts = new Set<number>();
   private lastReportMs: number;
 
   constructor(private readonly opts: LoadMeterOptions) {
@@ -66,8 +68,10 @@
   }
 
   private rangeChanges(elapsedMs: number): LoadReport['rangeLoads'] {
-    const starts = new Set([...this.rates.keys(), ...this.counts.keys()]);
-    return [...starts].flatMap((startPosition) => {
+    const known = new Set([...this.rates.keys(), ...this.seenStarts]);
+    // The first window of a range is incomplete, and its low rate would make the range look idle.
+    this.seenStarts = new Set(this.counts.keys());
+    return [...known].flatMap((startPosition) => {
       const measuredRps = ((this.counts.get(startPosition) ?? 0) * 1000) / elapsedMs;
       const previousRps = this.rates.get(startPosition) ?? measuredRps;
       const smoothedRps = previousRps + (measuredRps - previousRps) * SMOOTHING;
--- a/scripts/capacity.mjs
+++ b/scripts/capacity.mjs
@@ -27,7 +27,7 @@
 const DOCUMENTS = 300;
 const HOT_KEY_PERIOD_S = 300;
 const RACK_DAEMONS = 24;
-const PLAN_PERIOD_S = 5;
+const PLAN_PERIOD_S = 1;
 
 /** Each hot key that changes is moved: one change starts the move and one finishes it. */
 const MOVE_CHANGES_PER_SECOND = (2 * HOT_KEYS) / HOT_KEY_PERIOD_S;
