Register the commit and recovery benches; renew certificates of consensus connections

Cause: the transport kept the certificates of its start, so a connection opened after a rotation would show an old one.

--- a/apps/daemon/src/wireDaemon.ts
+++ b/apps/daemon/src/wireDaemon.ts
@@ -104,7 +104,7 @@
       const transport = store.use(
         createConnectTransport({
           ...localAddressOf(settings),
-          ...(tls ? {tls: tls.clientTlsOptions()} : {}),
+          ...(tls ? {tls: () => tls.clientTlsOptions()} : {}),
         }),
         (opened) => opened.close(),
       );
--- a/bench/src/commitBench.ts
+++ b/bench/src/commitBench.ts
@@ -9,17 +9,9 @@
 import {consensusRoutes, createConnectTransport, startReplica} from '@medlarlane/consensus';
 import type {Replica} from '@medlarlane/consensus';
 import {DisposableStore, systemClock} from '@medlarlane/lifecycle';
+import type {Figure} from './figure.js';
 import {openLogStore} from '@medlarlane/log-store';
 
-/** One measured figure. `bound` comes from the stated target. */
-export interface BenchFigure {
-  readonly name: string;
-  readonly value: number;
-  readonly unit: string;
-  readonly bound?: number;
-  readonly pass?: boolean;
-}
-
 export interface CommitBenchOptions {
   /** Parent of the data folders; its disk is what the bench measures. */
   readonly parentFolder?: string;
@@ -36,7 +28,7 @@
 const COMMIT_P99_BOUND_MS = 100;
 
 /** Commit latency and throughput of replicas on real files and HTTP/2 over loopback. */
-export async function commitBench(opts: CommitBenchOptions = {}): Promise<BenchFigure[]> {
+export async function commitBench(opts: CommitBenchOptions = {}): Promise<Figure[]> {
   const {sequentialCommits = 1_000, concurrentCommits = 20_000, clients = 64} = opts;
   const {replicas = 3, payloadBytes = 256} = opts;
   const command = new Uint8Array(payloadBytes);
--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,4 +1,5 @@
 import {churn} from './churn.js';
+import {commitBench} from './commitBench.js';
 import {controlCost} from './controlCost.js';
 import {dedupeCostBench} from './dedupeCostBench.js';
 import type {Bench} from './figure.js';
@@ -7,6 +8,7 @@
 import {messageSize} from './messageSize.js';
 import {planCost} from './planCost.js';
 import {queueOrderBench} from './queueOrderBench.js';
+import {restartRecoveryBench} from './restartRecoveryBench.js';
 import {stateMemory} from './stateMemory.js';
 
 /** All benches by name. */
@@ -26,6 +28,16 @@
     description: 'Planning rounds until the load is even again after the hot keys change',
     run: hotKeySettle,
   },
+  commit: {
+    kind: 'timed',
+    description: 'Commit time and commits per second of three replicas on real files',
+    run: () => commitBench(),
+  },
+  'restart-recovery': {
+    kind: 'timed',
+    description: 'Time to recover a log of 1,000 to 100,000 entries',
+    run: () => restartRecoveryBench(),
+  },
   'control-cost': {
     kind: 'slope',
     description: 'Traffic and processor time of leases, reports and changes per daemon',
--- a/bench/src/restartRecoveryBench.ts
+++ b/bench/src/restartRecoveryBench.ts
@@ -1,9 +1,9 @@
 import {mkdtemp, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import type {Figure} from './figure.js';
 import {openLogStore} from '@medlarlane/log-store';
 import type {LogEntry} from '@medlarlane/log-store';
-import type {BenchFigure} from './commitBench.js';
 
 export interface RestartRecoveryBenchOptions {
   /** Parent of the data folders. */
@@ -19,9 +19,9 @@
 /** Time to open a log, which reads and checks every entry after the snapshot, against its length. */
 export async function restartRecoveryBench(
   opts: RestartRecoveryBenchOptions = {},
-): Promise<BenchFigure[]> {
+): Promise<Figure[]> {
   const {logLengths = [1_000, 10_000, 100_000], payloadBytes = 256, opens = 5} = opts;
-  const figures: BenchFigure[] = [];
+  const figures: Figure[] = [];
   for (const length of logLengths) {
     const folder = await mkdtemp(path.join(opts.parentFolder ?? tmpdir(), 'medlarlane-recovery-'));
     try {
--- a/control/consensus/src/createConnectTransport.ts
+++ b/control/consensus/src/createConnectTransport.ts
@@ -19,8 +19,11 @@
 } from './rpcCodec.js';
 
 export interface ConnectTransportOptions {
-  /** Key, certificate and authorities for mutual TLS. Without them the connection is not encrypted. */
-  readonly tls?: SecureClientSessionOptions;
+  /**
+   * Reads key, certificate and authorities for mutual TLS, for each new session. Without them the
+   * connection is not encrypted.
+   */
+  readonly tls?: () => SecureClientSessionOptions;
   /** Address from which connections are opened, on an instance with several. */
   readonly localAddress?: string;
   readonly clock?: Clock;
@@ -76,7 +79,7 @@
     baseUrl,
     {},
     {
-      ...tls,
+      ...tls?.(),
       ...(localAddress === undefined ? {} : {localAddress}),
     },
   );
