Find leaders outside the settings; test durable decisions under faults

Once a replacement replica led, every operator call failed with NO_LEADER. The same call answered NO_LEADER, ran no, when a replica had committed the change and only its answer was missing.

Ruled out: the log and the member change. The group went on electing and committing; only the daemons' relay of operator calls failed.

Change: ControlClient.execute follows the leader address that a replica names, keeps the last address that answered, and reports COMMIT_UNKNOWN when a change may have run.

--- a/routing/control-client/src/controlClient.ts
+++ b/routing/control-client/src/controlClient.ts
@@ -2,9 +2,11 @@
 import type {SecureClientSessionOptions} from 'node:http2';
 import {create} from '@bufbuild/protobuf';
 import type {MessageInitShape} from '@bufbuild/protobuf';
-import {createClient} from '@connectrpc/connect';
+import {ConnectError, createClient} from '@connectrpc/connect';
 import type {Transport} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
+import {ADMIN_OPERATIONS} from '@medlarlane/admin-api';
+import type {AdminOperation} from '@medlarlane/admin-api';
 import {
   AdminService,
   LeaseService,
@@ -76,12 +78,18 @@
   readonly commitIndex: number;
 }
 
+/** The result of an operation, or how far it came and who may lead instead. */
+type ExecuteOutcome =
+  {readonly result: unknown} | {readonly mayHaveRun: boolean; readonly leaderAddress: string};
+
 type RequestInit = MessageInitShape<typeof SessionRequestSchema>;
 
 /** The session, watch and operator calls of one daemon towards the control replicas. */
 export class ControlClient {
   private registration: Registration | undefined;
   private leaderHint = '';
+  /** Address that answered the last operator call. */
+  private operatorLeader = '';
   private nextReplica = 0;
   private openSession: OpenSession | undefined;
   private watchAbort: AbortController | undefined;
@@ -152,24 +160,34 @@
   }
 
   /**
-   * Runs an operator operation on the leader.
-   * @throws MedlarlaneError of the operation, `NO_LEADER` when no replica answers.
+   * Runs an operator operation on the leader, which may be a replica that the settings do not name.
+   * @throws MedlarlaneError of the operation; `COMMIT_UNKNOWN` when a replica may have run a change
+   * whose answer is missing; `NO_LEADER` when certainly none has.
    */
-  async execute(operation: string, args: unknown): Promise<unknown> {
-    const addresses = [this.leaderHint, ...this.opts.replicaAddresses].filter(Boolean);
-    for (const address of new Set(addresses)) {
+  async execute(operation: AdminOperation, args: unknown): Promise<unknown> {
+    const addresses = [this.operatorLeader, ...this.opts.replicaAddresses];
+    const tried = new Set(['']);
+    let mayHaveRun = false;
+    for (let address = addresses.shift(); address !== undefined; address = addresses.shift()) {
+      if (tried.has(address)) continue;
+      tried.add(address);
       const outcome = await this.executeAt(address, operation, args);
-      if (outcome) return outcome.result;
+      if ('result' in outcome) {
+        this.operatorLeader = address;
+        return outcome.result;
+      }
+      mayHaveRun ||= outcome.mayHaveRun;
+      addresses.unshift(outcome.leaderAddress);
     }
-    throw new MedlarlaneError('NO_LEADER');
+    const isOpen = mayHaveRun && ADMIN_OPERATIONS[operation].changesState;
+    throw new MedlarlaneError(isOpen ? 'COMMIT_UNKNOWN' : 'NO_LEADER');
   }
 
-  /** Returns `undefined` when the replica cannot be reached or knows no leader. */
   private async executeAt(
     address: string,
-    operation: string,
+    operation: AdminOperation,
     args: unknown,
-  ): Promise<{result: unknown} | undefined> {
+  ): Promise<ExecuteOutcome> {
     const client = createClient(AdminService, this.transport(address));
     const request = {operation, argumentsJson: JSON.stringify(args ?? {})};
     let response;
@@ -177,13 +195,17 @@
       response = await client.execute(request, {timeoutMs: EXECUTE_TIMEOUT_MS});
     } catch (failure) {
       this.opts.logger.debug({address, err: failure}, 'Operator call failed.');
-      return undefined;
+      return {mayHaveRun: !isConnectionRefused(failure), leaderAddress: ''};
     }
     if (!response.problemJson) return {result: JSON.parse(response.resultJson) as unknown};
     const error =
       fromProblemDocument(JSON.parse(response.problemJson)) ?? new MedlarlaneError('INTERNAL');
-    if (error.code === 'NOT_LEADER' || error.code === 'NO_LEADER') return undefined;
-    throw error;
+    if (error.code !== 'NOT_LEADER' && error.code !== 'NO_LEADER') throw error;
+    const {leaderAddress} = error.details;
+    return {
+      mayHaveRun: false,
+      leaderAddress: typeof leaderAddress === 'string' ? leaderAddress : '',
+    };
   }
 
   private async keepSession(signal: AbortSignal): Promise<void> {
@@ -388,3 +410,9 @@
     return transport;
   }
 }
+
+/** Whether the request certainly reached nobody. */
+function isConnectionRefused(failure: unknown): boolean {
+  const {cause} = ConnectError.from(failure);
+  return cause instanceof Error && 'code' in cause && cause.code === 'ECONNREFUSED';
+}
--- a/testing/fault-tables/test/documentFaults.test.ts
+++ b/testing/fault-tables/test/documentFaults.test.ts
@@ -20,7 +20,14 @@
   startNetwork,
   startOperators,
 } from '@medlarlane/fixtures';
-import type {Cluster, DaemonProcess, Network, Operators, Team} from '@medlarlane/fixtures';
+import type {
+  Cluster,
+  DaemonProcess,
+  DocumentInput,
+  Network,
+  Operators,
+  Team,
+} from '@medlarlane/fixtures';
 
 interface Scene {
   readonly cluster: Cluster;
@@ -83,6 +90,7 @@
       await truncate(log, length - 3);
       scene.cluster.replicas[follower] = await scene.cluster.restartReplica(follower);
       await acknowledgedMore(operators, 5);
+      await operators.stop();
       await eventually('equal state', () => servesState(scene, addressOf(scene, follower)), {
         limitMs: LIMIT_MS,
       });
@@ -238,10 +246,26 @@
     }));
 }
 
+void test('A change that was committed while its answers were held back is never called not run', () =>
+  withScene({}, async (scene) => {
+    const changeId = randomUUID();
+    const apply = (): ReturnType<Team['apply']> =>
+      scene.team.apply(scene.admin, documentOf(), {changeId});
+    for (const replica of [0, 1, 2]) scene.network.cut(replica, 'daemons');
+    await assert.rejects(
+      apply(),
+      (failure: MedlarlaneError) => failure.code === 'COMMIT_UNKNOWN' && failure.ran === 'unknown',
+    );
+    for (const replica of [0, 1, 2]) scene.network.restore(replica, 'daemons');
+    const {revision, index} = await eventually('an answer', apply);
+    assert.equal(revision, 1);
+    assert.equal((await historyEntry(scene, changeId))?.index, index);
+  }));
+
 void test('A daemon that is cut off from control refuses callers with ran no after its stale limit', () =>
   withScene({flags: ['--max-stale-ms=3000']}, async (scene) => {
     const service = 'prairie-crag/resetdesk';
-    await scene.team.apply(scene.admin, documentOf({service, splitByKey: false}));
+    await scene.team.apply(scene.admin, plainDocument(service, 18));
     const server = await scene.cluster.startDaemon({instanceId: 'server'});
     await scene.cluster.startTarget(server, {service, name: 'server'});
     const ask = (): ReturnType<typeof sendOnce> =>
@@ -319,6 +343,7 @@
   // The new replica is now needed for every majority, and leads in some of the runs.
   await cluster.replicas[leader]!.end();
   await acknowledgedMore(operators, 10);
+  await operators.stop();
   await eventually('equal state', () => servesState(scene, listen), {limitMs: LIMIT_MS});
 }
 
@@ -345,6 +370,7 @@
   await eventually('one owner', () => ownedBy(1), {limitMs: LIMIT_MS});
   await acknowledgedMore(operators, 30);
   network.reconnect(isolated);
+  await operators.stop();
   await eventually('equal state', () => servesState(scene, addressOf(scene, isolated)), {
     limitMs: LIMIT_MS,
   });
@@ -418,6 +444,11 @@
   }
 }
 
+/** A document of a service that is not split by key. */
+function plainDocument(service: string, slots: number): DocumentInput {
+  return {service, splitByKey: false, targets: {slots, connections: 120}};
+}
+
 /** Applies `count` changes, ten services at a time. */
 async function applyMany({team, admin}: Scene, count: number, name = 'many'): Promise<void> {
   const perService = Math.ceil(count / 10);
@@ -425,15 +456,7 @@
     Array.from({length: Math.ceil(count / perService)}, async (_, number) => {
       const service = `prairie-crag/${name}-${number}`;
       for (let baseRevision = 0; baseRevision < perService; baseRevision++) {
-        await team.apply(
-          admin,
-          documentOf({
-            service,
-            splitByKey: false,
-            targets: {slots: baseRevision + 1, connections: 120},
-          }),
-          {baseRevision},
-        );
+        await team.apply(admin, plainDocument(service, baseRevision + 1), {baseRevision});
       }
     }),
   );
