--- a/apps/cli/src/operatorCommand.ts
+++ b/apps/cli/src/operatorCommand.ts
@@ -232,11 +232,18 @@
     timeoutMs,
     clock: io.clock,
     signal: io.signal,
-    ...(tokenFile ? {token: (await readNamedFile('--token-file', tokenFile)).trim()} : {}),
+    ...(tokenFile ? {token: await readToken(tokenFile)} : {}),
     ...(caFile ? {caPem: await readNamedFile('--ca-file', caFile)} : {}),
   });
 }
 
+/** A token of several lines cannot be sent and would look like a lost answer. */
+async function readToken(file: string): Promise<string> {
+  const token = (await readNamedFile('--token-file', file)).trim();
+  if (/^[\x21-\x7e]+$/.test(token)) return token;
+  throw usageError('--token-file', 'a file with one word of ASCII characters', file);
+}
+
 function textOf(value: unknown): string | undefined {
   return typeof value === 'string' ? value : undefined;
 }
