--- a/testing/fault-tables/src/index.ts
+++ b/testing/fault-tables/src/index.ts
@@ -10,3 +10,5 @@
 export type {Scenario, ScenarioOptions, Server} from './scenario.js';
 export {runFaultTable, SETTLE_MS} from './runFaultTable.js';
 export type {FaultRow} from './runFaultTable.js';
+export {runRandomFaults} from './runRandomFaults.js';
+export type {RandomFaultsOptions, RandomFaultsResult} from './runRandomFaults.js';
