--- a/bench/src/figure.ts
+++ b/bench/src/figure.ts
@@ -13,7 +13,7 @@
 }
 
 export interface BenchOptions {
-  /** Repetitions with different seeds; the worst of them is reported. */
+  /** Repetitions, with different seeds where there are any. */
   readonly trials: number;
 }
 
@@ -21,6 +21,8 @@
   /** `count`: deterministic; `timed`: depends on the machine; `slope`: cost per unit, for capacity. */
   readonly kind: 'count' | 'timed' | 'slope';
   readonly description: string;
+  /** Trials when the command line names none; 3 when absent. */
+  readonly defaultTrials?: number;
   readonly run: (opts: BenchOptions) => Figure[] | Promise<Figure[]>;
 }
 
--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -8,6 +8,8 @@
 
 const RECORDED_FOLDER = path.resolve(import.meta.dirname, '../../recorded');
 
+const DEFAULT_TRIALS = 3;
+
 const command = defineCommand({
   meta: {name: 'bench', description: 'Runs benches and prints one JSON line per figure.'},
   args: {
@@ -17,20 +19,22 @@
     slopes: {type: 'boolean', description: 'Run the benches that measure slopes'},
     report: {type: 'boolean', description: 'Render the recorded figures as an HTML page'},
     record: {type: 'boolean', description: 'Append the figures to the recorded ones'},
-    trials: {type: 'string', default: '3', description: 'Repetitions with different seeds'},
+    trials: {type: 'string', description: 'Repetitions (default: that of the bench, or 3)'},
   },
   run: async ({args}) => {
     if (args.list) return printList();
     if (args.report) return writeReport();
     const names = selectBenches(args);
-    const trials = Number(args.trials);
-    if (names === undefined || !Number.isInteger(trials) || trials < 1) {
+    const givenTrials = args.trials === undefined ? undefined : Number(args.trials);
+    if (names === undefined || !isPositiveInteger(givenTrials ?? 1)) {
       console.error('Expected the name of a bench (see --list) and a positive number of trials.');
       process.exitCode = 2;
       return;
     }
     for (const name of names) {
-      const figures = await registry[name]!.run({trials});
+      const {run, defaultTrials = DEFAULT_TRIALS} = registry[name]!;
+      const trials = givenTrials ?? defaultTrials;
+      const figures = await run({trials});
       for (const figure of figures) console.log(JSON.stringify(withoutPoints(figure)));
       if (args.record) recordFigures(name, figures, trials);
       if (args.ci && figures.some(({pass}) => pass === false)) process.exitCode = 1;
@@ -40,6 +44,10 @@
 
 await runMain(command);
 
+function isPositiveInteger(value: number): boolean {
+  return Number.isInteger(value) && value >= 1;
+}
+
 function printList(): void {
   for (const [name, {kind, description}] of Object.entries(registry)) {
     console.log(`${name.padEnd(20)} ${kind.padEnd(6)} ${description}`);
--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -1,3 +1,6 @@
+import {configInForceBench} from './configInForceBench.js';
+import {failoverBenches} from './failoverBench.js';
+import {moveGapBench} from './moveGapBench.js';
 import {churn} from './churn.js';
 import type {Bench} from './figure.js';
 import {hotKeySettle} from './hotKeySettle.js';
@@ -38,4 +41,17 @@
     description: 'Heap bytes per range and per session in the control state',
     run: stateMemory,
   },
+  ...failoverBenches,
+  'move-gap': {
+    kind: 'timed',
+    description: 'Longest time a key is not served during a planned move',
+    defaultTrials: 20,
+    run: moveGapBench,
+  },
+  'config-in-force': {
+    kind: 'timed',
+    description: 'Time until an accepted document is in force in every daemon',
+    defaultTrials: 20,
+    run: configInForceBench,
+  },
 };
