--- a/testing/fault-tables/src/runRandomFaults.ts
+++ b/testing/fault-tables/src/runRandomFaults.ts
@@ -35,6 +35,8 @@
 const MAX_PAUSE_MS = 1500;
 const RECOVERY_LIMIT_MS = 60_000;
 const RESENT_POSTS = 200;
+const SLOW_CALLERS = 48;
+const SLOW_CALLER_PAUSE_MS = 1000;
 
 /**
  * Strikes a running system with faults that a seed chooses, while operators and callers use it, and
@@ -127,14 +129,24 @@
       pauseMs: 50,
       random: randomOf(this.opts.seed + 1),
     });
-    const traffic = startTraffic({
-      service: SERVICE,
-      entries: () => [observer, ...this.servers.map(({daemon}) => daemon.ready.caller)],
-      keys: KEYS,
-      withPosts: true,
-      pauseMs: 20,
-      random: randomOf(this.opts.seed + 2),
-    });
+    const common = {service: SERVICE, keys: KEYS, withPosts: true};
+    const traffics = [
+      startTraffic({
+        ...common,
+        entries: () => [observer],
+        pauseMs: 20,
+        random: randomOf(this.opts.seed + 2),
+      }),
+      // A caller of a frozen server waits until it resumes. Many slow callers leave some that send to
+      // it only after its lease has ended.
+      startTraffic({
+        ...common,
+        entries: () => this.servers.map(({daemon}) => daemon.ready.caller),
+        workers: SLOW_CALLERS,
+        pauseMs: SLOW_CALLER_PAUSE_MS,
+        random: randomOf(this.opts.seed + 6),
+      }),
+    ];
     await Promise.all([
       this.strikeAgain('replica', this.replicaFaults, [0, 1, 2], 3),
       this.strikeAgain('server', this.serverFaults, [0, 1], 4),
@@ -148,7 +160,7 @@
         (failure: unknown) => violations.push(String(failure)),
       );
     }
-    const records = await traffic.stop();
+    const records = (await Promise.all(traffics.map((traffic) => traffic.stop()))).flat();
     await operators.stop();
     const lost = await lostChanges(admin, operators.acknowledged);
     violations.push(
