--- a/apps/daemon/src/wireDaemon.ts
+++ b/apps/daemon/src/wireDaemon.ts
@@ -1,5 +1,6 @@
 import {createHash} from 'node:crypto';
 import {readFile} from 'node:fs/promises';
+import {Server as HttpsServer} from 'node:https';
 import {startTargetListener} from '@medlarlane/announce';
 import {createConnectTransport, startReplica} from '@medlarlane/consensus';
 import {ControlClient} from '@medlarlane/control-client';
@@ -20,11 +21,17 @@
 import {LoadMeter} from '@medlarlane/load-meter';
 import {createLogger, loggerFor} from '@medlarlane/logger';
 import {openLogStore} from '@medlarlane/log-store';
+import type {PoisonReport} from '@medlarlane/model';
 import {Lease, Ownership, RangeReleaser} from '@medlarlane/ownership';
 import {PoisonTable} from '@medlarlane/poison';
 import {RetryBudget} from '@medlarlane/retry';
 import {advertisedAddress, formatHostPort, isUnspecified} from '@medlarlane/settings';
 import type {DaemonSettings, HostPort} from '@medlarlane/settings';
+import {createMetrics, createTracer} from '@medlarlane/telemetry';
+import {watchTlsMaterial} from '@medlarlane/tls';
+import {DirectoryMeter} from './directoryMeter.js';
+import {countRequest, exposeMetrics, observeControl} from './exposeMetrics.js';
+import type {MetricSources} from './exposeMetrics.js';
 import {startAdminListener} from './adminListener.js';
 import {InFlightRequests} from './inFlightRequests.js';
 import type {} from './services.js';
@@ -52,6 +59,24 @@
     .register('logger', () =>
       createLogger({level: settings.logLevel, bindings: {instanceId: settings.instanceId}}),
     )
+    .register('metrics', () => createMetrics({runtime: true}))
+    .register('tracer', (_services, store) =>
+      store.use(
+        createTracer({
+          otlpUrl: settings.otlpUrl,
+          sampleRatio: settings.traceSampleRatio,
+          serviceName: 'medlarlaned',
+        }),
+        (tracer) => tracer.close(),
+      ),
+    )
+    .register('tls', async (services, store) => {
+      const {tlsCert, tlsKey, tlsCa} = settings;
+      if (tlsCert === undefined || tlsKey === undefined || tlsCa === undefined) return undefined;
+      const files = {certFile: tlsCert, keyFile: tlsKey, caFile: tlsCa};
+      const watcher = await watchTlsMaterial(files, {logger: await services.get('logger')});
+      return store.use(watcher, (opened) => opened.close());
+    })
     .register('tasks', async (services, store) => {
       const logger = loggerFor('task', await services.get('logger'));
       return new BackgroundTasks({
@@ -75,12 +100,18 @@
       const logStore = store.use(await openLogStore(dataFolder, {replicaId}), (opened) =>
         opened.close(),
       );
-      const transport = store.use(createConnectTransport(localAddressOf(settings)), (opened) =>
-        opened.close(),
+      const tls = await services.get('tls');
+      const transport = store.use(
+        createConnectTransport({
+          ...localAddressOf(settings),
+          ...(tls ? {tls: () => tls.clientTlsOptions()} : {}),
+        }),
+        (opened) => opened.close(),
       );
       return startControlService({
         group: settings.group,
         leaseTtlMs: settings.leaseTtlMs,
+        observer: observeControl(await services.get('metrics')),
         clock,
         tasks,
         logger,
@@ -111,21 +142,24 @@
       const {controlListen} = await services.get('settings');
       const controlService = await services.get('controlService');
       if (!controlService || !controlListen) return {port: 0};
-      return store.use(
-        await startControlListener({
-          ...controlListen,
-          routes: (router) => controlService.routes(router),
-        }),
-        (listener) => listener.close(),
-      );
+      const tls = await services.get('tls');
+      const listener = await startControlListener({
+        ...controlListen,
+        ...(tls ? {tls: {...tls.serverTlsOptions()}} : {}),
+        routes: (router) => controlService.routes(router),
+      });
+      if (listener.secureServer) tls?.keepUpdated(listener.secureServer);
+      return store.use(listener, (opened) => opened.close());
     })
     .register('controlClient', async (services) => {
       const settings = await services.get('settings');
       const loadMeter = await services.get('loadMeter');
       const inFlightRequests = await services.get('inFlightRequests');
+      const tls = await services.get('tls');
       const replicaAddresses = settings.controlReplicas.map(({address}) => formatHostPort(address));
       return new ControlClient({
         ...localAddressOf(settings),
+        ...(tls ? {tls: () => tls.clientTlsOptions()} : {}),
         replicaAddresses,
         lease: await services.get('lease'),
         directory: await services.get('directory'),
@@ -151,6 +185,15 @@
       async (services) =>
         new Ownership(await services.get('lease'), await services.get('directory')),
     )
+    .register(
+      'directoryMeter',
+      async (services) =>
+        new DirectoryMeter({
+          directory: await services.get('directory'),
+          metrics: await services.get('metrics'),
+          clock: await services.get('clock'),
+        }),
+    )
     .register('loadMeter', async (services) => new LoadMeter({clock: await services.get('clock')}))
     .register('idempotency', async (services) => {
       const idempotency = new IdempotencyTable({clock: await services.get('clock')});
@@ -162,7 +205,13 @@
     })
     .register('poison', async (services) => {
       const {instanceId} = await services.get('settings');
-      return new PoisonTable({reporterId: instanceId, clock: await services.get('clock')});
+      const clock = await services.get('clock');
+      // The count of crashes starts anew with each process, so the reporter must be new as well.
+      const poison = new PoisonTable({reporterId: `${instanceId}.${clock.wallMs()}`, clock});
+      (await services.get('directory')).onPoison((report, reportedAtMs) => {
+        poison.merge(withAge(report, Math.max(0, clock.wallMs() - reportedAtMs)));
+      });
+      return poison;
     })
     .register(
       'inFlightRequests',
@@ -176,9 +225,16 @@
     .register('peers', async (services, store) => {
       const clock = await services.get('clock');
       const directory = await services.get('directory');
-      const peers = store.use(new Peers({connections: PEER_CONNECTIONS, clock}), (opened) =>
-        opened.close(),
+      const tls = await services.get('tls');
+      const peers = store.use(
+        new Peers({
+          connections: PEER_CONNECTIONS,
+          clock,
+          ...(tls ? {tls: () => tls.clientTlsOptions()} : {}),
+        }),
+        (opened) => opened.close(),
       );
+      tls?.onChange(() => void peers.reconnect());
       (await services.get('tasks')).run('peer connections', async (signal) => {
         for (;;) {
           await clock.sleep(PEER_CHECK_INTERVAL_MS, {signal});
@@ -195,6 +251,8 @@
         directory: await services.get('directory'),
         lease: await services.get('lease'),
         ownership: await services.get('ownership'),
+        listener: await services.get('targetListener'),
+        onCrash: await reportCrash(services),
         clock: await services.get('clock'),
         tasks: await services.get('tasks'),
         logger: loggerFor('target', await services.get('logger')),
@@ -225,10 +283,13 @@
         target: () => targetSupervisor.current,
         outcomes: {
           sent: (requestId, fingerprints) => inFlightRequests.sent(requestId, fingerprints),
-          ended: (requestId, ending) => inFlightRequests.ended(requestId, ending),
+          ended: (requestId, ending) => {
+            inFlightRequests.ended(requestId, ending);
+            targetSupervisor.current?.takeOutcome(ending);
+          },
           refused: () => targetSupervisor.fail('connection refused'),
         },
-        cancel: () => undefined,
+        cancel: (requestId) => void targetSupervisor.current?.link.cancel(requestId),
         loadHint: () => inFlightRequests.count,
         ownerAddress: () => addresses.caller,
       });
@@ -256,6 +317,7 @@
       const controlClient = await services.get('controlClient');
       const idempotency = await services.get('idempotency');
       const peers = await services.get('peers');
+      const targetSupervisor = await services.get('targetSupervisor');
       const releaser = new RangeReleaser({
         lease: await services.get('lease'),
         ownership: await services.get('ownership'),
@@ -263,8 +325,11 @@
         tasks: await services.get('tasks'),
         clock: await services.get('clock'),
         logger: loggerFor('release', await services.get('logger')),
-        handOver: (destination, ranges, signal) =>
-          handOver(destination, ranges, signal, {idempotency, peers}),
+        handOver: async (destination, ranges, signal) => {
+          // A target that checks grants gives the ranges up before the next owner may gain them.
+          await targetSupervisor.current?.link.pushGrant();
+          await handOver(destination, ranges, signal, {idempotency, peers});
+        },
         resume: ({service, range, endPosition}) =>
           idempotency.resume({service, from: range.startPosition, to: endPosition}),
         release: (ranges) => controlClient.release(ranges),
@@ -281,6 +346,7 @@
       const settings = await services.get('settings');
       const controlClient = await services.get('controlClient');
       const clock = await services.get('clock');
+      const metrics = await services.get('metrics');
       const listener = await startCallerListener({
         ...settings.callerListen,
         router: await services.get('callerRouter'),
@@ -289,6 +355,7 @@
         logger: loggerFor('caller', await services.get('logger')),
         staleMs: () => clock.nowMs() - controlClient.lastCurrentAtMs,
         maxStaleMs: settings.maxStaleMs,
+        onRequest: (record) => countRequest(metrics, record),
       });
       (await services.get('addresses')).caller = told(settings.callerListen, listener, settings);
       return store.use(listener, (opened) => opened.close());
@@ -296,6 +363,7 @@
     .register('peerListener', async (services, store) => {
       const settings = await services.get('settings');
       const idempotency = await services.get('idempotency');
+      const tls = await services.get('tls');
       const listener = await startPeerListener({
         ...settings.peerListen,
         localServer: await services.get('localServer'),
@@ -303,7 +371,9 @@
         clock: await services.get('clock'),
         logger: loggerFor('peer', await services.get('logger')),
         importRecords: (chunk) => void idempotency.importRange(chunk),
+        ...(tls ? {tls: {...tls.serverTlsOptions()}} : {}),
       });
+      if (listener.server instanceof HttpsServer) tls?.keepUpdated(listener.server);
       (await services.get('addresses')).peer = told(settings.peerListen, listener, settings);
       return store.use(listener, (opened) => opened.close());
     })
@@ -311,12 +381,26 @@
       const settings = await services.get('settings');
       const controlClient = await services.get('controlClient');
       const clock = await services.get('clock');
+      const sources: MetricSources = {
+        metrics: await services.get('metrics'),
+        clock,
+        group: settings.group,
+        directory: await services.get('directory'),
+        directoryMeter: await services.get('directoryMeter'),
+        lease: await services.get('lease'),
+        controlClient,
+        controlService: await services.get('controlService'),
+        targetSupervisor: await services.get('targetSupervisor'),
+        idempotency: await services.get('idempotency'),
+        poison: await services.get('poison'),
+        tls: await services.get('tls'),
+      };
       const listener = await startAdminListener({
         ...settings.adminListen,
         controlClient,
         token: await readToken(settings.adminTokenFile),
         logger: loggerFor('admin', await services.get('logger')),
-        metrics: async () => ({contentType: 'text/plain', text: ''}),
+        metrics: () => exposeMetrics(sources),
         isReady: () => clock.nowMs() - controlClient.lastCurrentAtMs <= settings.maxStaleMs,
       });
       (await services.get('addresses')).admin = told(settings.adminListen, listener, settings);
@@ -328,12 +412,25 @@
         await startTargetListener({
           ...targetListen,
           logger: await services.get('logger'),
+          // The supervisor asks for this listener, so it is looked up when it is needed.
+          finishWork: async () => (await services.get('targetSupervisor')).settled(),
         }),
         (listener) => listener.close(),
       );
     });
 }
 
+/** Blames the requests in flight at a crash, here and on all other daemons. */
+async function reportCrash(services: Kernel): Promise<() => void> {
+  const inFlightRequests = await services.get('inFlightRequests');
+  const poison = await services.get('poison');
+  const controlClient = await services.get('controlClient');
+  return () => {
+    poison.crashed(inFlightRequests.blame());
+    if (!poison.isEmpty) controlClient.reportPoison(poison.export());
+  };
+}
+
 /** The address that others use for a listener. */
 function told(listen: HostPort, {port}: {port: number}, settings: DaemonSettings): string {
   return formatHostPort(advertisedAddress({host: listen.host, port}, settings));
@@ -349,6 +446,15 @@
   return isUnspecified(host) ? {} : {localAddress: host};
 }
 
+/** A report as it is after some time on its way. */
+function withAge(report: PoisonReport, elapsedMs: number): PoisonReport {
+  return report.map(({fingerprint, quarantinedForMs, crashes}) => ({
+    fingerprint,
+    ...(quarantinedForMs === undefined ? {} : {quarantinedForMs: quarantinedForMs + elapsedMs}),
+    crashes: crashes.map((crash) => ({...crash, ageMs: crash.ageMs + elapsedMs})),
+  }));
+}
+
 function firstMembers({controlReplicas}: DaemonSettings): {
   voters: string[];
   learners: string[];
--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -2,11 +2,16 @@
 import {failoverBenches} from './failoverBench.js';
 import {moveGapBench} from './moveGapBench.js';
 import {churn} from './churn.js';
+import {commitBench} from './commitBench.js';
+import {controlCost} from './controlCost.js';
+import {dedupeCostBench} from './dedupeCostBench.js';
 import type {Bench} from './figure.js';
 import {hotKeySettle} from './hotKeySettle.js';
 import {imbalance} from './imbalance.js';
 import {messageSize} from './messageSize.js';
 import {planCost} from './planCost.js';
+import {queueOrderBench} from './queueOrderBench.js';
+import {restartRecoveryBench} from './restartRecoveryBench.js';
 import {stateMemory} from './stateMemory.js';
 
 /** All benches by name. */
@@ -26,6 +31,31 @@
     description: 'Planning rounds until the load is even again after the hot keys change',
     run: hotKeySettle,
   },
+  commit: {
+    kind: 'timed',
+    description: 'Commit time and commits per second of three replicas on real files',
+    run: () => commitBench(),
+  },
+  'restart-recovery': {
+    kind: 'timed',
+    description: 'Time to recover a log of 1,000 to 100,000 entries',
+    run: () => restartRecoveryBench(),
+  },
+  'control-cost': {
+    kind: 'slope',
+    description: 'Traffic and processor time of leases, reports and changes per daemon',
+    run: controlCost,
+  },
+  'dedupe-cost': {
+    kind: 'timed',
+    description: 'Time per request and bytes per record of at-most-once execution',
+    run: dedupeCostBench,
+  },
+  'queue-order': {
+    kind: 'timed',
+    description: 'Waits under first-come and under shortest-predicted-first order',
+    run: queueOrderBench,
+  },
   'plan-cost': {
     kind: 'slope',
     description: 'Time to plan the moves of one service of the design size',
--- a/routing/forwarder/src/recordCoverage.ts
+++ b/routing/forwarder/src/recordCoverage.ts
@@ -39,6 +39,14 @@
     this.noteIncoming(service);
   }
 
+  /** Forgets what was handed over for a move that did not finish here. */
+  private discardImport(service: string, from: number): void {
+    const table = this.opts.directory.ranges(service);
+    if (!table) return;
+    const to = table.endOf(table.indexOf(from));
+    this.opts.idempotency.discardImport({service, from, to});
+  }
+
   private reset(sessionId: number): void {
     this.opts.idempotency.releaseAll();
     this.sessionId = sessionId;
@@ -58,20 +66,33 @@
 
   private coverNew(service: string, owned: readonly OwnedRange[]): void {
     const {idempotency} = this.opts;
-    for (const {startPosition: from, endPosition: to, epoch} of owned) {
-      if (this.wasOwned(from, epoch)) continue;
+    for (const gained of owned) {
+      if (this.wasOwned(gained)) continue;
+      const {startPosition: from, endPosition: to} = gained;
       const before = this.incoming.get(from);
       const range = {service, from, to};
       if (before && this.isPlanned(before)) {
-        idempotency.acceptMove({...range, moveId: moveIdOf(from, before.epoch)});
+        idempotency.acceptMove({...range, moveId: moveIdOf(before)});
       } else {
         idempotency.takeOver(range);
       }
     }
   }
 
-  private wasOwned(startPosition: number, epoch: number): boolean {
-    return this.owned.some((range) => covers(range, startPosition, epoch));
+  /**
+   * Whether this daemon has owned the whole range without interruption. A merge of own ranges gives
+   * the newest of their epochs; a range that was lost and regained has a newer one.
+   */
+  private wasOwned({startPosition, endPosition, epoch}: OwnedRange): boolean {
+    let coveredTo = startPosition;
+    let newestEpoch = 0;
+    for (const before of this.owned) {
+      if (before.endPosition <= coveredTo || before.startPosition > coveredTo) continue;
+      coveredTo = before.endPosition;
+      newestEpoch = Math.max(newestEpoch, before.epoch);
+      if (coveredTo >= endPosition) return epoch <= newestEpoch;
+    }
+    return false;
   }
 
   /** When the earlier owner has ended, it may have run requests after its handover. */
@@ -81,14 +102,14 @@
 
   private noteIncoming(service: string): void {
     const ranges = this.opts.directory.ranges(service)?.all ?? [];
-    this.incoming = new Map(
+    const incoming = new Map(
       ranges
         .filter(({nextSessionId}) => nextSessionId === this.sessionId)
-        .map((range) => [range.startPosition, range]),
+        .map((range) => [range.startPosition, range] as const),
     );
+    for (const [from] of this.incoming) {
+      if (!incoming.has(from)) this.discardImport(service, from);
+    }
+    this.incoming = incoming;
   }
 }
-
-function covers(range: OwnedRange, position: number, epoch: number): boolean {
-  return range.epoch === epoch && range.startPosition <= position && position < range.endPosition;
-}
