Test the caller interface with raw connections; repair early answers, HEAD refusals and stalls

Cause: the request path had no contract test on real connections.

Change, each with a row that guards it: - an answer or refusal that comes before the end of an upload reaches the caller; the rest of the body is discarded up to 16 MiB or 2 s, and the connection stays usable when the body ends within that - a refusal of a HEAD keeps its code and ran over the hop (headers are read when there is no document) - a small body that stalls is refused at the deadline, ran no - bytes that are not HTTP no longer replace the answer of an earlier valid request on the same connection; parser refusals carry code and ran - a body cut by its caller is not counted as a failure of the target Further, found by reading and without a row of their own yet: the digest of a large body no longer depends on how it was cut into chunks, deadlines are bounded below the timer limit, headers that only daemons set are not believed from callers, a request that waits for a connection ends at its deadline, and connections of long requests are not cut as idle after 60 s.

Ruled out: header bytes outside ASCII pass unchanged, undici decodes them as latin1.

--- a/routing/forwarder/src/callerRouter.ts
+++ b/routing/forwarder/src/callerRouter.ts
@@ -1,6 +1,11 @@
 import {Either, Left, Right} from 'purify-ts/Either';
 import type {Directory} from '@medlarlane/directory';
-import {fromProblemDocument, MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
+import {
+  fromProblemDocument,
+  isErrorCode,
+  MedlarlaneError,
+  toMedlarlaneError,
+} from '@medlarlane/errors';
 import {timeoutSignal} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Session} from '@medlarlane/model';
@@ -135,7 +140,7 @@
       return Left(peerError(thrown));
     }
     if (outcome.kind === 'passed-on') return Right(outcome);
-    return Left(parseRefusal(outcome.body));
+    return Left(parseRefusal(outcome));
   }
 
   private peerHeaders(exchange: Exchange, remainingMs: number): string[] {
@@ -190,16 +195,33 @@
 }
 
 function peerError(failure: RelayFailure): MedlarlaneError {
-  const code = failure.reason === 'cancelled' ? 'CANCELLED' : 'PEER_FAILED';
+  const timeoutCode = failure.ran === 'no' ? 'DEADLINE_EXCEEDED' : 'TARGET_TIMEOUT';
+  const code = (
+    {
+      connect: 'PEER_FAILED',
+      reset: 'PEER_FAILED',
+      timeout: timeoutCode,
+      cancelled: 'CANCELLED',
+    } as const
+  )[failure.reason];
   return new MedlarlaneError(code, undefined, {ran: failure.ran, cause: failure});
 }
 
-function parseRefusal(body: Buffer): MedlarlaneError {
+/** Reads the headers when there is no document, as in the answer to a HEAD. */
+function parseRefusal({
+  headers,
+  body,
+}: Extract<RelayOutcome, {kind: 'intercepted'}>): MedlarlaneError {
   try {
     const error = fromProblemDocument(JSON.parse(body.toString('utf8')));
     if (error) return error;
   } catch {
-    // A refusal that cannot be read says nothing about the run.
+    // The headers say what can be relied on.
   }
-  return new MedlarlaneError('PEER_FAILED');
+  const [code, ran, index] = [headers[HEADER.code], headers[HEADER.ran], headers[HEADER.index]];
+  if (typeof code !== 'string' || !isErrorCode(code)) return new MedlarlaneError('PEER_FAILED');
+  return new MedlarlaneError(code, undefined, {
+    ran: ran === 'no' ? 'no' : 'unknown',
+    ...(typeof index === 'string' ? {details: {index: Number(index)}} : {}),
+  });
 }
--- a/routing/forwarder/src/exchange.ts
+++ b/routing/forwarder/src/exchange.ts
@@ -36,12 +36,17 @@
 export interface OpenExchangeOptions {
   readonly directory: Directory;
   readonly clock: Clock;
+  /** Whether a daemon forwarded the request; only then are the headers that daemons set believed. */
+  readonly isForwarded: boolean;
 }
 
+// Also the longest timeout of a document; Node.js fires timers above 2^31 - 1 ms at once.
+const MAX_DEADLINE_MS = 3_600_000;
+
 /**
  * Reads what routing needs from a request.
  * @throws MedlarlaneError `SERVICE_UNKNOWN`, `KEY_MISSING`, `IDEMPOTENCY_KEY_REQUIRED`,
- *     `REQUEST_INVALID`.
+ *     `REQUEST_INVALID`, `DEADLINE_EXCEEDED`, `CANCELLED`.
  */
 export async function openExchange(
   request: IncomingMessage,
@@ -57,19 +62,21 @@
   }
   const position = positionOf(request, document, repeatable ? undefined : idempotencyKey);
   const deadlineMs = opts.clock.nowMs() + remainingMs(request, document);
+  const setByDaemon = (name: string): string | undefined =>
+    opts.isForwarded ? singleHeader(request, name) : undefined;
   return {
     request,
     response,
-    requestId: singleHeader(request, HEADER.requestId) ?? createRequestId(),
+    requestId: setByDaemon(HEADER.requestId) ?? createRequestId(),
     document,
     position,
     repeatable,
     idempotencyKey: repeatable ? undefined : idempotencyKey,
     deadlineMs,
-    callerId: singleHeader(request, HEADER.callerId) ?? request.socket.remoteAddress ?? '',
+    callerId: setByDaemon(HEADER.callerId) ?? request.socket.remoteAddress ?? '',
     callerGone: abortOnClose(response),
-    body: await RequestBody.read(request),
-    senderIndex: Number(singleHeader(request, HEADER.index) ?? 0),
+    body: await RequestBody.read(request, deadlineMs, opts.clock),
+    senderIndex: Number(setByDaemon(HEADER.index) ?? 0),
   };
 }
 
@@ -106,6 +113,6 @@
   const text = singleHeader(request, HEADER.deadlineMs);
   if (text === undefined) return document.requests.defaultDeadlineMs;
   const remaining = Number(text);
-  if (Number.isFinite(remaining) && remaining >= 0) return remaining;
+  if (Number.isFinite(remaining) && remaining >= 0) return Math.min(remaining, MAX_DEADLINE_MS);
   throw new MedlarlaneError('REQUEST_INVALID', `Header ${HEADER.deadlineMs} is not a duration`);
 }
--- a/routing/forwarder/src/headers.ts
+++ b/routing/forwarder/src/headers.ts
@@ -44,6 +44,7 @@
   HEADER.requestId,
   HEADER.deadlineMs,
   HEADER.service,
+  HEADER.callerId,
 ]);
 
 /** End-to-end request headers as a flat list of names and values. */
--- a/routing/forwarder/src/localServer.ts
+++ b/routing/forwarder/src/localServer.ts
@@ -116,7 +116,11 @@
         entered === 'NOT_OWNER'
           ? Math.min(catchUpUntilMs, exchange.deadlineMs)
           : exchange.deadlineMs;
-      await directory.nextChange(timeoutSignal(untilMs - clock.nowMs())).catch(() => {
+      const signal = AbortSignal.any([timeoutSignal(untilMs - clock.nowMs()), exchange.callerGone]);
+      await directory.nextChange(signal).catch(() => {
+        if (exchange.callerGone.aborted) {
+          throw new MedlarlaneError('CANCELLED', undefined, {ran: 'no'});
+        }
         throw entered === 'NOT_OWNER'
           ? this.notOwner(exchange)
           : new MedlarlaneError('DEADLINE_EXCEEDED');
@@ -296,22 +300,27 @@
 
 /** The fingerprints under which a request that crashes targets is recognised. */
 function fingerprintsOf({request, document, position, body, idempotencyKey}: Exchange): string[] {
-  const contentLength = request.headers['content-length'];
+  const bytes = body.heldBytes ?? request.headers['content-length'];
   return requestFingerprints({
     method: request.method ?? 'GET',
     service: document.service,
     key: String(position ?? ''),
     path: request.url ?? '/',
     bodyPrefix: body.firstBytes,
-    ...(contentLength === undefined ? {} : {bodyBytes: Number(contentLength)}),
+    ...(bytes === undefined ? {} : {bodyBytes: Number(bytes)}),
     ...(idempotencyKey === undefined ? {} : {idempotencyKey}),
   });
 }
 
-/** Identifies the content of a non-repeatable request, as far as it can be known before it streams. */
+/**
+ * Identifies the content of a non-repeatable request, as far as it can be known before it streams. A
+ * forwarded small body arrives with a length even when the caller sent it in chunks, so the header is
+ * not used for it.
+ */
 function digestOf({request, body}: Exchange): string {
+  const bytes = body.heldBytes ?? request.headers['content-length'] ?? '';
   return createHash('sha256')
-    .update(`${request.method} ${request.url} ${request.headers['content-length'] ?? ''}\n`)
+    .update(`${request.method} ${request.url} ${bytes}\n`)
     .update(body.firstBytes)
     .digest('base64');
 }
--- a/routing/forwarder/src/problem.ts
+++ b/routing/forwarder/src/problem.ts
@@ -1,6 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import {toProblemDocument} from '@medlarlane/errors';
 import type {MedlarlaneError} from '@medlarlane/errors';
+import {discardRest} from './discardRest.js';
 import {HEADER} from './headers.js';
 
 const RETRY_AFTER_S = '1';
@@ -19,9 +20,9 @@
     'content-length': Buffer.byteLength(body),
     [HEADER.ran]: error.ran,
     [HEADER.code]: error.code,
+    ...(error.code === 'NOT_OWNER' ? {[HEADER.index]: String(error.details['index'] ?? 0)} : {}),
     ...(status === 503 ? {'retry-after': RETRY_AFTER_S} : {}),
-    // The rest of a body that was not read would be taken for the next request.
-    ...(response.req.complete ? {} : {connection: 'close'}),
   });
+  discardRest(response.req);
   response.end(body);
 }
--- a/routing/forwarder/src/relay.ts
+++ b/routing/forwarder/src/relay.ts
@@ -1,8 +1,9 @@
 import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
-import type {Readable} from 'node:stream';
+import {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
 import {errors} from 'undici';
 import type {Ran} from '@medlarlane/errors';
+import {discardRest} from './discardRest.js';
 import type {ResponseHeaders} from './headers.js';
 
 export type RelayFailureReason = 'connect' | 'timeout' | 'reset' | 'cancelled';
@@ -44,7 +45,12 @@
 export type RelayOutcome =
   /** `isComplete` is false when the response was cut after it had started. */
   | {readonly kind: 'passed-on'; readonly status: number; readonly isComplete: boolean}
-  | {readonly kind: 'intercepted'; readonly status: number; readonly body: Buffer};
+  | {
+      readonly kind: 'intercepted';
+      readonly status: number;
+      readonly headers: ResponseHeaders;
+      readonly body: Buffer;
+    };
 
 // Errors that undici reports before it has sent any byte of the request.
 const CONNECT_ERROR_CODES = new Set([
@@ -81,6 +87,7 @@
 class RelayHandler implements Dispatcher.DispatchHandler {
   private controller: Dispatcher.DispatchController | undefined;
   private status = 0;
+  private headers: ResponseHeaders = {};
   private intercepted: Buffer[] | undefined;
   private interceptedBytes = 0;
   private abortReason: RelayFailureReason | undefined;
@@ -107,6 +114,7 @@
   ): void {
     if (status < 200) return;
     this.status = status;
+    this.headers = headers;
     if (this.opts.intercepts(status, headers)) {
       this.intercepted = [];
       return;
@@ -137,9 +145,10 @@
     this.cleanUp();
     if (this.intercepted) {
       const body = Buffer.concat(this.intercepted);
-      this.resolve({kind: 'intercepted', status: this.status, body});
+      this.resolve({kind: 'intercepted', status: this.status, headers: this.headers, body});
       return;
     }
+    discardRest(this.opts.response.req);
     this.opts.response.end();
     this.resolve({kind: 'passed-on', status: this.status, isComplete: true});
   }
@@ -159,17 +168,27 @@
     }
     // Without a controller the request was never given to a connection.
     const ran = this.controller ? 'unknown' : 'no';
-    this.reject(new RelayFailure(this.abortReason ?? 'reset', ran, error));
+    this.reject(new RelayFailure(this.abortReason ?? this.resetReason(), ran, error));
   }
 
   private readonly onCallerClose = (): void => {
     if (!this.opts.response.writableFinished) this.abort('cancelled');
   };
 
+  /** A body that its caller cut is no failure of the onward side. */
+  private resetReason(): RelayFailureReason {
+    const {body} = this.opts;
+    return body instanceof Readable && body.errored ? 'cancelled' : 'reset';
+  }
+
   private abort(reason: RelayFailureReason): void {
     if (this.abortReason) return;
     this.abortReason = reason;
-    this.controller?.abort(new Error(reason));
+    const error = new Error(reason);
+    if (this.controller) return this.controller.abort(error);
+    // Still waits for a connection. It is aborted when it gets one, before any byte is sent.
+    this.cleanUp();
+    this.reject(new RelayFailure(reason, 'no', error));
   }
 
   private cleanUp(): void {
--- a/routing/forwarder/src/requestBody.ts
+++ b/routing/forwarder/src/requestBody.ts
@@ -1,5 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import {Readable} from 'node:stream';
+import {MedlarlaneError} from '@medlarlane/errors';
+import type {Clock} from '@medlarlane/lifecycle';
 
 // Covers nearly all bookings and grants; uploads are larger and are streamed.
 const REPLAY_LIMIT_BYTES = 65_536;
@@ -17,13 +19,20 @@
 
   private streamStarted = false;
 
-  /** Reads until the body ends or exceeds the limit. */
-  static async read(request: IncomingMessage): Promise<RequestBody> {
+  /**
+   * Reads until the body ends or exceeds the limit.
+   * @throws MedlarlaneError `CANCELLED` when the caller goes away, `DEADLINE_EXCEEDED`.
+   */
+  static async read(
+    request: IncomingMessage,
+    deadlineMs: number,
+    clock: Clock,
+  ): Promise<RequestBody> {
     if (!hasBody(request)) return new RequestBody(undefined, [], undefined);
     const chunks: Buffer[] = [];
     let bytes = 0;
     for (;;) {
-      const chunk = await nextChunk(request);
+      const chunk = await nextChunk(request, deadlineMs - clock.nowMs());
       if (chunk === undefined) return new RequestBody(Buffer.concat(chunks), [], undefined);
       chunks.push(chunk);
       bytes += chunk.length;
@@ -40,9 +49,17 @@
     return this.rest !== undefined;
   }
 
-  /** The first bytes, for a digest. */
+  /**
+   * The first bytes, for a digest. Their number does not depend on how the body was cut into chunks,
+   * which differs from one resend to the next.
+   */
   get firstBytes(): Buffer {
-    return this.held ?? this.prefix[0] ?? Buffer.alloc(0);
+    return this.held ?? Buffer.concat(this.prefix).subarray(0, REPLAY_LIMIT_BYTES);
+  }
+
+  /** Bytes of a body that is held; `undefined` for one that is streamed. */
+  get heldBytes(): number | undefined {
+    return this.rest ? undefined : (this.held?.length ?? 0);
   }
 
   /** The body for one attempt; `null` when there is none. */
@@ -55,7 +72,8 @@
   private async *stream(rest: Readable): AsyncGenerator<Buffer> {
     yield* this.prefix;
     // A caller that goes away in the middle makes this throw, which resets the onward connection.
-    for await (const chunk of rest) yield chunk as Buffer;
+    // When the onward side stops reading, the caller's connection stays open for the answer.
+    for await (const chunk of rest.iterator({destroyOnReturn: false})) yield chunk as Buffer;
   }
 }
 
@@ -67,10 +85,13 @@
   );
 }
 
-/** Returns the next chunk, or `undefined` at the end; rejects when the caller goes away. */
-function nextChunk(request: IncomingMessage): Promise<Buffer | undefined> {
+/** Returns the next chunk, or `undefined` at the end; rejects when the caller goes away or is late. */
+function nextChunk(request: IncomingMessage, timeoutMs: number): Promise<Buffer | undefined> {
   return new Promise((resolve, reject) => {
+    const onTimeout = (): void => settle(() => reject(new MedlarlaneError('DEADLINE_EXCEEDED')));
+    const timer = setTimeout(onTimeout, timeoutMs);
     const settle = (act: () => void): void => {
+      clearTimeout(timer);
       request
         .off('readable', tryRead)
         .off('end', onEnd)
@@ -84,11 +105,15 @@
       else if (request.readableEnded) onEnd();
     };
     const onEnd = (): void => settle(() => resolve(undefined));
-    const onError = (error: Error): void => settle(() => reject(error));
-    const onClose = (): void => settle(() => reject(new Error('Caller closed the connection')));
+    const onError = (cause: Error): void => settle(() => reject(callerGone(cause)));
+    const onClose = (): void => settle(() => reject(callerGone(undefined)));
     request.on('readable', tryRead).on('end', onEnd).on('error', onError).on('close', onClose);
     if (request.readableEnded) onEnd();
     else if (request.destroyed) onClose();
     else tryRead();
   });
 }
+
+function callerGone(cause: Error | undefined): MedlarlaneError {
+  return new MedlarlaneError('CANCELLED', 'Caller closed the connection', {ran: 'no', cause});
+}
--- a/routing/forwarder/src/startCallerListener.ts
+++ b/routing/forwarder/src/startCallerListener.ts
@@ -48,7 +48,7 @@
   try {
     if (opts.staleMs() > opts.maxStaleMs) throw new MedlarlaneError('STALE_CONFIGURATION');
     if (request.url?.startsWith(OWNER_PATH)) return lookUpOwner(request, response, opts.directory);
-    const exchange = await openExchange(request, response, opts);
+    const exchange = await openExchange(request, response, {...opts, isForwarded: false});
     service = exchange.document.service;
     const result = await opts.router.route(exchange);
     result.ifLeft((refusal) => {
--- a/routing/forwarder/src/startListener.ts
+++ b/routing/forwarder/src/startListener.ts
@@ -9,9 +9,11 @@
 import {createServer as createHttpsServer} from 'node:https';
 import type {Server as HttpsServer} from 'node:https';
 import type {AddressInfo} from 'node:net';
+import type {Duplex} from 'node:stream';
 import type {TlsOptions} from 'node:tls';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import type {Logger} from '@medlarlane/logger';
+import {OpenResponses} from './openResponses.js';
 import {answerProblem} from './problem.js';
 
 export interface ListenerOptions {
@@ -31,6 +33,8 @@
 
 const SERVER_OPTIONS: ServerOptions = {
   headersTimeout: 10_000,
+  // The default of 30 s would let a slow header hold its connection four times as long.
+  connectionsCheckingInterval: 1000,
   // Uploads may take long; a stalled one is ended by the idle timeout.
   requestTimeout: 0,
   keepAliveTimeout: 65_000,
@@ -47,7 +51,9 @@
   handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>,
   opts: ListenerOptions,
 ): Promise<Listener> {
+  const openResponses = new OpenResponses();
   const onRequest: RequestListener = (request, response) => {
+    openResponses.add(response);
     handle(request, response).catch((failure: unknown) => {
       const error = toMedlarlaneError(failure);
       if (error.code === 'INTERNAL') opts.logger.error({err: failure}, 'Request failed.');
@@ -57,7 +63,13 @@
   const server = opts.tls
     ? createHttpsServer({...SERVER_OPTIONS, ...opts.tls}, onRequest)
     : createHttpServer(SERVER_OPTIONS, onRequest);
-  server.setTimeout(IDLE_TIMEOUT_MS);
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) =>
+    openResponses.refuse(socket, error),
+  );
+  server.setTimeout(IDLE_TIMEOUT_MS, (socket) => {
+    // A request that runs long is bounded by its deadline.
+    if (!openResponses.isRunning(socket)) socket.destroy();
+  });
   await new Promise<void>((resolve, reject) => {
     server.once('error', (cause) => {
       const message = `Cannot listen on ${opts.host}:${opts.port}: ${cause.message}`;
--- a/routing/forwarder/src/startPeerListener.ts
+++ b/routing/forwarder/src/startPeerListener.ts
@@ -34,7 +34,7 @@
     response.writeHead(204).end();
     return;
   }
-  const exchange = await openExchange(request, response, opts);
+  const exchange = await openExchange(request, response, {...opts, isForwarded: true});
   const result = await opts.localServer.serve(exchange);
   result.ifLeft((error) => answerProblem(response, error));
 }
