--- a/routing/forwarder/src/discardRest.ts
+++ b/routing/forwarder/src/discardRest.ts
@@ -5,8 +5,9 @@
 const DISCARD_LIMIT_MS = 2000;
 
 /**
- * Reads and drops the rest of a body whose request is already answered. Closing at once would reset
- * the connection, and the caller could lose the answer. The connection is cut at the limits.
+ * Reads and drops the rest of a body whose request is answered. Left unread, it would block the next
+ * request of the connection; closing at once would reset the connection, and the caller could lose
+ * the answer. The connection is cut at the limits.
  */
 export function discardRest(request: IncomingMessage): void {
   if (request.readableEnded || request.destroyed) return;
--- a/routing/forwarder/src/problem.ts
+++ b/routing/forwarder/src/problem.ts
@@ -1,7 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import {toProblemDocument} from '@medlarlane/errors';
 import type {MedlarlaneError} from '@medlarlane/errors';
-import {discardRest} from './discardRest.js';
 import {HEADER} from './headers.js';
 
 const RETRY_AFTER_S = '1';
@@ -23,6 +22,5 @@
     ...(error.code === 'NOT_OWNER' ? {[HEADER.index]: String(error.details['index'] ?? 0)} : {}),
     ...(status === 503 ? {'retry-after': RETRY_AFTER_S} : {}),
   });
-  discardRest(response.req);
   response.end(body);
 }
--- a/routing/forwarder/src/relay.ts
+++ b/routing/forwarder/src/relay.ts
@@ -3,7 +3,6 @@
 import type {Dispatcher} from 'undici';
 import {errors} from 'undici';
 import type {Ran} from '@medlarlane/errors';
-import {discardRest} from './discardRest.js';
 import type {ResponseHeaders} from './headers.js';
 
 export type RelayFailureReason = 'connect' | 'timeout' | 'reset' | 'cancelled';
@@ -148,7 +147,6 @@
       this.resolve({kind: 'intercepted', status: this.status, headers: this.headers, body});
       return;
     }
-    discardRest(this.opts.response.req);
     this.opts.response.end();
     this.resolve({kind: 'passed-on', status: this.status, isComplete: true});
   }
--- a/routing/forwarder/src/startListener.ts
+++ b/routing/forwarder/src/startListener.ts
@@ -13,6 +13,7 @@
 import type {TlsOptions} from 'node:tls';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import type {Logger} from '@medlarlane/logger';
+import {discardRest} from './discardRest.js';
 import {OpenResponses} from './openResponses.js';
 import {answerProblem} from './problem.js';
 
@@ -54,6 +55,7 @@
   const openResponses = new OpenResponses();
   const onRequest: RequestListener = (request, response) => {
     openResponses.add(response);
+    response.once('finish', () => discardRest(request));
     handle(request, response).catch((failure: unknown) => {
       const error = toMedlarlaneError(failure);
       if (error.code === 'INTERNAL') opts.logger.error({err: failure}, 'Request failed.');
--- a/testing/fault-tables/src/scenario.ts
+++ b/testing/fault-tables/src/scenario.ts
@@ -75,7 +75,7 @@
   return {
     service: SERVICE,
     splitByKey: true,
-    key: {from: 'path', segment: 1},
+    ...(fields.splitByKey === false ? {} : {key: {from: 'path' as const, segment: 1}}),
     targets: {slots: 18, connections: 120},
     ...fields,
   };
--- a/testing/fault-tables/test/callerInterface.test.ts
+++ b/testing/fault-tables/test/callerInterface.test.ts
@@ -179,6 +179,53 @@
     sees: [{status: 504, code: 'TARGET_TIMEOUT', ran: 'unknown'}],
     runs: 1,
   },
+  {
+    title: 'a late answer that must not be taken for the next one',
+    script: (() => {
+      const seen = new Set<string>();
+      return async (incoming, response) => {
+        const isFirst = !seen.has(incoming.url!);
+        seen.add(incoming.url!);
+        if (isFirst) await new Promise((resolve) => setTimeout(resolve, 600));
+        response.end(isFirst ? 'late' : 'own');
+      };
+    })(),
+    send: async (call) => [
+      ...(await post({'medlarlane-deadline-ms': '300'})(call)),
+      ...(await post()(call)),
+    ],
+    sees: [
+      {status: 504, code: 'TARGET_TIMEOUT', ran: 'unknown'},
+      {status: 200, body: 'own'},
+    ],
+    runs: 2,
+  },
+  {
+    title: 'a header that does not end',
+    send: async ({connection}) => {
+      await connection.write('GET /walls/x HTTP/1.1\r\nhost: x\r\n');
+      return [await connection.response()];
+    },
+    sees: [{status: 408, code: 'REQUEST_INVALID', ran: 'no'}],
+    runs: 0,
+    ends: true,
+  },
+  {
+    title: 'a caller that resets its connection after the first bytes of the response',
+    script: (_incoming, response) => {
+      response.writeHead(200, {'content-length': LARGE_BYTES});
+      response.write('first');
+    },
+    send: async ({connection, head}) => {
+      const first = new Promise((resolve) => connection.socket.once('data', resolve));
+      await connection.write(head('GET'));
+      await first;
+      connection.reset();
+      return [await connection.response()];
+    },
+    sees: [{status: 200, isComplete: false}],
+    runs: 1,
+  },
   {
     title: 'a target that answers with something other than HTTP',
     script: (incoming) => void incoming.socket.end('no HTTP\r\n\r\n'),
@@ -363,11 +410,12 @@
   },
 ];
 
-describe('Caller interface', () => {
+void describe('Caller interface', {concurrency: 8}, () => {
   let scenario: CallerScenario;
   before(async () => {
     // The rows that make the target fail must not lower its learned limit to a queue.
-    scenario = await startCallerScenario({targets: {slots: 64, connections: 120}});
+    const targets = {slots: 64, connections: 120, requestTimeoutMs: 600_000};
+    scenario = await startCallerScenario({targets});
   });
   after(() => scenario.dispose());
 
