--- a/routing/forwarder/src/callerRouter.ts
+++ b/routing/forwarder/src/callerRouter.ts
@@ -45,7 +45,14 @@
 // The owner's own answer at the deadline should arrive before this daemon gives up.
 const PEER_GRACE_MS = 100;
 
-const LOST_OWNER_CODES = new Set(['NO_OWNER', 'LEASE_EXPIRED', 'PEER_FAILED', 'NO_TARGET']);
+// A target that takes no connection has left or crashed, and its daemon gives up its ranges.
+const LOST_OWNER_CODES = new Set([
+  'NO_OWNER',
+  'LEASE_EXPIRED',
+  'PEER_FAILED',
+  'NO_TARGET',
+  'TARGET_FAILED',
+]);
 
 /** Takes a caller's request to the daemon that may run it. Only this daemon repeats it. */
 export class CallerRouter {
--- a/routing/ownership/src/rangeReleaser.ts
+++ b/routing/ownership/src/rangeReleaser.ts
@@ -1,4 +1,5 @@
 import type {Directory} from '@medlarlane/directory';
+import {timeoutSignal} from '@medlarlane/lifecycle';
 import type {BackgroundTasks, Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
 import type {Range, Session} from '@medlarlane/model';
@@ -34,6 +35,8 @@
 // A released range that the leader has not acted upon by then is reported again, because the message
 // can be lost with its stream.
 const REPEAT_INTERVAL_MS = 500;
+// Most requests end within this time, so that most ranges of a move are released in one commit.
+const GROUP_WAIT_MS = 50;
 
 /** Releases the ranges that move away: stops admission, waits for running requests, hands over. */
 export class RangeReleaser {
@@ -77,15 +80,47 @@
     return batches;
   }
 
+  /** Releases what becomes idle soon together; a long request holds up its own range only. */
   private async releaseBatch(
     sessionId: number,
     ranges: readonly ReleasedRange[],
     signal: AbortSignal,
   ): Promise<void> {
-    const {directory, ownership, logger} = this.opts;
-    for (const {service, range, endPosition} of ranges) {
-      await ownership.waitUntilIdle(service, range.startPosition, endPosition, signal);
+    const groupSignal = AbortSignal.any([signal, timeoutSignal(GROUP_WAIT_MS)]);
+    const idle: ReleasedRange[] = [];
+    const busy: ReleasedRange[] = [];
+    await Promise.all(
+      ranges.map((range) =>
+        this.waitUntilIdle(range, groupSignal).then(
+          () => idle.push(range),
+          () => busy.push(range),
+        ),
+      ),
+    );
+    for (const range of busy) {
+      this.opts.tasks.run('range handover', async (taskSignal) => {
+        await this.waitUntilIdle(range, taskSignal);
+        await this.finish(sessionId, [range], taskSignal);
+      });
     }
+    if (idle.length > 0) await this.finish(sessionId, idle, signal);
+  }
+
+  private waitUntilIdle(
+    {service, range, endPosition}: ReleasedRange,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {ownership} = this.opts;
+    return ownership.waitUntilIdle(service, range.startPosition, endPosition, signal);
+  }
+
+  /** Hands over the records of idle ranges and reports them as released. */
+  private async finish(
+    sessionId: number,
+    ranges: readonly ReleasedRange[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {directory, logger} = this.opts;
     const destination = directory.session(sessionId);
     try {
       if (destination) await this.opts.handOver(destination, ranges, signal);
--- a/testing/fault-tables/test/lostOwner.test.ts
+++ b/testing/fault-tables/test/lostOwner.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {v7 as createId} from 'uuid';
-import {SERVICE, startCallerScenario} from '@medlarlane/fault-tables';
-import {eventually, openRawConnection} from '@medlarlane/fixtures';
+import {KEYS, ownerOf, SERVICE, startCallerScenario, startScenario} from '@medlarlane/fault-tables';
+import {eventually, openRawConnection, sendOnce} from '@medlarlane/fixtures';
 import type {RawResponse, TargetScript} from '@medlarlane/fixtures';
 
 interface Row {
@@ -65,3 +65,22 @@
     },
   );
 }
+
+void test('Requests for the keys of a killed target wait for their new owner', LIMIT, async () => {
+  const scenario = await startScenario({replicaCount: 1, serverCount: 2});
+  try {
+    const lost = await ownerOf(scenario, KEYS[0]!);
+    const entry = scenario.entries()[0]!;
+    lost.target.kill('SIGKILL');
+    await lost.target.exited;
+    const records = await Promise.all(
+      KEYS.map((key) => sendOnce(entry, key, createId(), 'GET', {service: SERVICE})),
+    );
+    assert.deepEqual(
+      records.filter(({status}) => status !== 200),
+      [],
+    );
+  } finally {
+    await scenario.dispose();
+  }
+});
