--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -8,6 +8,7 @@
 import {messageSize} from './messageSize.js';
 import {planCost} from './planCost.js';
 import {queueOrderBench} from './queueOrderBench.js';
+import {relayLatencyBench, relayThroughputBench} from './relayBench.js';
 import {restartRecoveryBench} from './restartRecoveryBench.js';
 import {stateMemory} from './stateMemory.js';
 
@@ -48,6 +49,16 @@
     description: 'Time per request and bytes per record of at-most-once execution',
     run: dedupeCostBench,
   },
+  'relay-throughput': {
+    kind: 'timed',
+    description: 'Requests per second of one and two daemons over those of bare relays',
+    run: () => relayThroughputBench(),
+  },
+  'relay-latency': {
+    kind: 'timed',
+    description: 'Latency that one and two daemons add to that of bare relays',
+    run: () => relayLatencyBench(),
+  },
   'queue-order': {
     kind: 'timed',
     description: 'Waits under first-come and under shortest-predicted-first order',
