--- a/routing/forwarder/src/problem.ts
+++ b/routing/forwarder/src/problem.ts
@@ -19,9 +19,8 @@
     'content-length': Buffer.byteLength(body),
     [HEADER.ran]: error.ran,
     [HEADER.code]: error.code,
+    ...(error.code === 'NOT_OWNER' ? {[HEADER.index]: String(error.details['index'] ?? 0)} : {}),
     ...(status === 503 ? {'retry-after': RETRY_AFTER_S} : {}),
-    // The rest of a body that was not read would be taken for the next request.
-    ...(response.req.complete ? {} : {connection: 'close'}),
   });
   response.end(body);
 }
