Replace AbortSignal.any, whose timeouts can be collected and never fire

Cause: 'A frozen daemon leaves time for the other endpoints' failed twice, each time after 300 s, the default limit of the HTTP client: the time limit of the call had not fired. AbortSignal.any of Node.js 20 holds its sources weakly, so a timeout that nothing else refers to is collected. The same form stood in the wait for a moving range, in the release of ranges, in control streams and in target calls. Change: linkAbort joins signals and a limit with strong references and is released after use; a lint rule forbids AbortSignal.any. Conclusion: a request that waits for a moving range can no longer wait without end for this reason.

--- a/apps/cli/src/adminClient.ts
+++ b/apps/cli/src/adminClient.ts
@@ -3,6 +3,7 @@
 import type {AdminOperation, AdminRequest, AdminResponse} from '@medlarlane/admin-api';
 import {fromProblemDocument, MedlarlaneError} from '@medlarlane/errors';
 import type {ErrorCode} from '@medlarlane/errors';
+import {linkAbort} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
 
 export interface AdminClientOptions {
@@ -132,11 +133,12 @@
     const {token} = this.opts;
     let status: number;
     let text: string;
+    const limit = linkAbort([this.opts.signal], {timeoutMs: limitMs});
     try {
       const answer = await request(new URL(adminPathOf(operation), urlOf(endpoint)), {
         method: 'POST',
         dispatcher: this.agent,
-        signal: AbortSignal.any([this.opts.signal, AbortSignal.timeout(Math.ceil(limitMs))]),
+        signal: limit.signal,
         headers: {
           'content-type': 'application/json',
           ...(changesState && token !== undefined ? {authorization: `Bearer ${token}`} : {}),
@@ -147,6 +149,8 @@
       text = await answer.body.text();
     } catch (cause) {
       return this.connectionFailure(endpoint, operation, cause);
+    } finally {
+      limit.release();
     }
     const json = parseJson(text);
     if (status === 200) return {response: parseAdminResponse(operation, json)};
--- a/apps/cli/test/runCli.test.ts
+++ b/apps/cli/test/runCli.test.ts
@@ -92,7 +92,7 @@
 test('A frozen daemon leaves time for the other endpoints, also for a change', async (context) => {
   const cli = await startWithTeam(context);
   const frozen = await silentEndpoint(context);
-  const endpoints = ['--endpoint', frozen, '--endpoint', cli.endpoint, '--timeout-ms', '8000'];
+  const endpoints = ['--endpoint', frozen, '--endpoint', cli.endpoint, '--timeout-ms', '800'];
   assert.equal((await apply(cli, ...endpoints)).exitCode, 0);
   const drained = await cli.run(['drain', 'desk-1', ...endpoints]);
   assert.equal(drained.exitCode, 0, drained.stderr);
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -31,6 +31,14 @@
       'import-x/no-default-export': 'error',
       'import-x/no-cycle': 'error',
       'no-restricted-imports': ['error', {patterns: [PROCESS_CONTROL, DEEP_IMPORTS]}],
+      'no-restricted-properties': [
+        'error',
+        {
+          object: 'AbortSignal',
+          property: 'any',
+          message: 'Use linkAbort of @medlarlane/lifecycle.',
+        },
+      ],
       'no-var': 'error',
       'prefer-const': 'error',
     },
--- a/routing/control-client/src/controlClient.ts
+++ b/routing/control-client/src/controlClient.ts
@@ -16,8 +16,8 @@
 import type {SessionRequest, SessionResponse} from '@medlarlane/control-rpc';
 import type {Directory} from '@medlarlane/directory';
 import {fromProblemDocument, MedlarlaneError} from '@medlarlane/errors';
-import {createDeferred} from '@medlarlane/lifecycle';
-import type {BackgroundTasks, Clock} from '@medlarlane/lifecycle';
+import {createDeferred, linkAbort} from '@medlarlane/lifecycle';
+import type {BackgroundTasks, Clock, LinkedAbort} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
 import {
   decodeValue,
@@ -68,7 +68,7 @@
 /** A session stream that the leader has accepted. */
 interface OpenSession {
   readonly outbox: PassThrough;
-  readonly abort: AbortController;
+  readonly abort: LinkedAbort;
   readonly closed: Promise<void>;
 }
 
@@ -92,7 +92,7 @@
   private operatorLeader = '';
   private nextReplica = 0;
   private openSession: OpenSession | undefined;
-  private watchAbort: AbortController | undefined;
+  private watchAbort: LinkedAbort | undefined;
   private commitIndexSeen = 0;
   private unconfirmed: RenewalAnswer[] = [];
   private laggingSinceMs: number | undefined;
@@ -217,7 +217,7 @@
 
   private async runSession(registration: Registration, signal: AbortSignal): Promise<void> {
     const address = this.pickReplica();
-    const abort = new AbortController();
+    const abort = linkAbort([signal]);
     const outbox = new PassThrough({objectMode: true});
     const closing = createDeferred();
     const session: OpenSession = {outbox, abort, closed: closing.promise};
@@ -226,7 +226,7 @@
       outbox.write(this.firstMessage(registration));
       const responses = createClient(LeaseService, this.transport(address)).session(
         outbox as AsyncIterable<SessionRequest>,
-        {signal: AbortSignal.any([signal, abort.signal])},
+        {signal: abort.signal},
       );
       for await (const response of responses) {
         clearTimeout(openTimer);
@@ -281,7 +281,7 @@
     }
   }
 
-  private async renewPeriodically(abort: AbortController): Promise<void> {
+  private async renewPeriodically(abort: LinkedAbort): Promise<void> {
     const {signal} = abort;
     const {clock, renewIntervalMs} = this.opts;
     this.sentAtMsBySeq.clear();
@@ -354,12 +354,14 @@
     const {replicaAddresses, clock, watchOffset} = this.opts;
     for (let attempt = watchOffset; !signal.aborted; attempt++) {
       const address = replicaAddresses[attempt % replicaAddresses.length]!;
-      const abort = new AbortController();
+      const abort = linkAbort([signal]);
       this.watchAbort = abort;
       try {
-        await this.runWatch(address, AbortSignal.any([signal, abort.signal]));
+        await this.runWatch(address, abort.signal);
       } catch (failure) {
         this.opts.logger.debug({address, err: failure}, 'Watch closed.');
+      } finally {
+        abort.release();
       }
       await clock.sleep(RETRY_DELAY_MS, {signal});
     }
--- a/routing/forwarder/src/localServer.ts
+++ b/routing/forwarder/src/localServer.ts
@@ -5,7 +5,7 @@
 import type {IdempotencyTable, RecordedResponse, Run} from '@medlarlane/dedupe';
 import type {Directory} from '@medlarlane/directory';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
-import {timeoutSignal} from '@medlarlane/lifecycle';
+import {linkAbort} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
 import type {LoadMeter} from '@medlarlane/load-meter';
 import type {Ownership, RunningRequest} from '@medlarlane/ownership';
@@ -116,8 +116,10 @@
         entered === 'NOT_OWNER'
           ? Math.min(catchUpUntilMs, exchange.deadlineMs)
           : exchange.deadlineMs;
-      const signal = AbortSignal.any([timeoutSignal(untilMs - clock.nowMs()), exchange.callerGone]);
-      await directory.nextChange(signal).catch(() => {
+      const timeoutMs = Math.max(0, untilMs - clock.nowMs());
+      const waiting = linkAbort([exchange.callerGone], {timeoutMs});
+      const changed = directory.nextChange(waiting.signal).finally(() => waiting.release());
+      await changed.catch(() => {
         if (exchange.callerGone.aborted) {
           throw new MedlarlaneError('CANCELLED', undefined, {ran: 'no'});
         }
--- a/routing/ownership/src/rangeReleaser.ts
+++ b/routing/ownership/src/rangeReleaser.ts
@@ -1,5 +1,5 @@
 import type {Directory} from '@medlarlane/directory';
-import {timeoutSignal} from '@medlarlane/lifecycle';
+import {linkAbort} from '@medlarlane/lifecycle';
 import type {BackgroundTasks, Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
 import type {Range, Session} from '@medlarlane/model';
@@ -86,17 +86,18 @@
     ranges: readonly ReleasedRange[],
     signal: AbortSignal,
   ): Promise<void> {
-    const groupSignal = AbortSignal.any([signal, timeoutSignal(GROUP_WAIT_MS)]);
+    const group = linkAbort([signal], {timeoutMs: GROUP_WAIT_MS});
     const idle: ReleasedRange[] = [];
     const busy: ReleasedRange[] = [];
     await Promise.all(
       ranges.map((range) =>
-        this.waitUntilIdle(range, groupSignal).then(
+        this.waitUntilIdle(range, group.signal).then(
           () => idle.push(range),
           () => busy.push(range),
         ),
       ),
     );
+    group.release();
     for (const range of busy) {
       this.opts.tasks.run('range handover', async (taskSignal) => {
         await this.waitUntilIdle(range, taskSignal);
--- a/targets/target-link/src/targetLink.ts
+++ b/targets/target-link/src/targetLink.ts
@@ -2,7 +2,7 @@
 import type {Dispatcher} from 'undici';
 import {z} from 'zod';
 import type {LocalTarget} from '@medlarlane/announce';
-import {BackgroundTasks, systemClock} from '@medlarlane/lifecycle';
+import {BackgroundTasks, linkAbort, systemClock} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
 import {loggerFor, silentLogger} from '@medlarlane/logger';
 import type {Logger} from '@medlarlane/logger';
@@ -275,17 +275,16 @@
     timeoutMs: number,
     signal = this.tasks.signal,
   ): Promise<{status: number; text: string}> {
-    const timer = new AbortController();
-    const stop = AbortSignal.any([signal, timer.signal]);
-    const timeout = this.clock.sleep(timeoutMs, {signal: stop}).then(
-      () => timer.abort(new TimeoutError()),
+    const limit = linkAbort([signal]);
+    const timeout = this.clock.sleep(timeoutMs, {signal: limit.signal}).then(
+      () => limit.abort(new TimeoutError()),
       () => undefined,
     );
     try {
-      const {statusCode, body} = await this.pool.request({...request, signal: stop});
+      const {statusCode, body} = await this.pool.request({...request, signal: limit.signal});
       return {status: statusCode, text: await readText(body)};
     } finally {
-      timer.abort();
+      limit.abort();
       await timeout;
     }
   }
