--- a/routing/forwarder/src/callerRouter.ts
+++ b/routing/forwarder/src/callerRouter.ts
@@ -21,6 +21,7 @@
 import {answerProblem} from './problem.js';
 import {relay, RelayFailure} from './relay.js';
 import type {RelayOutcome} from './relay.js';
+import {withTraceHeaders} from './traceHeaders.js';
 
 export interface CallerRouterOptions {
   readonly directory: Directory;
@@ -134,7 +135,7 @@
         dispatcher: this.opts.peers.pool(owner),
         method: exchange.request.method ?? 'GET',
         path: exchange.request.url ?? '/',
-        headers: this.peerHeaders(exchange, remainingMs),
+        headers: withTraceHeaders(this.peerHeaders(exchange, remainingMs), exchange.span),
         body: exchange.body.open(),
         response: exchange.response,
         timeoutMs: remainingMs + PEER_GRACE_MS,
--- a/routing/forwarder/src/exchange.ts
+++ b/routing/forwarder/src/exchange.ts
@@ -5,6 +5,7 @@
 import {extractKey, hashKey} from '@medlarlane/key-space';
 import type {Clock} from '@medlarlane/lifecycle';
 import type {ServiceDocument} from '@medlarlane/model';
+import type {HopSpan, Tracer} from '@medlarlane/telemetry';
 import {HEADER, singleHeader} from './headers.js';
 import {RequestBody} from './requestBody.js';
 
@@ -31,6 +32,8 @@
   readonly callerGone: AbortSignal;
   /** Directory index of the daemon that forwarded the request; 0 for a caller's request. */
   readonly senderIndex: number;
+  /** The span of this hop; whoever opened the exchange ends it. */
+  readonly span: HopSpan;
 }
 
 export interface OpenExchangeOptions {
@@ -38,6 +41,7 @@
   readonly clock: Clock;
   /** Whether a daemon forwarded the request; only then are the headers that daemons set believed. */
   readonly isForwarded: boolean;
+  readonly tracer: Tracer;
 }
 
 // Also the longest timeout of a document; Node.js fires timers above 2^31 - 1 ms at once.
@@ -77,6 +81,9 @@
     callerGone: abortOnClose(response),
     body: await RequestBody.read(request, deadlineMs, opts.clock),
     senderIndex: Number(setByDaemon(HEADER.index) ?? 0),
+    span: opts.tracer.startHop(opts.isForwarded ? 'owner' : 'entry', request.headers, {
+      'medlarlane.service': document.service,
+    }),
   };
 }
 
--- a/routing/forwarder/src/localServer.ts
+++ b/routing/forwarder/src/localServer.ts
@@ -17,6 +17,7 @@
 import {relay, RelayFailure} from './relay.js';
 import type {RelayFailureReason, RelayOutcome} from './relay.js';
 import {ResponseRecorder} from './responseRecorder.js';
+import {endSpan, withTraceHeaders} from './traceHeaders.js';
 
 /** The announced local target, with what this daemon holds for it. */
 export interface LocalTargetPort {
@@ -205,13 +206,14 @@
     if (remainingMs <= 0) throw new MedlarlaneError('DEADLINE_EXCEEDED');
     this.measureLoad(exchange);
     this.opts.outcomes.sent(requestId, () => fingerprintsOf(exchange));
+    const span = exchange.span.child('target');
     let outcome: RelayOutcome;
     try {
       outcome = await relay({
         dispatcher: target.dispatcher,
         method: request.method ?? 'GET',
         path: request.url ?? '/',
-        headers: this.targetHeaders(exchange, running, remainingMs),
+        headers: withTraceHeaders(this.targetHeaders(exchange, running, remainingMs), span),
         body: exchange.body.open(),
         response,
         timeoutMs: Math.min(remainingMs, requestTimeoutMs),
@@ -225,8 +227,11 @@
       report({outcome: ADMISSION_OUTCOMES[thrown.reason], isAnswered: false});
       if (thrown.reason === 'cancelled') this.opts.cancel(requestId);
       if (thrown.reason === 'connect') this.opts.outcomes.refused();
-      throw targetError(thrown);
+      const error = targetError(thrown);
+      endSpan(span, 0, error);
+      throw error;
     }
+    endSpan(span, outcome.status, undefined);
     return this.conclude(outcome, run, recorder, report);
   }
 
--- a/routing/forwarder/src/startCallerListener.ts
+++ b/routing/forwarder/src/startCallerListener.ts
@@ -4,9 +4,11 @@
 import type {ErrorCode, Ran} from '@medlarlane/errors';
 import {hashKey} from '@medlarlane/key-space';
 import type {Clock} from '@medlarlane/lifecycle';
+import type {HopSpan, Tracer} from '@medlarlane/telemetry';
 import type {CallerRouter} from './callerRouter.js';
 import {openExchange} from './exchange.js';
 import {answerProblem} from './problem.js';
+import {endSpan} from './traceHeaders.js';
 import {startListener} from './startListener.js';
 import type {Listener, ListenerOptions} from './startListener.js';
 
@@ -24,6 +26,7 @@
   readonly router: CallerRouter;
   readonly directory: Directory;
   readonly clock: Clock;
+  readonly tracer: Tracer;
   /** Time since the configuration was last known to be current. */
   readonly staleMs: () => number;
   readonly maxStaleMs: number;
@@ -45,11 +48,13 @@
   const startedMs = opts.clock.nowMs();
   let service = '';
   let error: MedlarlaneError | undefined;
+  let span: HopSpan | undefined;
   try {
     if (opts.staleMs() > opts.maxStaleMs) throw new MedlarlaneError('STALE_CONFIGURATION');
     if (request.url?.startsWith(OWNER_PATH)) return lookUpOwner(request, response, opts.directory);
     const exchange = await openExchange(request, response, {...opts, isForwarded: false});
     service = exchange.document.service;
+    span = exchange.span;
     const result = await opts.router.route(exchange);
     result.ifLeft((refusal) => {
       error = refusal;
@@ -59,6 +64,7 @@
     if (error.code === 'INTERNAL') opts.logger.error({err: thrown}, 'Request failed.');
     answerProblem(response, error);
   } finally {
+    if (span) endSpan(span, response.statusCode, error);
     opts.onRequest?.({
       service,
       status: response.statusCode,
--- a/routing/forwarder/src/startPeerListener.ts
+++ b/routing/forwarder/src/startPeerListener.ts
@@ -2,17 +2,20 @@
 import type {Directory} from '@medlarlane/directory';
 import {MedlarlaneError} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
+import type {Tracer} from '@medlarlane/telemetry';
 import {openExchange} from './exchange.js';
 import {HANDOVER_PATH} from './handOver.js';
 import type {LocalServer} from './localServer.js';
 import {answerProblem} from './problem.js';
 import {startListener} from './startListener.js';
+import {endSpan} from './traceHeaders.js';
 import type {Listener, ListenerOptions} from './startListener.js';
 
 export interface PeerListenerOptions extends ListenerOptions {
   readonly localServer: LocalServer;
   readonly directory: Directory;
   readonly clock: Clock;
+  readonly tracer: Tracer;
   /** Takes one chunk of idempotency records that another daemon hands over. */
   readonly importRecords: (chunk: Uint8Array) => void;
 }
@@ -36,7 +39,12 @@
   }
   const exchange = await openExchange(request, response, {...opts, isForwarded: true});
   const result = await opts.localServer.serve(exchange);
-  result.ifLeft((error) => answerProblem(response, error));
+  let refusal: MedlarlaneError | undefined;
+  result.ifLeft((error) => {
+    refusal = error;
+    answerProblem(response, error);
+  });
+  endSpan(exchange.span, response.statusCode, refusal);
 }
 
 async function readChunk(request: IncomingMessage): Promise<Buffer> {
