--- a/apps/demo/src/runDemo.ts
+++ b/apps/demo/src/runDemo.ts
@@ -1,4 +1,5 @@
-import {readFile} from 'node:fs/promises';
+import {readFile, writeFile} from 'node:fs/promises';
+import path from 'node:path';
 import {request} from 'undici';
 import {parse as parseYaml} from 'yaml';
 import {callAdmin, createTeam, eventually, startCluster} from '@medlarlane/fixtures';
@@ -45,13 +46,14 @@
   print('Starting three daemons with control replicas.');
   const cluster = await startCluster();
   try {
-    await applyDocument(cluster);
+    const keyFile = await applyDocument(cluster);
     print(`Applied the document of ${SERVICE}.`);
     const servers = await startServers(cluster);
     await waitForBalance(cluster);
     const owners = await sendKeyedRequests(cluster, servers, print, check);
     await showFailover(cluster, servers, owners, print, check);
     printAddresses(cluster, print);
+    printCommands(cluster, keyFile, print);
   } catch (failure) {
     print(`FAILED ${String(failure)}`);
     failures.push(String(failure));
@@ -59,12 +61,16 @@
   return {failures, dispose: () => cluster.dispose()};
 }
 
-async function applyDocument(cluster: Cluster): Promise<void> {
+/** Claims the team, applies the document and returns the file with the team's key. */
+async function applyDocument(cluster: Cluster): Promise<string> {
   const admin = cluster.replicas[0]!.ready.admin;
   const team = createTeam(TEAM);
   await eventually('the control leader', () => team.claim(admin));
   const document = parseYaml(await readFile(DOCUMENT_FILE, 'utf8')) as DocumentInput;
   await team.apply(admin, document);
+  const keyFile = path.join(cluster.dataFolder, `${TEAM}.key`);
+  await writeFile(keyFile, team.privateKeyPem, {mode: 0o600});
+  return keyFile;
 }
 
 async function startServers(cluster: Cluster): Promise<ServerProcess[]> {
@@ -185,3 +191,11 @@
     print(`${ready.instanceId}: callers ${ready.caller}, admin ${ready.admin}`);
   }
 }
+
+/** Commands with which a reader changes the document of the running demo. */
+function printCommands(cluster: Cluster, keyFile: string, print: (line: string) => void): void {
+  print('Change the document:');
+  print(`  export MEDLARLANE_ENDPOINT=${cluster.replicas[0]!.ready.admin}`);
+  print(`  npx medlarlane get ${SERVICE} > wallboard.yaml`);
+  print(`  npx medlarlane apply -f wallboard.yaml --key ${keyFile} --wait`);
+}
