Search ranges by position in one place

Cause: the same binary search stood in the range table and twice in the placement. Conclusion: behaviour unchanged.

--- a/control/placement/src/loadAggregator.ts
+++ b/control/placement/src/loadAggregator.ts
@@ -1,3 +1,4 @@
+import {rangeIndexAt} from '@medlarlane/key-space';
 import type {Range} from '@medlarlane/model';
 import type {HotKey} from './placementInput.js';
 
@@ -100,7 +101,7 @@
       }
       const decay = this.decay(loads, nowMs);
       for (const [position, rateRps] of loads.keyRps) {
-        if (ownerAt(ranges, position) === sessionId) {
+        if (ranges[rangeIndexAt(ranges, position)]?.ownerSessionId === sessionId) {
           hotKeys.push({position, rateRps: rateRps * decay});
         } else {
           loads.keyRps.delete(position);
@@ -124,17 +125,6 @@
   for (const [position] of coldestFirst.slice(0, rates.size - limit)) rates.delete(position);
 }
 
-function ownerAt(ranges: readonly Range[], position: number): number {
-  let low = 0;
-  let high = ranges.length;
-  while (low < high) {
-    const middle = (low + high) >>> 1;
-    if (ranges[middle]!.startPosition <= position) low = middle + 1;
-    else high = middle;
-  }
-  return ranges[low - 1]?.ownerSessionId ?? 0;
-}
-
 function isRate(rateRps: number): boolean {
   return Number.isFinite(rateRps) && rateRps >= 0;
 }
--- a/control/placement/src/loadModel.ts
+++ b/control/placement/src/loadModel.ts
@@ -1,3 +1,4 @@
+import {rangeIndexAt} from '@medlarlane/key-space';
 import {POSITION_END, type Range} from '@medlarlane/model';
 import type {HotKey, PlacementInput, PlacementSession} from './placementInput.js';
 
@@ -120,7 +121,7 @@
     .sort((a, b) => a.position - b.position);
   let previous = -1;
   for (const key of sorted) {
-    const at = indexAt(ranges, key.position);
+    const at = rangeIndexAt(ranges, key.position);
     if (at < 0) continue;
     const keys = located.get(at) ?? [];
     if (key.position === previous) {
@@ -135,17 +136,6 @@
   return located;
 }
 
-function indexAt(ranges: readonly Range[], position: number): number {
-  let low = 0;
-  let high = ranges.length;
-  while (low < high) {
-    const middle = (low + high) >>> 1;
-    if (ranges[middle]!.startPosition <= position) low = middle + 1;
-    else high = middle;
-  }
-  return low - 1;
-}
-
 /** Reported load minus hot keys; NaN where no usable report exists. */
 function reportedRest(
   input: PlacementInput,
--- a/routing/key-space/src/index.ts
+++ b/routing/key-space/src/index.ts
@@ -1,5 +1,5 @@
 export {extractKey} from './extractKey.js';
 export type {KeySource} from './extractKey.js';
 export {hashKey} from './hashKey.js';
-export {evenRanges, RangeTable} from './rangeTable.js';
+export {evenRanges, rangeIndexAt, RangeTable} from './rangeTable.js';
 export type {RangeChange} from './rangeTable.js';
--- a/routing/key-space/src/rangeTable.ts
+++ b/routing/key-space/src/rangeTable.ts
@@ -24,14 +24,7 @@
 
   /** Index of the range that holds `position`, or -1 in an empty table. */
   indexOf(position: number): number {
-    let low = 0;
-    let high = this.ranges.length - 1;
-    while (low <= high) {
-      const middle = (low + high) >>> 1;
-      if (this.ranges[middle]!.startPosition <= position) low = middle + 1;
-      else high = middle - 1;
-    }
-    return high;
+    return rangeIndexAt(this.ranges, position);
   }
 
   /** Makes each of the positions the start of a range. All parts keep owner and epoch. */
@@ -92,6 +85,18 @@
   }
 }
 
+/** Index of the range that holds `position` in ranges sorted by start, or -1 when there is none. */
+export function rangeIndexAt(ranges: readonly Range[], position: number): number {
+  let low = 0;
+  let high = ranges.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if (ranges[middle]!.startPosition <= position) low = middle + 1;
+    else high = middle;
+  }
+  return low - 1;
+}
+
 /** A stretch of positions and the ranges that now cover it. */
 export interface RangeChange {
   fromPosition: number;
