--- a/scripts/capacity.mjs
+++ b/scripts/capacity.mjs
@@ -17,6 +17,7 @@
 const HOT_KEYS = 230;
 const RANGES = DAEMONS * RANGES_PER_DAEMON + HOT_KEYS;
 const KEYS = 1.4e9;
+const REQUESTS_PER_SECOND = 31e6;
 const REGIONS = 4;
 const ZONES = 12;
 const REPLICAS = 12;
@@ -101,6 +102,39 @@
       unit: 'MB',
     },
   ],
+  'Request path': [
+    {
+      figure: 'Requests from callers at one daemon',
+      formula: 'requests/s / daemons',
+      slopes: [],
+      compute: () => REQUESTS_PER_SECOND / DAEMONS,
+      unit: 'requests/s',
+    },
+    {
+      figure: 'Requests that one daemon carries at the owner',
+      formula: 'recorded requests/s of one daemon, without a second hop',
+      slopes: ['relay.one-hop.daemon'],
+      compute: (v) => v['relay.one-hop.daemon'],
+      unit: 'requests/s',
+      atLeast: Math.ceil(REQUESTS_PER_SECOND / DAEMONS),
+    },
+    {
+      figure: 'Requests that one daemon carries over a second hop',
+      formula: 'recorded requests/s over two daemons',
+      slopes: ['relay.two-hops.daemon'],
+      compute: (v) => v['relay.two-hops.daemon'],
+      unit: 'requests/s',
+      atLeast: Math.ceil(REQUESTS_PER_SECOND / DAEMONS),
+    },
+    {
+      figure: 'Time that two hops add, 99 in 100',
+      formula: 'recorded p99 over that of a direct request',
+      slopes: ['relay.two-hops.added-p99'],
+      compute: (v) => v['relay.two-hops.added-p99'],
+      unit: 'ms',
+      limit: 20,
+    },
+  ],
   'Control replica': [
     {
       figure: 'Instances dedicated to control',
@@ -191,23 +225,23 @@
     {
       figure: 'Time until a change is in force everywhere',
       formula: 'recorded time of apply --wait',
-      slopes: ['apply-change.in-force'],
-      compute: (v) => v['apply-change.in-force'],
+      slopes: ['config-in-force.whole.worst-of-10'],
+      compute: (v) => v['config-in-force.whole.worst-of-10'] / 1_000,
       unit: 's',
       limit: 8,
     },
     {
       figure: 'Changes that one group commits',
       formula: 'recorded commits/s of one group x seconds per day',
-      slopes: ['apply-change.commits-per-second'],
-      compute: (v) => v['apply-change.commits-per-second'] * 86_400,
+      slopes: ['commit.throughput.64-clients'],
+      compute: (v) => v['commit.throughput.64-clients'] * 86_400,
       unit: 'changes/day',
       atLeast: 1_200,
     },
   ],
   'Daily faults': [
-    ...faultRows('3 instances lost', 3, 1, {slope: 'failover.time', limit: 3}),
-    ...faultRows('140 instances restarted', 2 * 140, 2, {slope: 'planned-move.gap', limit: 3}),
+    ...faultRows('3 instances lost', 3, 1, {slope: 'failover-daemon.worst-of-6', limit: 3}),
+    ...faultRows('140 instances restarted', 2 * 140, 2, {slope: 'move-gap.worst-of-10', limit: 3}),
     ...faultRows('A rack lost', RACK_DAEMONS, 1, {slope: 'failover-rack.time', limit: 3}),
     ...faultRows('A zone lost', DAEMONS / ZONES, 1, {slope: 'failover-zone.time', limit: 3}),
     {
@@ -289,7 +323,7 @@
       figure: `${fault}: unavailable time of a key`,
       formula: `recorded ${unavailable.slope}`,
       slopes: [unavailable.slope],
-      compute: (v) => v[unavailable.slope],
+      compute: (v) => v[unavailable.slope] / 1_000,
       unit: 's',
       limit: unavailable.limit,
     },
