Copy response headers once; cancel a retry whose caller has gone

Cause: a profile of the owner's daemon showed the answer headers as its largest own function, copied twice and with deletions; and a relay that starts after its caller has gone saw no event to stop it.

--- a/routing/forwarder/src/headers.ts
+++ b/routing/forwarder/src/headers.ts
@@ -62,18 +62,22 @@
 
 /** Response headers without those that concern one connection only. */
 export function endToEndResponseHeaders(headers: ResponseHeaders): OutgoingHttpHeaders {
-  const kept: OutgoingHttpHeaders = {};
-  for (const [name, value] of Object.entries(headers)) {
-    if (!HOP_BY_HOP.has(name) && value !== undefined) kept[name] = value;
-  }
-  return kept;
+  return keepHeaders(headers, (name) => !HOP_BY_HOP.has(name));
 }
 
 /** A target's response headers; names of this protocol are dropped, since only daemons may use them. */
 export function targetResponseHeaders(headers: ResponseHeaders): OutgoingHttpHeaders {
-  const kept = endToEndResponseHeaders(headers);
-  for (const name of Object.keys(kept)) {
-    if (name.startsWith(PROTOCOL_PREFIX)) delete kept[name];
+  return keepHeaders(headers, (name) => !HOP_BY_HOP.has(name) && !name.startsWith(PROTOCOL_PREFIX));
+}
+
+function keepHeaders(
+  headers: ResponseHeaders,
+  keeps: (name: string) => boolean,
+): OutgoingHttpHeaders {
+  const kept: OutgoingHttpHeaders = {};
+  for (const name of Object.keys(headers)) {
+    const value = headers[name];
+    if (value !== undefined && keeps(name)) kept[name] = value;
   }
   return kept;
 }
--- a/routing/forwarder/src/localServer.ts
+++ b/routing/forwarder/src/localServer.ts
@@ -279,13 +279,12 @@
     running: RunningRequest,
     headers: ResponseHeaders,
   ): ReturnType<typeof targetResponseHeaders> {
-    return {
-      ...targetResponseHeaders(headers),
-      [HEADER.owner]: this.opts.ownerAddress(),
-      [HEADER.requestId]: exchange.requestId,
-      [HEADER.epoch]: String(running.epoch),
-      [HEADER.load]: String(this.opts.loadHint()),
-    };
+    const kept = targetResponseHeaders(headers);
+    kept[HEADER.owner] = this.opts.ownerAddress();
+    kept[HEADER.requestId] = exchange.requestId;
+    kept[HEADER.epoch] = String(running.epoch);
+    kept[HEADER.load] = String(this.opts.loadHint());
+    return kept;
   }
 }
 
--- a/routing/forwarder/src/relay.ts
+++ b/routing/forwarder/src/relay.ts
@@ -98,7 +98,10 @@
     private readonly reject: (failure: RelayFailure) => void,
   ) {
     this.timer = setTimeout(() => this.abort('timeout'), opts.timeoutMs);
-    if (!opts.outlivesCaller) opts.response.once('close', this.onCallerClose);
+    if (opts.outlivesCaller) return;
+    opts.response.once('close', this.onCallerClose);
+    // A caller that went away during a pause before a retry emits no further event.
+    if (opts.response.destroyed) this.abort('cancelled');
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
