List quarantined requests in the status

Cause: status had an empty list in their place, although the control state held the reports. Change: a report names the service whose target crashed; the status lists what is quarantined now. Conclusion: operators see which request is refused.

--- a/control/control-service/src/adminHandler.ts
+++ b/control/control-service/src/adminHandler.ts
@@ -18,6 +18,7 @@
 import type {LoadAggregator} from '@medlarlane/placement';
 import type {ControlStateMachine} from './controlStateMachine.js';
 import type {Leadership} from './leadership.js';
+import {listPoison} from './listPoison.js';
 
 export interface AdminHandlerOptions {
   readonly leadership: Leadership;
@@ -158,7 +159,7 @@
         appliedIndex: this.appliedIndexOf(session.sessionId),
       })),
       services: this.state.services().map((service) => this.serviceStatus(service)),
-      poison: [],
+      poison: listPoison(this.state.poisonReports(), this.opts.clock.wallMs()),
     };
   }
 
--- a/control/control-service/src/sessionHandler.ts
+++ b/control/control-service/src/sessionHandler.ts
@@ -84,9 +84,12 @@
       await this.opts.leadership.endSession(stream.sessionId, reason);
       return ended(reason);
     },
-    poisonReport: async ({entries}) => {
+    poisonReport: async ({entries}, stream) => {
+      const service = this.opts.machine.state.session(stream.sessionId)?.service;
+      if (service === undefined) return undefined;
       await this.opts.leadership.propose({
         kind: 'reportPoison',
+        service,
         reportedAtMs: this.opts.clock.wallMs(),
         report: decodeValue(poisonReportSchema, entries),
       });
--- a/control/control-state/src/controlState.ts
+++ b/control/control-state/src/controlState.ts
@@ -29,7 +29,8 @@
 // A report concerns one crash; two targets a day crash by themselves at the design size.
 const KEPT_POISON_REPORTS = 64;
 
-type PoisonEntry = DirectorySnapshot['poison'][number];
+/** What a daemon reported about requests in flight when its target crashed. */
+export type ServicePoisonReport = StateSnapshot['poison'][number];
 
 type Handlers = {
   readonly [K in Command['kind']]: (index: number, command: CommandOf<K>) => CommandResult;
@@ -46,7 +47,7 @@
   private documents = new Map<string, ServiceDocument>();
   private sessions = new Map<number, Session>();
   private assignments = new Map<string, RangeTable>();
-  private poison: PoisonEntry[] = [];
+  private poison: ServicePoisonReport[] = [];
   private changeMemory = new ChangeMemory();
   private history = new ChangeHistory(0);
   private pendingChanges: DirectoryChange[] = [];
@@ -58,8 +59,8 @@
     endSession: (index, {sessionId}) => this.endSession(index, sessionId),
     drainSession: (index, {sessionId}) => this.drainSession(index, sessionId),
     startMoves: (index, command) => this.startMoves(index, command),
-    reportPoison: (index, {reportedAtMs, report}) => {
-      this.poison = [...this.poison, {reportedAtMs, report}].slice(-KEPT_POISON_REPORTS);
+    reportPoison: (index, {service, reportedAtMs, report}) => {
+      this.poison = [...this.poison, {service, reportedAtMs, report}].slice(-KEPT_POISON_REPORTS);
       this.pendingChanges.push({kind: 'poison', reportedAtMs, report});
       return {ok: true, index};
     },
@@ -101,7 +102,7 @@
       }),
       sessions: [...this.sessions.values()],
       assignments: this.assignmentList(),
-      poison: this.poison,
+      poison: this.poison.map(({reportedAtMs, report}) => ({reportedAtMs, report})),
     };
   }
 
@@ -170,6 +171,11 @@
     return this.assignments.get(service);
   }
 
+  /** The latest reports of crashes, oldest first. */
+  poisonReports(): readonly ServicePoisonReport[] {
+    return this.poison;
+  }
+
   hasTeam(team: string): boolean {
     return this.teams.has(team);
   }
--- a/control/control-state/src/stateSnapshot.ts
+++ b/control/control-state/src/stateSnapshot.ts
@@ -60,6 +60,8 @@
   sessions: z.array(sessionSchema),
   assignments: z.array(z.object({service: serviceNameSchema, ranges: z.array(rangeSchema)})),
   changes: z.array(rememberedChangeSchema),
-  poison: z.array(z.object({reportedAtMs: z.int(), report: poisonReportSchema})),
+  poison: z.array(
+    z.object({service: serviceNameSchema, reportedAtMs: z.int(), report: poisonReportSchema}),
+  ),
 });
 export type StateSnapshot = z.infer<typeof stateSnapshotSchema>;
--- a/protocol/model/src/commands.ts
+++ b/protocol/model/src/commands.ts
@@ -56,6 +56,8 @@
   }),
   z.object({
     kind: z.literal('reportPoison'),
+    /** Service of the target that crashed. */
+    service: serviceNameSchema,
     /** Wall-clock time at which the leader took the report. */
     reportedAtMs: z.int().min(0),
     report: poisonReportSchema,
--- a/testing/fault-tables/test/poison.test.ts
+++ b/testing/fault-tables/test/poison.test.ts
@@ -4,7 +4,7 @@
 import {v7 as createId} from 'uuid';
 import {SERVICE, startScenario} from '@medlarlane/fault-tables';
 import type {Scenario} from '@medlarlane/fault-tables';
-import {eventually, targetStats} from '@medlarlane/fixtures';
+import {callAdmin, eventually, targetStats} from '@medlarlane/fixtures';
 
 const LIMIT = {timeout: 120_000};
 const SERVERS = 4;
@@ -29,6 +29,11 @@
         });
       }
       assert.equal(await aliveCount(scenario), SERVERS - CRASHES_UNTIL_QUARANTINE);
+      const {poison} = await callAdmin(scenario.admin, 'status', {});
+      assert.deepEqual(
+        poison.map(({service, crashes}) => ({service, crashes})),
+        [{service: SERVICE, crashes: CRASHES_UNTIL_QUARANTINE}],
+      );
       const other = await get(scenario.entries()[0]!, `/walls/${createId()}`);
       assert.equal(other.status, 200);
     } finally {
