Resend changes with an open outcome in the preparation of document faults

Cause: in a run of all checks 'A replica whose log is damaged in the middle' failed before its fault struck: one of the twenty preparing changes was answered with COMMIT_UNKNOWN, as while the leader changes on a busy machine. The preparation sent each change once. Ruled out: a loss; the answer says that the outcome is open, and the operator resends with the same id. Change: the preparation resends with the same change id until it is accepted; the checks of the rows are the same. Conclusion: why the leader changed in that run was not looked into.

--- a/testing/fault-tables/test/documentFaults.test.ts
+++ b/testing/fault-tables/test/documentFaults.test.ts
@@ -456,7 +456,12 @@
     Array.from({length: Math.ceil(count / perService)}, async (_, number) => {
       const service = `prairie-crag/${name}-${number}`;
       for (let baseRevision = 0; baseRevision < perService; baseRevision++) {
-        await team.apply(admin, plainDocument(service, baseRevision + 1), {baseRevision});
+        // A change whose outcome is open, because the leader changed, is resent with its id.
+        const changeId = randomUUID();
+        const document = plainDocument(service, baseRevision + 1);
+        await eventually(`revision ${baseRevision + 1} of ${service}`, () =>
+          team.apply(admin, document, {baseRevision, changeId}),
+        );
       }
     }),
   );
