Freeze a replica of the test group at most once at a time

Two replicas slept for ever: a second freeze replaced the promise that the first sleepers waited for. Ruled out: a fault of the election; the frozen replicas ran no task at all. Change: freezing a frozen replica does nothing.

--- a/control/consensus/test/replicaGroup.ts
+++ b/control/consensus/test/replicaGroup.ts
@@ -209,12 +209,18 @@
 /** A clock whose sleepers do not wake while the process is frozen, although time goes on. */
 export class FreezableClock implements Clock {
   thaw: Promise<void> = Promise.resolve();
-  resume: () => void = () => undefined;
+  private wake: (() => void) | undefined;
 
   constructor(private readonly clock: Clock) {}
 
   freeze(): void {
-    this.thaw = new Promise((resolve) => (this.resume = resolve));
+    // A second promise would leave those who wait for the first one asleep for ever.
+    if (!this.wake) this.thaw = new Promise((resolve) => (this.wake = resolve));
+  }
+
+  resume(): void {
+    this.wake?.();
+    this.wake = undefined;
   }
 
   nowMs(): number {
