Forget the load reports of ended sessions; remove members that nobody calls

Cause: a read of the whole change. The leader kept the loads of every session that ever reported, although the store promises memory bounded by the live ones: nothing called its endSession. Change: the state machine tells the load reports of an ended session where it tells the lease table; the unread members are removed. Conclusion: placement behaves as before, since it ignores sessions that own nothing.

--- a/bench/src/controlCost.ts
+++ b/bench/src/controlCost.ts
@@ -36,12 +36,10 @@
 
 interface Point {
   readonly daemons: number;
-  readonly bytesPerS: number;
   readonly wireBytesPerS: number;
   readonly leaderUsPerS: number;
   readonly daemonUsPerS: number;
   readonly changeBytes: number;
-  readonly changeLeaderUs: number;
   readonly changeDaemonUs: number;
   readonly changeFollowerUs: number;
   readonly replicaBytes: number;
@@ -135,12 +133,10 @@
       Math.max(0, changed - steadily * idle) / CHANGES;
     return {
       daemons,
-      bytesPerS: payload(steady.traffic) * perDaemonS,
       wireBytesPerS: onWire(steady.traffic) * perDaemonS,
       leaderUsPerS: steady.leaderUs * perDaemonS,
       daemonUsPerS: steady.standInUs * perDaemonS,
       changeBytes: perChange(onWire(changes.traffic), onWire(steady.traffic)) / daemons,
-      changeLeaderUs: perChange(changes.leaderUs, steady.leaderUs),
       changeDaemonUs: perChange(changes.standInUs, steady.standInUs) / daemons,
       changeFollowerUs: perChange(changes.followerUs, steady.followerUs),
       replicaBytes,
@@ -231,10 +227,6 @@
   return team.apply(admin, {service: SERVICE, splitByKey: true, key, targets}, {baseRevision});
 }
 
-function payload({bytes}: LinkTraffic): number {
-  return bytes;
-}
-
 function onWire({bytes, chunks}: LinkTraffic): number {
   return bytes + chunks * SEGMENT_OVERHEAD_BYTES;
 }
--- a/control/control-service/src/controlService.ts
+++ b/control/control-service/src/controlService.ts
@@ -43,7 +43,7 @@
   const {clock, tasks, leaseTtlMs, group} = opts;
   const leases = new LeaseTable({clock, leaseTtlMs});
   const loads = new LoadAggregator();
-  const machine = new ControlStateMachine(new ControlState(), leases);
+  const machine = new ControlStateMachine(new ControlState(), leases, loads);
   const replica = await opts.startReplica(machine);
   const leadership = new Leadership({replica, machine, leases});
   const shared = {leadership, machine, leases, loads, clock};
--- a/control/control-service/src/controlStateMachine.ts
+++ b/control/control-service/src/controlStateMachine.ts
@@ -6,14 +6,16 @@
 import {commandSchema, decodeValue} from '@medlarlane/model';
 import type {LogEntry} from '@medlarlane/log-store';
 import type {Command} from '@medlarlane/model';
+import type {LoadAggregator} from '@medlarlane/placement';
 
-/** Applies log entries to the control state and tells watchers and the lease table. */
+/** Applies log entries to the control state and tells watchers, the lease table and the load reports. */
 export class ControlStateMachine implements StateMachine {
   private readonly events = new EventEmitter().setMaxListeners(0);
 
   constructor(
     readonly state: ControlState,
     private readonly leases: LeaseTable,
+    private readonly loads: LoadAggregator,
   ) {}
 
   apply(entry: LogEntry): CommandResult {
@@ -47,15 +49,17 @@
       return {ok: false, code, message};
     }
     const result = this.state.apply(index, command);
-    this.updateLeases(command, result);
+    this.updateSessions(command, result);
     return result;
   }
 
-  private updateLeases(command: Command, result: CommandResult): void {
+  private updateSessions(command: Command, result: CommandResult): void {
     if (!result.ok) return;
     if (command.kind === 'registerSession' && result.sessionId !== undefined) {
       this.leases.grant(result.sessionId);
     }
-    if (command.kind === 'endSession') this.leases.remove(command.sessionId);
+    if (command.kind !== 'endSession') return;
+    this.leases.remove(command.sessionId);
+    this.loads.endSession(command.sessionId);
   }
 }
--- a/control/control-state/src/controlState.ts
+++ b/control/control-state/src/controlState.ts
@@ -176,10 +176,6 @@
     return this.poison;
   }
 
-  hasTeam(team: string): boolean {
-    return this.teams.has(team);
-  }
-
   private claimTeam(index: number, command: CommandOf<'claimTeam'>): CommandResult {
     const {changeId, team, publicKeyPem} = command;
     return this.changeMemory.once(changeId, fingerprintOf(command), () => {
--- a/control/leases/src/leaseTable.ts
+++ b/control/leases/src/leaseTable.ts
@@ -81,8 +81,4 @@
   find(sessionId: number): Readonly<LeaseState> | undefined {
     return this.leases.get(sessionId);
   }
-
-  all(): readonly LeaseState[] {
-    return [...this.leases.values()];
-  }
 }
--- a/routing/control-client/src/controlClient.ts
+++ b/routing/control-client/src/controlClient.ts
@@ -154,11 +154,6 @@
     clearTimeout(timer);
   }
 
-  /** Whether a stream to the leader is open. */
-  get isConnected(): boolean {
-    return this.openSession !== undefined;
-  }
-
   /**
    * Runs an operator operation on the leader, which may be a replica that the settings do not name.
    * @throws MedlarlaneError of the operation; `COMMIT_UNKNOWN` when a replica may have run a change
--- a/routing/ownership/src/ownership.ts
+++ b/routing/ownership/src/ownership.ts
@@ -90,10 +90,6 @@
     return {epoch: this.directory.appliedIndex, leaseRemainingMs, ranges};
   }
 
-  get runningCount(): number {
-    return this.running.size;
-  }
-
   /** From now on no request enters the range. Returns whether this call started the release. */
   startRelease(service: string, range: Range): boolean {
     const key = releaseKey(service, range);
