--- /dev/null
+++ b/apps/site/src/index.ts
@@ -0,0 +1,5 @@
+export {startSiteControl} from './startSiteControl.js';
+export type {SiteControlProcess, SiteControlProcessOptions} from './startSiteControl.js';
+export {startSiteDaemon} from './startSiteDaemon.js';
+export type {Endpoint, SiteDaemon, SiteDaemonOptions} from './startSiteDaemon.js';
+export {OperatorDesk} from './operatorDesk.js';
--- /dev/null
+++ b/apps/site/src/startSiteDaemon.ts
@@ -0,0 +1,285 @@
+import http from 'node:http';
+import {once} from 'node:events';
+import {MedlarlaneError} from '@medlarlane/errors';
+import {HostedTarget} from '@medlarlane/key-holds';
+import {BackgroundTasks, DisposableStore} from '@medlarlane/lifecycle';
+import type {Clock} from '@medlarlane/lifecycle';
+import {loggerFor} from '@medlarlane/logger';
+import type {Logger} from '@medlarlane/logger';
+import {
+  createEntryHandler,
+  createPeerClient,
+  createTargetClient,
+  SiteView,
+  startGateListener,
+  TargetGate,
+} from '@medlarlane/request-path';
+import type {
+  CallerWire,
+  EntryHandler,
+  EntryOutcome,
+  GateTarget,
+  TargetWire,
+} from '@medlarlane/request-path';
+import {RetryBudget} from '@medlarlane/retry';
+import {createRpcClient} from '@medlarlane/rpc';
+import type {ReportRequest, ReportResponse} from '@medlarlane/site-control';
+import {SiteLink} from '@medlarlane/site-link';
+
+export interface SiteDaemonOptions {
+  readonly availabilityZone: string;
+  /** Service of the target beside this daemon. */
+  readonly service: string;
+  readonly target: Endpoint;
+  /** Listener for callers on this instance and for calls of the target. */
+  readonly caller: Endpoint;
+  /** Listener for requests of other daemons. */
+  readonly forward: Endpoint;
+  /** Control addresses to start with. */
+  readonly seeds: () => readonly string[];
+  readonly heartbeatMs: number;
+  readonly drainMs: number;
+  readonly maxHoldMs: number;
+  /** Extra sends per request that the deployment allows a service, and those that are always allowed. */
+  readonly retryShare: number;
+  readonly retrySlack: number;
+  readonly retryWindowMs: number;
+  readonly callerWire: CallerWire;
+  readonly targetWire: TargetWire;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly onAnswer?: (outcome: EntryOutcome) => void;
+}
+
+export interface Endpoint {
+  readonly host: string;
+  readonly port: number;
+}
+
+export interface SiteDaemon {
+  readonly hosted: HostedTarget;
+  /** Whether callers may be sent to this daemon. */
+  readonly ready: boolean;
+  /** Stops taking work, finishes what is in flight within `graceMs` and closes. */
+  stop(graceMs: number): Promise<void>;
+}
+
+/** Part of the allowed retries that daemons use; the rest covers their uneven traffic. */
+const RETRY_SHARE_USED = 0.6;
+const RETRY_SLACK_USED = 0.5;
+/** How often a target whose heartbeat is overdue is looked at. */
+const TARGET_CHECK_MS = 250;
+const CONNECT_TIMEOUT_MS = 200;
+/** A stopping daemon stays reachable until the platform has noticed that it is not ready. */
+const MIN_STOP_MS = 2_500;
+const STOP_CHECK_MS = 50;
+/** Connections that stay free for the target's other callers. */
+const CONNECTIONS_PER_TARGET = 64;
+/** Bounds of what callers may send before a configuration is known. */
+const MAX_HEADER_BYTES = 65_536;
+
+/** Starts the daemon beside a target. */
+export async function startSiteDaemon(opts: SiteDaemonOptions): Promise<SiteDaemon> {
+  const {clock, logger} = opts;
+  const disposables = new DisposableStore();
+  let stopping = false;
+  const forwardAddress = `${opts.forward.host}:${opts.forward.port}`;
+  const view = new SiteView({clock, availabilityZone: opts.availabilityZone});
+  const hosted = new HostedTarget({
+    clock,
+    logger: loggerFor('target', logger),
+    heartbeatMs: opts.heartbeatMs,
+    drainMs: opts.drainMs,
+    maxHoldMs: opts.maxHoldMs,
+  });
+  const targetClient = disposables.use(
+    createTargetClient({
+      ...opts.target,
+      wire: opts.targetWire,
+      maxConnections: CONNECTIONS_PER_TARGET,
+    }),
+    (client) => client.close(),
+  );
+  let workMs = 0;
+  const gate = new TargetGate({
+    clock,
+    logger: loggerFor('gate', logger),
+    client: targetClient,
+    target: () => gateTarget(hosted),
+    holdsKey: (key) => hosted.holdsKey(key),
+    onWork: (offer, ms) => {
+      if (offer.key !== undefined) workMs += ms;
+    },
+  });
+  const peers = disposables.use(createPeerClient(), (client) => client.close());
+  let daemonCount = 1;
+  const budgets = new Map<string, RetryBudget>();
+  const retryBudget = (service: string): RetryBudget => {
+    let budget = budgets.get(service);
+    if (!budget) {
+      const slackRps = (opts.retrySlack / opts.retryWindowMs) * 1_000;
+      budget = new RetryBudget({
+        share: opts.retryShare * RETRY_SHARE_USED,
+        floorRps: (slackRps * RETRY_SLACK_USED) / Math.max(1, daemonCount),
+        clock,
+      });
+      budgets.set(service, budget);
+    }
+    return budget;
+  };
+  const entry = createEntryHandler({
+    view,
+    clock,
+    logger: loggerFor('entry', logger),
+    wire: opts.callerWire,
+    peers,
+    gate,
+    forwardAddress,
+    callerService: opts.service,
+    retryBudget,
+    stopping: () => stopping,
+    ...(opts.onAnswer ? {onAnswer: opts.onAnswer} : {}),
+  });
+  const rpc = disposables.use(createRpcClient(), (client) => client.close());
+  const takeAnswer = (answer: ReportResponse, sentAtMs: number): void => {
+    if (answer.configuration && answer.configuration.version > view.configuration.version) {
+      logger.info(
+        {version: answer.configuration.version, before: view.configuration.version},
+        'Configuration in force',
+      );
+      view.setConfiguration(answer.configuration);
+      applyLimits(callerServer, view);
+    }
+    if (daemonCount !== answer.daemonCount) {
+      daemonCount = answer.daemonCount;
+      budgets.clear();
+    }
+    view.updateInstances(answer);
+    for (const [service, ranges] of answer.ranges) view.setRanges(service, ranges);
+    const others = view
+      .instancesOf(opts.service)
+      .filter(({state, life}) => state === 'ready' && life !== hosted.life);
+    hosted.renew({
+      sentAtMs,
+      leaseMs: answer.leaseMs,
+      ranges: view.rangesOf(opts.service) as Parameters<HostedTarget['renew']>[0]['ranges'],
+      askedBack: answer.release,
+      hasSuccessors: others.length > 0,
+    });
+  };
+  const link = new SiteLink({
+    rpc,
+    clock,
+    logger: loggerFor('link', logger),
+    seeds: opts.seeds,
+    report: (known): ReportRequest => ({
+      forwardAddress,
+      availabilityZone: opts.availabilityZone,
+      configVersion: view.configuration.version,
+      ...known,
+      waitMs: 0,
+      ...reportedTarget(hosted, gate, workMs),
+      endedLives: [...hosted.endedLives],
+      released: [...hosted.released],
+      stopping,
+    }),
+    onAnswer: takeAnswer,
+  });
+  hosted.onChange = () => {
+    if (!hosted.takesWork) gate.refuseWaiting('DRAINING');
+    link.reportNow();
+  };
+
+  const callerServer = http.createServer({maxHeaderSize: MAX_HEADER_BYTES, noDelay: true});
+  callerServer.on('request', (request, response) => {
+    void entry.handle(request, response);
+  });
+  callerServer.on('clientError', (failure: NodeJS.ErrnoException, socket) => {
+    logger.info({code: failure.code}, '[entry] Request cannot be read');
+    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+  });
+  applyLimits(callerServer, view);
+  callerServer.listen(opts.caller.port, opts.caller.host);
+  await once(callerServer, 'listening');
+  const gateListener = await startGateListener({...opts.forward, gate, logger});
+  link.start();
+  disposables.add(() => link.stop());
+  const tasks = new BackgroundTasks({
+    onFailure: (taskName, err) => logger.error({err, taskName}, 'Task failed'),
+  }).ownedBy(disposables);
+  tasks.run('watch target', async (signal) => {
+    while (!signal.aborted) {
+      await clock.sleep(TARGET_CHECK_MS, {signal});
+      if (!hosted.overdue) continue;
+      const {life} = hosted;
+      const listens = await targetClient.listens(CONNECT_TIMEOUT_MS);
+      if (listens === 'no' && hosted.overdue && hosted.life === life) hosted.markEnded();
+    }
+  });
+  return {
+    hosted,
+    get ready() {
+      return !stopping && view.hasConfiguration;
+    },
+    stop: async (graceMs) => {
+      stopping = true;
+      link.reportNow();
+      const startedAtMs = clock.nowMs();
+      for (;;) {
+        const elapsedMs = clock.nowMs() - startedAtMs;
+        if (elapsedMs >= graceMs) break;
+        if (elapsedMs >= MIN_STOP_MS && isIdle(entry, gate)) break;
+        await clock.sleep(STOP_CHECK_MS);
+      }
+      logger.info({inFlight: entry.inFlight}, 'Daemon closes');
+      callerServer.closeAllConnections();
+      callerServer.close();
+      await gateListener.close();
+      await disposables.dispose();
+    },
+  };
+}
+
+function isIdle(entry: EntryHandler, gate: TargetGate): boolean {
+  return entry.inFlight === 0 && gate.inFlight === 0;
+}
+
+function gateTarget(hosted: HostedTarget): GateTarget | MedlarlaneError {
+  const {current, life} = hosted;
+  if (!current || life === undefined) return new MedlarlaneError('NO_TARGET');
+  if (!hosted.takesWork) return new MedlarlaneError(hosted.state === 'ended' ? 'NO_TARGET' : 'DRAINING');
+  return {targetId: current.targetId, life, service: current.service, slots: current.slots};
+}
+
+function reportedTarget(
+  hosted: HostedTarget,
+  gate: TargetGate,
+  workMsPerS: number,
+): Pick<ReportRequest, 'target'> {
+  const {current, life, state, mayHoldKeys} = hosted;
+  if (!current || life === undefined || state === undefined) return {};
+  // The leader may give away the keys of a target that holds none and takes no new ones.
+  if (!mayHoldKeys && state !== 'ready') hosted.disclaim();
+  return {
+    target: {
+      targetId: current.targetId,
+      life,
+      service: current.service,
+      state,
+      slots: current.slots,
+      coldLeftMs: current.coldLeftMs,
+      mayHoldKeys,
+      workMsPerS: Math.round(workMsPerS),
+      utilisation: gate.utilisation,
+    },
+  };
+}
+
+function applyLimits(server: http.Server, view: SiteView): void {
+  const {headerTimeoutMs, idleTimeoutMs} = view.configuration.limits;
+  server.headersTimeout = headerTimeoutMs;
+  server.keepAliveTimeout = idleTimeoutMs;
+  // A body may take as long as its request's deadline, which the handler watches.
+  server.requestTimeout = 0;
+}
+
--- a/control/consensus/src/leadership.ts
+++ b/control/consensus/src/leadership.ts
@@ -77,6 +77,14 @@
   readonly failed: boolean;
 }
 
+export interface ReadBarrierOptions {
+  /**
+   * `quorum` waits for a majority that answers after the call, for readers that must not rely on the
+   * clock of a process that may have been suspended. Default: `lease`.
+   */
+  readonly confirm?: 'lease' | 'quorum';
+}
+
 const MAX_PROPOSALS_PER_APPEND = 1024;
 
 /** One term of a leader: its peers, proposals and lease. */
@@ -152,13 +160,14 @@
   }
 
   /** Resolves once everything committed before the call is applied. */
-  async readBarrier(): Promise<void> {
+  async readBarrier(opts: ReadBarrierOptions = {}): Promise<void> {
     const {clock} = this.host;
+    const leaseSuffices = opts.confirm !== 'quorum';
     const askedAtMs = clock.nowMs();
     // Every wait ends when the term does, so that none needs an abort signal.
     while (!this.stopped && this.host.commitIndex < this.noopIndex) await this.applied.wait();
     const readIndex = this.host.commitIndex;
-    while (!this.stopped && !this.leaseValid() && this.quorumAckMs() < askedAtMs) {
+    while (!this.stopped && !(leaseSuffices && this.leaseValid()) && this.quorumAckMs() < askedAtMs) {
       await this.acknowledged.wait();
     }
     while (!this.stopped && this.host.appliedIndex < readIndex) await this.applied.wait();
--- a/control/consensus/src/startReplica.ts
+++ b/control/consensus/src/startReplica.ts
@@ -17,7 +17,7 @@
   VoteResponse,
 } from './consensusMessages.js';
 import {Leadership} from './leadership.js';
-import type {Committed, LeaderHost, PeerStatus} from './leadership.js';
+import type {Committed, LeaderHost, PeerStatus, ReadBarrierOptions} from './leadership.js';
 import {quorumSize} from './memberChange.js';
 import type {MemberChange} from './memberChange.js';
 import {encodeMembers, ReplicaLog} from './replicaLog.js';
@@ -90,7 +90,7 @@
    */
   propose(command: Uint8Array): Promise<Committed>;
   /** Resolves once reads of the state machine reflect everything committed before the call. */
-  readBarrier(): Promise<void>;
+  readBarrier(opts?: ReadBarrierOptions): Promise<void>;
   handle(request: ConsensusRequest): Promise<ConsensusResponse>;
   /** Whether this is the leader and has applied its own no-op. */
   isLeader(): boolean;
@@ -186,8 +186,8 @@
     return this.requireLeadership().propose(command);
   }
 
-  async readBarrier(): Promise<void> {
-    return this.requireLeadership().readBarrier();
+  async readBarrier(opts?: ReadBarrierOptions): Promise<void> {
+    return this.requireLeadership().readBarrier(opts);
   }
 
   async changeMembers(change: MemberChange): Promise<void> {
--- a/control/log-store/src/openLogStore.ts
+++ b/control/log-store/src/openLogStore.ts
@@ -43,6 +43,8 @@
 export interface OpenLogStoreOptions {
   /** Must equal the id in the folder. A new folder gets this id, or a random one. */
   readonly replicaId?: string;
+  /** Names the replica of a new folder in place of a random id. */
+  readonly newReplicaId?: () => string;
   readonly files?: FileSystem;
 }
 
@@ -64,7 +66,7 @@
     const found = await findLog(dataFolder, names, files);
     const {replicaId, logNumber, recovered, frameCount, sizeBytes} = found
       ? await recoverLog(dataFolder, found, opts.replicaId, files)
-      : await createLog(dataFolder, opts.replicaId ?? randomUUID(), files);
+      : await createLog(dataFolder, opts.replicaId ?? (opts.newReplicaId ?? randomUUID)(), files);
     await removeStaleFiles(dataFolder, logNumber, recovered.snapshot?.index, files);
     const writer = new LogWriter({
       dataFolder,
--- /dev/null
+++ b/control/site-control/src/index.ts
@@ -0,0 +1,16 @@
+export {reportRequestSchema, reportResponseSchema} from './reports.js';
+export type {
+  DirectoryInstance,
+  ReportRequest,
+  ReportResponse,
+  ReportedTarget,
+  TargetState,
+} from './reports.js';
+export {joinRequestSchema, MemberManager} from './memberManager.js';
+export type {JoinRequest, MemberManagerOptions} from './memberManager.js';
+export {SiteControl} from './siteControl.js';
+export type {SiteControlOptions} from './siteControl.js';
+export {KEY_LEASE_MS, LeaseLedger} from './leaseLedger.js';
+export {Directory} from './directory.js';
+export {planKeys} from './planKeys.js';
+export type {KeyPlan, PlanInput, PlanTarget} from './planKeys.js';
--- /dev/null
+++ b/control/site-control/src/reports.ts
@@ -0,0 +1,90 @@
+import {z} from 'zod';
+import {siteConfigurationSchema} from '@medlarlane/site-config';
+import {keyRangeSchema} from '@medlarlane/site-state';
+
+/**
+ * `ready` takes work, `draining` finishes what it has and gives up its keys, `silent` sent no
+ * heartbeat for a while, `ended` is certain to run no more.
+ */
+const targetStateSchema = z.enum(['ready', 'draining', 'silent', 'ended']);
+
+const reportedTargetSchema = z.object({
+  targetId: z.string(),
+  /** One life of the target process: its id and its start. */
+  life: z.string(),
+  service: z.string(),
+  state: targetStateSchema,
+  slots: z.int(),
+  /** How long the target stays slow after its start. */
+  coldLeftMs: z.number(),
+  /** Whether a grant that this daemon gave may still be in force at the target. */
+  mayHoldKeys: z.boolean(),
+  /** Milliseconds of work per second on keys, over the last seconds. */
+  workMsPerS: z.number(),
+  /** Share of the target's slots in use, over the last seconds; queued work counts, so it may pass 1. */
+  utilisation: z.number(),
+});
+
+const releasedStretchSchema = z.object({
+  life: z.string(),
+  fromKey: z.int(),
+  toKey: z.int(),
+  handover: z.string(),
+});
+
+/** What a daemon tells the control leader, a few times a second. */
+export const reportRequestSchema = z.object({
+  /** Listener to which other daemons forward requests; identifies the daemon. */
+  forwardAddress: z.string(),
+  availabilityZone: z.string(),
+  configVersion: z.int(),
+  /** Term of the leader that `directoryRevision` came from. */
+  leaderTerm: z.int(),
+  directoryRevision: z.int(),
+  /** The answer may wait this long for news. */
+  waitMs: z.number(),
+  target: reportedTargetSchema.optional(),
+  /** Earlier lives of targets beside this daemon that are certain to have ended. */
+  endedLives: z.array(z.string()),
+  released: z.array(releasedStretchSchema),
+  /** The process stops soon and takes no new work. */
+  stopping: z.boolean(),
+});
+
+const directoryInstanceSchema = z.object({
+  forwardAddress: z.string(),
+  availabilityZone: z.string(),
+  targetId: z.string(),
+  life: z.string(),
+  service: z.string(),
+  state: targetStateSchema,
+  slots: z.int(),
+  coldLeftMs: z.number(),
+  stopping: z.boolean(),
+});
+
+export const reportResponseSchema = z.object({
+  leaderTerm: z.int(),
+  /** Counted by the daemon from when it sent the report. */
+  leaseMs: z.number(),
+  /** Control addresses of the replicas for later reports. */
+  controlAddresses: z.array(z.string()),
+  daemonCount: z.int(),
+  configuration: siteConfigurationSchema.optional(),
+  directoryRevision: z.int(),
+  /** Whether `instances` is the whole directory. */
+  full: z.boolean(),
+  instances: z.array(directoryInstanceSchema),
+  /** Forward addresses that are no longer in the directory. */
+  removed: z.array(z.string()),
+  /** Ranges of keyed services that changed. */
+  ranges: z.array(z.tuple([z.string(), z.array(keyRangeSchema)])),
+  /** Stretches that the daemon's target is to give up. */
+  release: z.array(z.object({fromKey: z.int(), toKey: z.int()})),
+});
+
+export type TargetState = z.infer<typeof targetStateSchema>;
+export type ReportedTarget = z.infer<typeof reportedTargetSchema>;
+export type ReportRequest = z.infer<typeof reportRequestSchema>;
+export type ReportResponse = z.infer<typeof reportResponseSchema>;
+export type DirectoryInstance = z.infer<typeof directoryInstanceSchema>;
--- /dev/null
+++ b/control/site-control/src/siteControl.ts
@@ -0,0 +1,323 @@
+import type {Replica} from '@medlarlane/consensus';
+import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
+import {BackgroundTasks} from '@medlarlane/lifecycle';
+import type {Clock} from '@medlarlane/lifecycle';
+import type {Logger} from '@medlarlane/logger';
+import type {ConfigurationChange, SiteConfiguration} from '@medlarlane/site-config';
+import {encodeCommand} from '@medlarlane/site-state';
+import type {ChangeOutcome, KeyAssignment, SiteState} from '@medlarlane/site-state';
+import {Directory} from './directory.js';
+import {KEY_LEASE_MS, LeaseLedger} from './leaseLedger.js';
+import {planKeys} from './planKeys.js';
+import type {ReportedTarget, ReportRequest, ReportResponse} from './reports.js';
+
+export interface SiteControlOptions {
+  readonly replica: Replica;
+  readonly state: SiteState;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+interface Session {
+  readonly report: ReportRequest;
+  readonly reportedAtMs: number;
+}
+
+/** Everything that one term of leadership knows besides the log. */
+interface Term {
+  readonly term: number;
+  readonly startedAtMs: number;
+  readonly leases: LeaseLedger;
+  readonly directory: Directory;
+  readonly sessions: Map<string, Session>;
+  /** Revision of the directory at which the ranges of a service last changed. */
+  readonly rangeRevisions: Map<string, number>;
+  readonly firstTargetAtMs: Map<string, number>;
+  /** Lives whose keys a proposed command gives away; they get no lease until it is applied. */
+  readonly taking: Set<string>;
+}
+
+const STEP_MS = 100;
+/** An instance whose daemon is silent stays in the directory, because requests may still reach it. */
+const KEEP_SILENT_INSTANCE_MS = 20_000;
+/** A target whose daemon reported less recently gets no new keys; daemons report every 300 ms. */
+const RECENT_REPORT_MS = 1_000;
+/** Before the first assignment of a service its targets have this time to appear. */
+const FIRST_ASSIGNMENT_DELAY_MS = 2_000;
+
+/** The leader's work: sessions of daemons, the directory, key placement and configuration changes. */
+export class SiteControl {
+  private current: Term | undefined;
+  private readonly tasks: BackgroundTasks;
+  private readonly waiters = new Set<() => void>();
+  private placing = false;
+
+  constructor(private readonly opts: SiteControlOptions) {
+    const {logger, state, replica} = opts;
+    this.tasks = new BackgroundTasks({
+      onFailure: (taskName, err) => logger.error({err, taskName}, 'Task failed'),
+    });
+    state.onChange(() => this.onStateChange());
+    replica.onRoleChange((change) => {
+      logger.info({...change}, 'Role changed');
+      this.wake();
+    });
+  }
+
+  start(): void {
+    this.tasks.run('control steps', async (signal) => {
+      while (!signal.aborted) {
+        await this.opts.clock.sleep(STEP_MS, {signal});
+        this.step();
+      }
+    });
+  }
+
+  async stop(): Promise<void> {
+    this.wake();
+    await this.tasks.stop();
+  }
+
+  /** @throws MedlarlaneError `NOT_LEADER`. */
+  async report(report: ReportRequest): Promise<ReportResponse> {
+    const term = this.requireTerm();
+    this.acceptReport(term, report);
+    await this.release(report);
+    if (!this.hasNews(term, report) && report.waitMs > 0) {
+      await this.waitForNews(Math.min(report.waitMs, KEY_LEASE_MS));
+    }
+    return this.answer(this.requireTerm(), report);
+  }
+
+  /** @throws MedlarlaneError `NOT_LEADER` or `COMMIT_UNKNOWN`. */
+  async changeConfiguration(change: ConfigurationChange): Promise<ChangeOutcome> {
+    const {replica, logger} = this.opts;
+    const command = encodeCommand({kind: 'changeConfiguration', change});
+    const {index, result} = await replica.propose(command);
+    const {digest, version, baseVersion} = change;
+    logger.info({digest, version, baseVersion, index, result}, 'Decided a configuration change');
+    return result as ChangeOutcome;
+  }
+
+  /** The newest configuration. @throws MedlarlaneError `NOT_LEADER`. */
+  async readConfiguration(): Promise<SiteConfiguration> {
+    await this.opts.replica.readBarrier({confirm: 'quorum'});
+    return this.opts.state.configuration;
+  }
+
+  private requireTerm(): Term {
+    const {replica, clock, logger} = this.opts;
+    if (!replica.isLeader() || !replica.leaderLeaseValid()) {
+      this.current = replica.isLeader() ? this.current : undefined;
+      const {leaderId, members} = replica.status();
+      const leaderAddress = leaderId === undefined ? undefined : members.addresses[leaderId];
+      const known = leaderAddress !== undefined && leaderId !== replica.replicaId;
+      throw new MedlarlaneError('NOT_LEADER', undefined, {details: known ? {leaderAddress} : {}});
+    }
+    if (this.current?.term !== replica.term) {
+      logger.info({term: replica.term}, 'Started to lead');
+      this.current = {
+        term: replica.term,
+        startedAtMs: clock.nowMs(),
+        leases: new LeaseLedger(clock),
+        directory: new Directory(),
+        sessions: new Map(),
+        rangeRevisions: new Map(),
+        firstTargetAtMs: new Map(),
+        taking: new Set(),
+      };
+    }
+    return this.current;
+  }
+
+  private acceptReport(term: Term, report: ReportRequest): void {
+    const {clock, logger} = this.opts;
+    const {forwardAddress, target} = report;
+    const before = term.sessions.get(forwardAddress)?.report;
+    term.sessions.set(forwardAddress, {report, reportedAtMs: clock.nowMs()});
+    for (const life of report.endedLives) term.leases.end(life);
+    if (target) this.acceptTarget(term, target);
+    const changed = target
+      ? term.directory.put({
+          forwardAddress,
+          availabilityZone: report.availabilityZone,
+          targetId: target.targetId,
+          life: target.life,
+          service: target.service,
+          state: target.state,
+          slots: target.slots,
+          coldLeftMs: target.coldLeftMs,
+          stopping: report.stopping,
+        })
+      : term.directory.remove(forwardAddress);
+    if (!changed) return;
+    logger.info(
+      {forwardAddress, life: target?.life, state: target?.state, before: before?.target?.state},
+      'Directory entry changed',
+    );
+    this.wake();
+  }
+
+  private acceptTarget(term: Term, target: ReportedTarget): void {
+    const {clock} = this.opts;
+    if (!isLeasable(target)) term.leases.end(target.life);
+    else term.leases.revive(target.life);
+    if (target.state === 'ready' && !term.firstTargetAtMs.has(target.service)) {
+      term.firstTargetAtMs.set(target.service, clock.nowMs());
+    }
+  }
+
+  /** Commits what the target gave back, so that its next owner gets the handover. */
+  private async release({released, target}: ReportRequest): Promise<void> {
+    if (released.length === 0 || !target) return;
+    const assignments = released.map(({life, fromKey, toKey, handover}) => ({
+      fromKey,
+      toKey,
+      ownerLife: '',
+      handover,
+      previousOwnerLife: life,
+    }));
+    await this.assign(target.service, assignments);
+  }
+
+  private async assign(service: string, assignments: KeyAssignment[]): Promise<void> {
+    const {replica, logger} = this.opts;
+    const command = encodeCommand({kind: 'assignKeys', service, assignments});
+    const {index, result} = await replica.propose(command);
+    logger.info({service, assignments, index, changed: result}, 'Assigned keys');
+  }
+
+  private hasNews(term: Term, report: ReportRequest): boolean {
+    return (
+      report.leaderTerm !== term.term ||
+      report.directoryRevision !== term.directory.revision ||
+      report.configVersion !== this.opts.state.configuration.version
+    );
+  }
+
+  private answer(term: Term, report: ReportRequest): ReportResponse {
+    const {replica, state} = this.opts;
+    const known = report.leaderTerm === term.term ? report.directoryRevision : 0;
+    const {target} = report;
+    const {configuration} = state;
+    const keyed = configuration.services.filter((service) => service.keyed);
+    const ranges = keyed
+      .filter(({name}) => known === 0 || (term.rangeRevisions.get(name) ?? 0) > known)
+      .map(({name}): [string, ReturnType<SiteState['rangesOf']>] => [name, state.rangesOf(name)]);
+    const leased = target && isLeasable(target) && !term.taking.has(target.life);
+    if (leased) term.leases.renew(target.life);
+    return {
+      leaderTerm: term.term,
+      leaseMs: leased ? KEY_LEASE_MS : 0,
+      controlAddresses: Object.values(replica.status().members.addresses),
+      daemonCount: term.sessions.size,
+      ...(configuration.version === report.configVersion ? {} : {configuration}),
+      directoryRevision: term.directory.revision,
+      ...term.directory.since(known),
+      ranges: ranges as ReportResponse['ranges'],
+      release: [],
+    };
+  }
+
+  private step(): void {
+    let term: Term;
+    try {
+      term = this.requireTerm();
+    } catch {
+      // Not the leader; the failure says nothing else.
+      return;
+    }
+    this.forgetSilent(term);
+    if (!this.placing) void this.placeKeys(term);
+  }
+
+  private forgetSilent(term: Term): void {
+    const nowMs = this.opts.clock.nowMs();
+    for (const [forwardAddress, {reportedAtMs}] of term.sessions) {
+      if (nowMs - reportedAtMs < KEEP_SILENT_INSTANCE_MS) continue;
+      term.sessions.delete(forwardAddress);
+      term.directory.remove(forwardAddress);
+    }
+  }
+
+  private async placeKeys(term: Term): Promise<void> {
+    const {state, clock, logger} = this.opts;
+    this.placing = true;
+    try {
+      for (const {name, keyed} of state.configuration.services) {
+        if (!keyed || !this.mayAssign(term, name)) continue;
+        const sessions = [...term.sessions.values()].filter(
+          ({report}) => report.target?.service === name,
+        );
+        const serving = new Set(
+          sessions
+            .filter(({report}) => report.target?.state === 'ready')
+            .map(({report}) => report.target!.life),
+        );
+        const targets = sessions
+          .filter(
+            ({report, reportedAtMs}) =>
+              report.target?.state === 'ready' &&
+              !report.stopping &&
+              clock.nowMs() - reportedAtMs < RECENT_REPORT_MS,
+          )
+          .map(({report}) => report.target!);
+        const {assignments} = planKeys({
+          ranges: state.rangesOf(name),
+          targets,
+          mayTakeFrom: (life) => term.leases.mayTakeFrom(life),
+          isServing: (life) => serving.has(life) && !term.leases.mayTakeFrom(life),
+        });
+        if (assignments.length === 0) continue;
+        const losers = assignments.map(({previousOwnerLife}) => previousOwnerLife);
+        for (const life of losers) term.taking.add(life);
+        await this.assign(name, assignments);
+        for (const life of losers) term.taking.delete(life);
+      }
+    } catch (thrown) {
+      logger.warn({code: toMedlarlaneError(thrown).code}, 'Key placement failed');
+    } finally {
+      this.placing = false;
+    }
+  }
+
+  private mayAssign(term: Term, service: string): boolean {
+    if (this.opts.state.wasAssigned(service)) return true;
+    const firstAtMs = term.firstTargetAtMs.get(service);
+    return (
+      firstAtMs !== undefined && this.opts.clock.nowMs() - firstAtMs > FIRST_ASSIGNMENT_DELAY_MS
+    );
+  }
+
+  private onStateChange(): void {
+    const {current} = this;
+    if (current) {
+      current.directory.touch();
+      for (const {name, keyed} of this.opts.state.configuration.services) {
+        if (keyed) current.rangeRevisions.set(name, current.directory.revision);
+      }
+    }
+    this.wake();
+  }
+
+  private wake(): void {
+    for (const waiter of this.waiters) waiter();
+  }
+
+  private waitForNews(waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const done = (): void => {
+        clearTimeout(timer);
+        this.waiters.delete(done);
+        resolve();
+      };
+      const timer = setTimeout(done, waitMs);
+      this.waiters.add(done);
+    });
+  }
+}
+
+/** Whether the target may hold keys under the daemon's lease. */
+function isLeasable({state, mayHoldKeys}: ReportedTarget): boolean {
+  return state === 'ready' || (state !== 'ended' && mayHoldKeys);
+}
--- /dev/null
+++ b/control/site-state/src/keyRanges.ts
@@ -0,0 +1,58 @@
+import {z} from 'zod';
+
+/** Keys are the integers in [0, KEY_COUNT). */
+export const KEY_COUNT = 65_536;
+
+export const keyRangeSchema = z.object({
+  fromKey: z.int(),
+  /** Inclusive. */
+  toKey: z.int(),
+  /** Life of the owning target, or empty while the range has no owner. */
+  ownerLife: z.string(),
+  /** Fencing token: the log index of the command that made the owner the owner. */
+  epoch: z.int(),
+  /** Proof of the orderly release by the previous owner, or empty. */
+  handover: z.string(),
+});
+
+/** A stretch of keys with one owner. */
+export type KeyRange = z.infer<typeof keyRangeSchema>;
+
+/** Gives the stretch of `next` to its owner in a list of ranges that cover all keys. */
+export function replaceStretch(ranges: readonly KeyRange[], next: KeyRange): KeyRange[] {
+  const result: KeyRange[] = [];
+  let placed = false;
+  const place = (): void => {
+    if (!placed) result.push(next);
+    placed = true;
+  };
+  for (const range of ranges) {
+    if (range.toKey < next.fromKey) {
+      result.push(range);
+      continue;
+    }
+    if (range.fromKey < next.fromKey) result.push({...range, toKey: next.fromKey - 1});
+    place();
+    if (range.toKey > next.toKey) {
+      result.push({...range, fromKey: Math.max(range.fromKey, next.toKey + 1)});
+    }
+  }
+  place();
+  return mergeEqual(result);
+}
+
+/** Joins neighbours that one command gave to one owner. */
+function mergeEqual(ranges: readonly KeyRange[]): KeyRange[] {
+  const result: KeyRange[] = [];
+  for (const range of ranges) {
+    const last = result.at(-1);
+    const same =
+      last &&
+      last.ownerLife === range.ownerLife &&
+      last.epoch === range.epoch &&
+      last.handover === range.handover;
+    if (same) result[result.length - 1] = {...last, toKey: range.toKey};
+    else result.push(range);
+  }
+  return result;
+}
--- /dev/null
+++ b/control/site-state/src/siteCommands.ts
@@ -0,0 +1,34 @@
+import {decode, encode} from '@msgpack/msgpack';
+import {z} from 'zod';
+import {configurationChangeSchema} from '@medlarlane/site-config';
+
+const keyAssignmentSchema = z.object({
+  fromKey: z.int(),
+  toKey: z.int(),
+  /** Empty releases the stretch. */
+  ownerLife: z.string(),
+  handover: z.string(),
+  /** The assignment is skipped for keys whose owner is another one by now. */
+  previousOwnerLife: z.string(),
+});
+
+const siteCommandSchema = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('changeConfiguration'), change: configurationChangeSchema}),
+  z.object({
+    kind: z.literal('assignKeys'),
+    service: z.string(),
+    assignments: z.array(keyAssignmentSchema),
+  }),
+]);
+
+export type KeyAssignment = z.infer<typeof keyAssignmentSchema>;
+/** A command of the replicated log. */
+export type SiteCommand = z.infer<typeof siteCommandSchema>;
+
+export function encodeCommand(command: SiteCommand): Uint8Array {
+  return encode(command, {ignoreUndefined: true});
+}
+
+export function decodeCommand(payload: Uint8Array): SiteCommand {
+  return siteCommandSchema.parse(decode(payload));
+}
--- a/kernel/errors/src/errorKinds.ts
+++ b/kernel/errors/src/errorKinds.ts
@@ -152,6 +152,13 @@
     'An earlier attempt may have run',
     'Check the outcome before a new request.',
   ),
+  REQUEST_TOO_LARGE: answer(
+    413,
+    'no',
+    2,
+    'Request body is too large',
+    'Send less than the configured limit.',
+  ),
   OVERLOADED: answer(503, 'no', 6, 'Target has no room', 'Retry after the Retry-After header.'),
   DRAINING: answer(503, 'no', 6, 'Target is leaving', 'Retry shortly.'),
   DEADLINE_EXCEEDED: answer(504, 'no', 7, 'Deadline passed before the request ran', 'Retry.'),
--- a/kernel/logger/src/createLogger.ts
+++ b/kernel/logger/src/createLogger.ts
@@ -6,14 +6,23 @@
   readonly level?: string;
   /** Fields on every line, such as the instance id. */
   readonly bindings?: Readonly<Record<string, unknown>>;
+  /**
+   * `stderr` (default) writes each line at once. `stdout` never blocks: lines that a slow reader
+   * leaves waiting beyond a bound are dropped.
+   */
+  readonly destination?: 'stderr' | 'stdout';
 }
 
-/** Creates the root logger of a process. It writes JSON lines to standard error. */
+/** Lines that wait for a slow reader of standard output. */
+const MAX_WAITING_BYTES = 1_048_576;
+
+/** Creates the root logger of a process. It writes JSON lines. */
 export function createLogger(opts: CreateLoggerOptions = {}): Logger {
-  return pino(
-    {level: opts.level ?? 'info', base: opts.bindings ?? {}},
-    pino.destination({fd: 2, sync: true}),
-  );
+  const destination =
+    opts.destination === 'stdout'
+      ? pino.destination({fd: 1, sync: false, maxLength: MAX_WAITING_BYTES})
+      : pino.destination({fd: 2, sync: true});
+  return pino({level: opts.level ?? 'info', base: opts.bindings ?? {}}, destination);
 }
 
 /** A logger whose messages start with the fixed prefix of one part, for example `[lease]`. */
--- /dev/null
+++ b/kernel/rpc/src/index.ts
@@ -0,0 +1,4 @@
+export {createRpcClient} from './createRpcClient.js';
+export type {RpcCallOptions, RpcClient, RpcClientOptions} from './createRpcClient.js';
+export {startRpcServer} from './startRpcServer.js';
+export type {RpcHandler, RpcServer, RpcServerOptions} from './startRpcServer.js';
--- /dev/null
+++ b/kernel/rpc/src/startRpcServer.ts
@@ -0,0 +1,77 @@
+import {once} from 'node:events';
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {decode, encode} from '@msgpack/msgpack';
+import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
+
+/** Answers one method; the result is encoded as MessagePack. */
+export type RpcHandler = (payload: unknown) => Promise<unknown>;
+
+export interface RpcServerOptions {
+  readonly host: string;
+  /** 0 picks a free port. */
+  readonly port: number;
+  readonly handlers: Readonly<Record<string, RpcHandler>>;
+  /** Called for failures that are faults of this program. */
+  readonly onFault?: (method: string, fault: MedlarlaneError) => void;
+}
+
+export interface RpcServer {
+  /** `host:port` of the listener. */
+  readonly address: string;
+  close(): Promise<void>;
+}
+
+/** Longer than callers pause between calls, so that they find their connections open. */
+const IDLE_CONNECTION_MS = 30_000;
+
+/** Starts the listener for calls of other processes of the system. */
+export async function startRpcServer(opts: RpcServerOptions): Promise<RpcServer> {
+  const server = http.createServer({keepAliveTimeout: IDLE_CONNECTION_MS}, (request, response) => {
+    void respond(request, response, opts);
+  });
+  server.listen(opts.port, opts.host);
+  await once(server, 'listening');
+  const {address, port} = server.address() as AddressInfo;
+  return {
+    address: `${address}:${port}`,
+    close: async () => {
+      server.closeAllConnections();
+      server.close();
+      await once(server, 'close');
+    },
+  };
+}
+
+async function respond(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  opts: RpcServerOptions,
+): Promise<void> {
+  const method = (request.url ?? '').slice(1);
+  let status = 200;
+  let answer: unknown;
+  try {
+    const handler = Object.hasOwn(opts.handlers, method) ? opts.handlers[method] : undefined;
+    if (!handler) throw new MedlarlaneError('REQUEST_INVALID', `Unknown method ${method}`);
+    answer = await handler(await readPayload(request));
+  } catch (thrown) {
+    const error = toMedlarlaneError(thrown);
+    if (error.code === 'INTERNAL') opts.onFault?.(method, error);
+    status = 500;
+    answer = {code: error.code, message: error.message, details: error.details};
+  }
+  const body = encode(answer, {ignoreUndefined: true});
+  response.writeHead(status, {'content-length': body.byteLength});
+  response.end(body);
+}
+
+async function readPayload(request: http.IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
+  try {
+    return decode(Buffer.concat(chunks));
+  } catch (cause) {
+    throw new MedlarlaneError('REQUEST_INVALID', 'Body is not MessagePack', {cause});
+  }
+}
--- a/routing/admission/src/index.ts
+++ b/routing/admission/src/index.ts
@@ -4,3 +4,5 @@
 export type {AdmissionOutcome, Completion, LearnedLimitOptions} from './learnedLimit.js';
 export {AGEING_RATE, QUEUE_ORDERS} from './queueOrder.js';
 export type {OrderedRequest, QueueOrder} from './queueOrder.js';
+export {SlotQueue} from './slotQueue.js';
+export type {SlotPermit, SlotQueueOptions, SlotRequest} from './slotQueue.js';
--- /dev/null
+++ b/routing/request-path/src/createTargetClient.ts
@@ -0,0 +1,202 @@
+import http from 'node:http';
+import type {Socket} from 'node:net';
+import {MedlarlaneError} from '@medlarlane/errors';
+import {endToEndHeaders} from './endToEndHeaders.js';
+import type {Offer, RequestFrame, RunResult, TargetWire} from './messages.js';
+
+export interface TargetClientOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly wire: TargetWire;
+  /** Connections to the target at once. */
+  readonly maxConnections: number;
+}
+
+export interface TargetClient {
+  /** Sends one request to the target and returns what became of it. */
+  run(opts: {
+    offer: Offer;
+    targetId: string;
+    frame: RequestFrame;
+    deadlineLeftMs: number;
+    signal: AbortSignal;
+  }): Promise<RunResult>;
+  /** Tells by a connection attempt whether any process listens at the target's address. */
+  listens(timeoutMs: number): Promise<'yes' | 'no' | 'unknown'>;
+  close(): void;
+}
+
+/**
+ * A connection that was idle for longer is not used again: targets may drop idle connections, and a
+ * request that is sent into the reset may or may not have run.
+ */
+const MAX_IDLE_MS = 800;
+/** Larger answers are cut; a target that sends more is faulty. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+const OK_STATUS = 200;
+const FIRST_FAILURE_STATUS = 300;
+/** The target stops by itself at the deadline that it was told; its answer then is still worth passing on. */
+const DEADLINE_GRACE_MS = 50;
+
+/** Creates the client of the one target beside this daemon. */
+export function createTargetClient(opts: TargetClientOptions): TargetClient {
+  const agent = new WatchfulAgent({
+    keepAlive: true,
+    scheduling: 'lifo',
+    timeout: MAX_IDLE_MS,
+    maxSockets: opts.maxConnections,
+  });
+  return {
+    run: (run) => exchange(agent, opts, run),
+    listens: (timeoutMs) => tryConnect(agent, opts, timeoutMs),
+    close: () => agent.destroy(),
+  };
+}
+
+/** Drops an idle connection on which bytes arrive: they belong to no request. */
+class WatchfulAgent extends http.Agent {
+  constructor(opts: http.AgentOptions) {
+    super(opts);
+    this.on('free', (socket: Socket) => {
+      socket.on('data', destroySocket);
+    });
+  }
+
+  // Called by Node.js when it takes a connection from the pool.
+  override reuseSocket(socket: Socket, request: http.ClientRequest): void {
+    socket.off('data', destroySocket);
+    super.reuseSocket(socket, request);
+  }
+}
+
+function destroySocket(this: Socket): void {
+  this.destroy();
+}
+
+function exchange(
+  agent: http.Agent,
+  {host, port, wire}: TargetClientOptions,
+  run: Parameters<TargetClient['run']>[0],
+): Promise<RunResult> {
+  const {offer, targetId, frame, deadlineLeftMs, signal} = run;
+  return new Promise((resolve) => {
+    const request = http.request({
+      agent,
+      host,
+      port,
+      method: frame.method,
+      path: frame.path,
+      setHost: false,
+      headers: [
+        ...frame.headers,
+        ...wire.requestHeaders({
+          requestId: offer.requestId,
+          deadlineLeftMs,
+          targetId,
+          callerService: offer.callerService,
+        }),
+        ...bodyLength(frame),
+      ] as unknown as http.OutgoingHttpHeaders,
+    });
+    let connected = false;
+    request.on('socket', (socket) => {
+      if (!socket.connecting) connected = true;
+      else socket.once('connect', () => (connected = true));
+    });
+    const settle = (result: RunResult): void => {
+      clearTimeout(timer);
+      signal.removeEventListener('abort', onAbort);
+      resolve(result);
+    };
+    const giveUp = (result: RunResult): void => {
+      settle(result);
+      request.destroy();
+    };
+    const onAbort = (): void => giveUp({kind: 'lost', code: 'CANCELLED'});
+    const timer = setTimeout(
+      () => giveUp({kind: 'lost', code: 'TARGET_TIMEOUT'}),
+      deadlineLeftMs + DEADLINE_GRACE_MS,
+    );
+    signal.addEventListener('abort', onAbort, {once: true});
+    request.on('error', () =>
+      settle(
+        connected
+          ? {kind: 'lost', code: 'TARGET_FAILED'}
+          : {kind: 'refused', code: 'NO_TARGET'},
+      ),
+    );
+    request.on('response', (response) => {
+      readWhole(response).then(
+        (body) => {
+          const result = judge(wire, offer, response, body);
+          settle(result);
+          if (result.kind === 'lost') response.socket.destroy();
+        },
+        () => giveUp({kind: 'lost', code: 'TARGET_FAILED'}),
+      );
+    });
+    if (signal.aborted) onAbort();
+    else request.end(frame.body);
+  });
+}
+
+function bodyLength({method, body}: RequestFrame): string[] {
+  const mayOmit = body.length === 0 && (method === 'GET' || method === 'HEAD');
+  return mayOmit ? [] : ['Content-Length', String(body.length)];
+}
+
+async function readWhole(response: http.IncomingMessage): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of response as AsyncIterable<Buffer>) {
+    sizeBytes += chunk.length;
+    if (sizeBytes > MAX_ANSWER_BYTES) throw new MedlarlaneError('TARGET_FAILED', 'Answer too large');
+    chunks.push(chunk);
+  }
+  if (!response.complete) throw new MedlarlaneError('TARGET_FAILED', 'Answer is incomplete');
+  return Buffer.concat(chunks);
+}
+
+function judge(
+  wire: TargetWire,
+  offer: Offer,
+  response: http.IncomingMessage,
+  body: Buffer,
+): RunResult {
+  const {requestId, notRun, sealed} = wire.readAnswer(response.headers);
+  const status = response.statusCode ?? 0;
+  // Targets turn a request without an id away before they know it.
+  if (notRun && (requestId === offer.requestId || requestId === undefined)) {
+    return {kind: 'rejected', code: status === 421 ? 'NOT_OWNER' : 'OVERLOADED'};
+  }
+  const succeeded = status >= OK_STATUS && status < FIRST_FAILURE_STATUS;
+  if (requestId !== offer.requestId || status < OK_STATUS || (succeeded && !sealed)) {
+    return {kind: 'lost', code: 'TARGET_FAILED'};
+  }
+  return {
+    kind: 'answered',
+    answer: {status, headers: endToEndHeaders(response.rawHeaders), body},
+  };
+}
+
+function tryConnect(
+  agent: http.Agent,
+  {host, port}: TargetClientOptions,
+  timeoutMs: number,
+): Promise<'yes' | 'no' | 'unknown'> {
+  return new Promise((resolve) => {
+    const socket = (
+      agent as unknown as {createConnection(opts: {host: string; port: number}): Socket}
+    ).createConnection({host, port});
+    const settle = (found: 'yes' | 'no' | 'unknown'): void => {
+      clearTimeout(timer);
+      resolve(found);
+      socket.destroy();
+    };
+    const timer = setTimeout(() => settle('unknown'), timeoutMs);
+    socket.once('connect', () => settle('yes'));
+    socket.once('error', (failure: NodeJS.ErrnoException) =>
+      settle(failure.code === 'ECONNREFUSED' ? 'no' : 'unknown'),
+    );
+  });
+}
--- /dev/null
+++ b/routing/request-path/src/entryHandler.ts
@@ -0,0 +1,377 @@
+import type http from 'node:http';
+import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
+import type {ErrorCode} from '@medlarlane/errors';
+import type {Clock} from '@medlarlane/lifecycle';
+import type {Logger} from '@medlarlane/logger';
+import type {RetryBudget} from '@medlarlane/retry';
+import type {Route} from '@medlarlane/site-config';
+import type {PeerClient} from './createPeerClient.js';
+import {endToEndHeaders} from './endToEndHeaders.js';
+import type {CallerWire, Offer, RequestFrame, RunResult, TargetAnswer} from './messages.js';
+import type {InstanceView, SiteView} from './siteView.js';
+import type {TargetGate} from './targetGate.js';
+
+export interface EntryOptions {
+  readonly view: SiteView;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly wire: CallerWire;
+  readonly peers: PeerClient;
+  readonly gate: TargetGate;
+  /** Listener of this daemon for other daemons; requests for its own target skip the network. */
+  readonly forwardAddress: string;
+  /** Service of the target beside this daemon. */
+  readonly callerService: string;
+  readonly retryBudget: (service: string) => RetryBudget;
+  /** The process stops; connections are not kept. */
+  readonly stopping: () => boolean;
+  readonly onAnswer?: (outcome: EntryOutcome) => void;
+}
+
+/** How a caller's request ended, for metrics. */
+export interface EntryOutcome {
+  readonly route: string;
+  readonly status: number;
+  readonly durationMs: number;
+  readonly attempts: number;
+}
+
+export interface EntryHandler {
+  handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void>;
+  readonly inFlight: number;
+}
+
+interface Attempt {
+  readonly instance: string;
+  readonly life: string;
+  readonly outcome: string;
+  readonly ms: number;
+}
+
+interface Job {
+  readonly request: http.IncomingMessage;
+  readonly requestId: string | undefined;
+  readonly startedAtMs: number;
+  readonly abort: AbortController;
+  readonly attempts: Attempt[];
+  route?: Route;
+  service?: string;
+  key?: number;
+}
+
+interface FinalAnswer {
+  readonly status: number;
+  readonly headers: readonly string[];
+  readonly body: Uint8Array;
+  readonly code?: ErrorCode;
+}
+
+/** Daemons to which one request is offered; each refusal costs a round trip. */
+const MAX_OFFERS = 4;
+/** A caller that is refused while the owner of its key changes finds it settled after about this time. */
+const OWNER_CHANGE_RETRY_MS = 300;
+/** While no configuration is known; a daemon that starts needs about a second. */
+const NO_CONFIGURATION_RETRY_MS = 500;
+/** An attempt that starts with less time left has no chance to be answered. */
+const MIN_ATTEMPT_MS = 10;
+
+/** Creates the handler of callers' requests: route, target choice, attempts, answer. */
+export function createEntryHandler(opts: EntryOptions): EntryHandler {
+  let inFlight = 0;
+  return {
+    get inFlight() {
+      return inFlight;
+    },
+    handle: async (request, response) => {
+      inFlight += 1;
+      try {
+        await handle(opts, request, response);
+      } finally {
+        inFlight -= 1;
+      }
+    },
+  };
+}
+
+async function handle(
+  opts: EntryOptions,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): Promise<void> {
+  const {clock, wire} = opts;
+  const abort = new AbortController();
+  const {requestId, timeLeftMs, key} = wire.readRequest(request.headers);
+  const job: Job = {
+    request,
+    requestId,
+    startedAtMs: clock.nowMs(),
+    abort,
+    attempts: [],
+    ...(key === undefined ? {} : {key}),
+  };
+  let gone = false;
+  response.on('close', () => {
+    if (response.writableFinished) return;
+    gone = true;
+    abort.abort();
+  });
+  const final = await answerFor(opts, job, timeLeftMs).catch((thrown: unknown) =>
+    refusal(opts, job, toMedlarlaneError(thrown)),
+  );
+  const durationMs = clock.nowMs() - job.startedAtMs;
+  if (!gone) send(opts, job, response, final);
+  logAnswer(opts, job, final, {gone, durationMs});
+  opts.onAnswer?.({
+    route: job.route?.name ?? '',
+    status: gone ? 499 : final.status,
+    durationMs,
+    attempts: job.attempts.length,
+  });
+}
+
+async function answerFor(
+  opts: EntryOptions,
+  job: Job,
+  timeLeftMs: number | undefined,
+): Promise<FinalAnswer> {
+  const {view, clock} = opts;
+  const {request} = job;
+  if (!view.hasConfiguration) {
+    throw new MedlarlaneError('STALE_CONFIGURATION', 'No configuration is known yet', {
+      details: {retryAfterMs: NO_CONFIGURATION_RETRY_MS},
+    });
+  }
+  const route = view.findRoute(request.headers.host ?? '', request.url ?? '');
+  if (!route) throw new MedlarlaneError('SERVICE_UNKNOWN', 'No route matches');
+  job.route = route;
+  const leftMs = Math.min(timeLeftMs ?? route.timeoutMs, route.timeoutMs);
+  const deadlineAtMs = job.startedAtMs + leftMs;
+  // A caller that comes back after a refusal has less than the usual time left, and its target
+  // latency counts from its first attempt.
+  const elapsedMs = Math.max(0, route.timeoutMs - leftMs);
+  const targetAtMs = job.startedAtMs + Math.max(0, route.targetLatencyMs - elapsedMs);
+  const body = await readBody(request, view.configuration.limits.maxBodyBytes);
+  const service = view.pickService(route);
+  job.service = service;
+  opts.retryBudget(service).onRequest();
+  const frame: RequestFrame = {
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    headers: endToEndHeaders(request.rawHeaders, {without: opts.wire.reservedHeaders}),
+    body,
+  };
+  const timeout = clock.sleep(Math.max(0, deadlineAtMs - clock.nowMs()), {
+    signal: job.abort.signal,
+  });
+  const expired = timeout.then(
+    () => {
+      job.abort.abort();
+      throw new MedlarlaneError('TARGET_TIMEOUT', 'Deadline passed', {ran: 'unknown'});
+    },
+    // The caller has left, or the answer is there.
+    () => new Promise<never>(() => undefined),
+  );
+  try {
+    return await Promise.race([
+      attempt(opts, job, route, service, frame, {targetAtMs, deadlineAtMs}),
+      expired,
+    ]);
+  } finally {
+    job.abort.abort();
+  }
+}
+
+async function attempt(
+  opts: EntryOptions,
+  job: Job,
+  route: Route,
+  service: string,
+  frame: RequestFrame,
+  times: {targetAtMs: number; deadlineAtMs: number},
+): Promise<FinalAnswer> {
+  const {view, clock} = opts;
+  const keyed = view.isKeyed(service) && job.key !== undefined;
+  const tried = new Set<string>();
+  let arrivals = 0;
+  let last: RunResult | undefined;
+  for (let offers = 0; offers < MAX_OFFERS; offers += 1) {
+    if (times.deadlineAtMs - clock.nowMs() < MIN_ATTEMPT_MS || job.abort.signal.aborted) break;
+    const instance =
+      keyed && job.key !== undefined
+        ? view.ownerOf(service, job.key)
+        : view.pickInstance(service, tried);
+    if (!instance || (keyed && tried.has(instance.life))) break;
+    if (arrivals > 0 && !opts.retryBudget(service).tryTake()) break;
+    tried.add(instance.life);
+    const result = await offer(opts, job, route, service, frame, instance, times);
+    last = preferred(last, result);
+    if (result.kind === 'answered') {
+      const retriable =
+        route.kind === 'safe' && result.answer.status >= 500 && arrivals + 1 < route.maxAttempts;
+      if (!retriable) break;
+    }
+    if (result.kind === 'lost' && route.kind !== 'safe') break;
+    if (result.kind !== 'refused') arrivals += 1;
+    if (arrivals >= route.maxAttempts) break;
+  }
+  return finish(opts, job, service, last);
+}
+
+/** An answer is better than none, and a later answer better than an earlier failure. */
+function preferred(last: RunResult | undefined, next: RunResult): RunResult {
+  if (!last || next.kind === 'answered') return next;
+  if (last.kind === 'answered') return last;
+  // Once something may have run, no later refusal makes it certain that nothing did.
+  return last.kind === 'lost' ? last : next;
+}
+
+async function offer(
+  opts: EntryOptions,
+  job: Job,
+  route: Route,
+  service: string,
+  frame: RequestFrame,
+  instance: InstanceView,
+  {targetAtMs, deadlineAtMs}: {targetAtMs: number; deadlineAtMs: number},
+): Promise<RunResult> {
+  const {view, clock, gate, peers} = opts;
+  const startedAtMs = clock.nowMs();
+  const message: Offer = {
+    requestId: job.requestId ?? '',
+    service,
+    life: instance.life,
+    route: route.name,
+    priority: route.priority,
+    targetLeftMs: Math.round(targetAtMs - startedAtMs),
+    deadlineLeftMs: Math.round(deadlineAtMs - startedAtMs),
+    ...(job.key === undefined || !view.isKeyed(service) ? {} : {key: job.key}),
+    callerService: opts.callerService,
+  };
+  const {signal} = job.abort;
+  view.sent(instance.life);
+  const result =
+    instance.forwardAddress === opts.forwardAddress
+      ? await runHere(gate, message, frame, signal)
+      : await peers.run({address: instance.forwardAddress, offer: message, frame, signal});
+  view.ended(instance.life, result);
+  job.attempts.push({
+    instance: instance.forwardAddress,
+    life: instance.life,
+    outcome: result.kind === 'answered' ? String(result.answer.status) : result.code,
+    ms: Math.round(clock.nowMs() - startedAtMs),
+  });
+  return result;
+}
+
+async function runHere(
+  gate: TargetGate,
+  message: Offer,
+  frame: RequestFrame,
+  signal: AbortSignal,
+): Promise<RunResult> {
+  try {
+    const admission = await gate.admit(message, signal);
+    return await admission.run(frame, signal);
+  } catch (thrown) {
+    const {code, details} = toMedlarlaneError(thrown);
+    const retryAfterMs = Number(details['retryAfterMs']);
+    return {
+      kind: 'refused',
+      code,
+      ...(Number.isFinite(retryAfterMs) ? {retryAfterMs} : {}),
+      load: gate.load,
+    };
+  }
+}
+
+function finish(
+  opts: EntryOptions,
+  job: Job,
+  service: string,
+  result: RunResult | undefined,
+): FinalAnswer {
+  if (result?.kind === 'answered') return fromTarget(result.answer);
+  if (result?.kind === 'lost') return refusal(opts, job, new MedlarlaneError(result.code, undefined, {ran: 'unknown'}));
+  const code = result?.code ?? 'NO_OWNER';
+  const ownerChanges = code === 'NO_OWNER' || code === 'NOT_OWNER' || code === 'NO_TARGET';
+  const retryAfterMs = ownerChanges
+    ? OWNER_CHANGE_RETRY_MS
+    : (result?.kind === 'refused' && result.retryAfterMs) || opts.view.retryAfterMs(service);
+  return refusal(opts, job, new MedlarlaneError(code, undefined, {ran: 'no', details: {retryAfterMs}}));
+}
+
+function fromTarget({status, headers, body}: TargetAnswer): FinalAnswer {
+  return {status, headers, body};
+}
+
+/** Statuses of refusals by whether the request ran; only the first promises that it did not. */
+const NOT_RUN_STATUS = 503;
+const UNKNOWN_STATUS = 502;
+const STATUS_OF: Partial<Record<ErrorCode, number>> = {
+  SERVICE_UNKNOWN: 404,
+  REQUEST_INVALID: 400,
+  REQUEST_TOO_LARGE: 413,
+  TARGET_TIMEOUT: 504,
+};
+
+function refusal(opts: EntryOptions, job: Job, error: MedlarlaneError): FinalAnswer {
+  const {code} = error;
+  const status = STATUS_OF[code] ?? (error.ran === 'no' ? NOT_RUN_STATUS : UNKNOWN_STATUS);
+  const retryAfterMs = Number(error.details['retryAfterMs']);
+  return {
+    status,
+    headers: opts.wire.refusalHeaders({
+      requestId: job.requestId,
+      retryAfterMs:
+        status === NOT_RUN_STATUS && Number.isFinite(retryAfterMs) ? retryAfterMs : undefined,
+    }),
+    body: Buffer.from(`${code}\n`),
+    code,
+  };
+}
+
+function send(
+  opts: EntryOptions,
+  {request}: Job,
+  response: http.ServerResponse,
+  {status, headers, body}: FinalAnswer,
+): void {
+  if (opts.stopping() || !request.complete) response.shouldKeepAlive = false;
+  const bodiless = request.method === 'HEAD' || status === 204 || status === 304;
+  const length = bodiless ? [] : ['Content-Length', String(body.length)];
+  response.writeHead(status, [...headers, ...length] as unknown as http.OutgoingHttpHeaders);
+  response.end(bodiless ? undefined : body);
+}
+
+async function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    sizeBytes += chunk.length;
+    if (sizeBytes > maxBytes) throw new MedlarlaneError('REQUEST_TOO_LARGE');
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
+
+function logAnswer(
+  {logger, view}: EntryOptions,
+  job: Job,
+  {status, code}: FinalAnswer,
+  {gone, durationMs}: {gone: boolean; durationMs: number},
+): void {
+  logger.info(
+    {
+      requestId: job.requestId,
+      route: job.route?.name,
+      service: job.service,
+      key: job.key,
+      configVersion: view.configuration.version,
+      attempts: job.attempts,
+      status: gone ? undefined : status,
+      code,
+      durationMs: Math.round(durationMs),
+    },
+    gone ? 'Caller left' : 'Answered',
+  );
+}
--- /dev/null
+++ b/routing/request-path/src/siteView.ts
@@ -0,0 +1,233 @@
+import type {Clock} from '@medlarlane/lifecycle';
+import {NO_CONFIGURATION, RouteTable} from '@medlarlane/site-config';
+import type {Route, SiteConfiguration} from '@medlarlane/site-config';
+import type {GateLoad, RunResult} from './messages.js';
+
+/** An instance of the directory. */
+export interface InstanceView {
+  readonly forwardAddress: string;
+  readonly availabilityZone: string;
+  readonly life: string;
+  readonly service: string;
+  readonly state: 'ready' | 'draining' | 'silent' | 'ended';
+  readonly slots: number;
+  readonly coldLeftMs: number;
+  readonly stopping: boolean;
+}
+
+/** Keys and the life of the target that owns them. */
+export interface OwnedRange {
+  readonly fromKey: number;
+  /** Inclusive. */
+  readonly toKey: number;
+  readonly ownerLife: string;
+}
+
+/** What this daemon learned of an instance by sending requests to it. */
+interface Experience {
+  outstanding: number;
+  load: GateLoad | undefined;
+  /** Requests sent since `load` came. */
+  sentSinceLoad: number;
+  /** Smoothed share of requests that failed there, 0 to 1. */
+  failureShare: number;
+  /** Not tried before this time unless nothing else is left. */
+  avoidUntilMs: number;
+}
+
+/** Weight of a new outcome in the smoothed failure share. */
+const FAILURE_SMOOTHING = 0.1;
+/** An instance that could not be reached or has no room is left alone for this time. */
+const AVOID_UNREACHABLE_MS = 1_000;
+const AVOID_FULL_MS = 30;
+/** Before a target told its load. */
+const INITIAL_MEAN_MS = 50;
+/** Doubles the predicted latency of an instance whose slots are all in use. */
+const UTILISATION_WEIGHT = 1;
+/** A failure costs its caller a whole retry, several times the latency of an answer. */
+const FAILURE_WEIGHT = 6;
+/** Prefers the own availability zone while the load there is similar. */
+const OTHER_ZONE_FACTOR = 1.25;
+/** A target that was started a moment ago works at about half its speed. */
+const COLD_FACTOR = 2;
+
+/** This daemon's copy of the configuration and the directory, with its own experience of both. */
+export class SiteView {
+  configuration: SiteConfiguration = NO_CONFIGURATION;
+  private routes = new RouteTable(NO_CONFIGURATION);
+  private instances = new Map<string, InstanceView>();
+  private byLife = new Map<string, InstanceView>();
+  private coldUntilMs = new Map<string, number>();
+  private ranges = new Map<string, readonly OwnedRange[]>();
+  private readonly experience = new Map<string, Experience>();
+  private readonly sentByShare = new Map<string, number[]>();
+
+  constructor(
+    private readonly opts: {
+      readonly clock: Clock;
+      readonly availabilityZone: string;
+      readonly random?: () => number;
+    },
+  ) {}
+
+  get hasConfiguration(): boolean {
+    return this.configuration.version > 0;
+  }
+
+  setConfiguration(configuration: SiteConfiguration): void {
+    this.configuration = configuration;
+    this.routes = new RouteTable(configuration);
+    this.sentByShare.clear();
+  }
+
+  updateInstances(update: {
+    full: boolean;
+    instances: readonly InstanceView[];
+    removed: readonly string[];
+  }): void {
+    if (update.full) this.instances.clear();
+    for (const forwardAddress of update.removed) this.instances.delete(forwardAddress);
+    for (const instance of update.instances) {
+      this.instances.set(instance.forwardAddress, instance);
+    }
+    this.byLife = new Map([...this.instances.values()].map((entry) => [entry.life, entry]));
+    const nowMs = this.opts.clock.nowMs();
+    for (const {life, coldLeftMs} of update.instances) {
+      if (coldLeftMs > 0 && !this.coldUntilMs.has(life)) {
+        this.coldUntilMs.set(life, nowMs + coldLeftMs);
+      }
+    }
+    for (const life of this.experience.keys()) {
+      if (!this.byLife.has(life)) this.experience.delete(life);
+    }
+    for (const life of this.coldUntilMs.keys()) {
+      if (!this.byLife.has(life)) this.coldUntilMs.delete(life);
+    }
+  }
+
+  setRanges(service: string, ranges: readonly OwnedRange[]): void {
+    this.ranges.set(service, ranges);
+  }
+
+  rangesOf(service: string): readonly OwnedRange[] {
+    return this.ranges.get(service) ?? [];
+  }
+
+  findRoute(host: string, path: string): Route | undefined {
+    return this.routes.find(host, path);
+  }
+
+  isKeyed(service: string): boolean {
+    return this.configuration.services.some(({name, keyed}) => name === service && keyed);
+  }
+
+  /** Instances of a service that take part, whether ready or not. */
+  instancesOf(service: string): InstanceView[] {
+    return [...this.instances.values()].filter((instance) => instance.service === service);
+  }
+
+  /** Deals the requests of a route to its services in proportion to their weights. */
+  pickService(route: Route): string {
+    const total = route.shares.reduce((sum, {weight}) => sum + weight, 0);
+    const sent = this.sentByShare.get(route.name) ?? route.shares.map(() => 0);
+    this.sentByShare.set(route.name, sent);
+    let best = 0;
+    let bestLag = -Infinity;
+    const count = sent.reduce((sum, n) => sum + n, 0) + 1;
+    route.shares.forEach(({weight}, index) => {
+      const lag = (weight / total) * count - sent[index]!;
+      if (weight > 0 && lag > bestLag) [best, bestLag] = [index, lag];
+    });
+    sent[best]! += 1;
+    return route.shares[best]!.service;
+  }
+
+  ownerOf(service: string, key: number): InstanceView | undefined {
+    const range = this.rangesOf(service).find(({fromKey, toKey}) => fromKey <= key && key <= toKey);
+    return range && this.byLife.get(range.ownerLife);
+  }
+
+  /** The instance with the lowest predicted latency of two drawn ones, leaving out `tried` lives. */
+  pickInstance(service: string, tried: ReadonlySet<string>): InstanceView | undefined {
+    const all = this.instancesOf(service).filter(({life}) => !tried.has(life));
+    const takesWork = all.filter(({state, stopping}) => state === 'ready' && !stopping);
+    const nowMs = this.opts.clock.nowMs();
+    const preferred = takesWork.filter(({life}) => this.of(life).avoidUntilMs <= nowMs);
+    const candidates = [preferred, takesWork, all.filter(({state}) => state === 'silent')].find(
+      (list) => list.length > 0,
+    );
+    if (!candidates) return undefined;
+    const random = this.opts.random ?? Math.random;
+    const draw = (): InstanceView => candidates[Math.floor(random() * candidates.length)]!;
+    const [a, b] = [draw(), draw()];
+    return this.predictedMs(a) <= this.predictedMs(b) ? a : b;
+  }
+
+  /** Earliest time in which an instance of the service may have room again. */
+  retryAfterMs(service: string): number {
+    const waits = this.instancesOf(service).map(({life}) => {
+      const {load} = this.of(life);
+      return load ? (load.meanMs * (load.waiting + 1)) / Math.max(1, load.slots) : INITIAL_MEAN_MS;
+    });
+    return waits.length === 0 ? INITIAL_MEAN_MS : Math.min(...waits);
+  }
+
+  sent(life: string): void {
+    const experience = this.of(life);
+    experience.outstanding += 1;
+    experience.sentSinceLoad += 1;
+  }
+
+  /** Takes what became of a request that was sent to this life. */
+  ended(life: string, result: RunResult): void {
+    const experience = this.of(life);
+    const nowMs = this.opts.clock.nowMs();
+    experience.outstanding -= 1;
+    if (result.load) {
+      experience.load = result.load;
+      experience.sentSinceLoad = 0;
+    }
+    const serverError = result.kind === 'answered' && result.answer.status >= 500;
+    const cancelled = result.kind !== 'answered' && result.code === 'CANCELLED';
+    if (!cancelled) {
+      const failed = result.kind === 'rejected' || result.kind === 'lost' || serverError;
+      const outcome = failed ? 1 : 0;
+      experience.failureShare += (outcome - experience.failureShare) * FAILURE_SMOOTHING;
+    }
+    if (result.kind === 'refused') {
+      const unreachable = result.code === 'PEER_FAILED' || result.code === 'NO_TARGET';
+      if (!cancelled) {
+        experience.avoidUntilMs = nowMs + (unreachable ? AVOID_UNREACHABLE_MS : AVOID_FULL_MS);
+      }
+    }
+  }
+
+  private predictedMs({life, slots, availabilityZone}: InstanceView): number {
+    const {load, outstanding, sentSinceLoad, failureShare} = this.of(life);
+    const busy = load ? load.inFlight + load.waiting + sentSinceLoad : outstanding;
+    const utilisation = busy / Math.max(1, slots);
+    const cold = (this.coldUntilMs.get(life) ?? 0) > this.opts.clock.nowMs();
+    return (
+      (load?.meanMs ?? INITIAL_MEAN_MS) *
+      (1 + UTILISATION_WEIGHT * utilisation * utilisation) *
+      (1 + FAILURE_WEIGHT * failureShare) *
+      (availabilityZone === this.opts.availabilityZone ? 1 : OTHER_ZONE_FACTOR) *
+      (cold ? COLD_FACTOR : 1)
+    );
+  }
+
+  private of(life: string): Experience {
+    let experience = this.experience.get(life);
+    if (!experience) {
+      experience = {
+        outstanding: 0,
+        load: undefined,
+        sentSinceLoad: 0,
+        failureShare: 0,
+        avoidUntilMs: 0,
+      };
+      this.experience.set(life, experience);
+    }
+    return experience;
+  }
+}
--- /dev/null
+++ b/routing/request-path/src/startGateListener.ts
@@ -0,0 +1,104 @@
+import {once} from 'node:events';
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {decode, encode} from '@msgpack/msgpack';
+import {toMedlarlaneError} from '@medlarlane/errors';
+import type {Logger} from '@medlarlane/logger';
+import {offerSchema, requestFrameSchema} from './messages.js';
+import type {RequestFrame, RunResult} from './messages.js';
+import {OFFER_HEADER} from './peerProtocol.js';
+import type {GateAdmission, TargetGate} from './targetGate.js';
+
+export interface GateListenerOptions {
+  readonly host: string;
+  /** 0 picks a free port. */
+  readonly port: number;
+  readonly gate: TargetGate;
+  readonly logger: Logger;
+}
+
+export interface GateListener {
+  readonly address: string;
+  /** Requests of other daemons that are being handled. */
+  readonly inFlight: number;
+  close(): Promise<void>;
+}
+
+/** Longer than daemons keep idle connections to each other. */
+const IDLE_CONNECTION_MS = 60_000;
+
+/**
+ * Starts the listener for requests of other daemons. A request comes in two steps: the offer in the
+ * head, and after a slot was reserved and confirmed with 100, the request itself. Until then the
+ * other daemon may give up and turn elsewhere, knowing that nothing ran.
+ */
+export async function startGateListener(opts: GateListenerOptions): Promise<GateListener> {
+  let inFlight = 0;
+  const server = http.createServer({keepAliveTimeout: IDLE_CONNECTION_MS, requestTimeout: 0});
+  server.on('checkContinue', (request: http.IncomingMessage, response: http.ServerResponse) => {
+    inFlight += 1;
+    void serve(request, response, opts).finally(() => (inFlight -= 1));
+  });
+  server.on('request', (_request, response: http.ServerResponse) => {
+    response.writeHead(400).end();
+  });
+  server.listen(opts.port, opts.host);
+  await once(server, 'listening');
+  const {address, port} = server.address() as AddressInfo;
+  return {
+    address: `${address}:${port}`,
+    get inFlight() {
+      return inFlight;
+    },
+    close: async () => {
+      server.closeAllConnections();
+      server.close();
+      await once(server, 'close');
+    },
+  };
+}
+
+async function serve(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  {gate, logger}: GateListenerOptions,
+): Promise<void> {
+  const abort = new AbortController();
+  response.on('close', () => {
+    if (!response.writableFinished) abort.abort();
+  });
+  let admission: GateAdmission | undefined;
+  let result: RunResult;
+  try {
+    const offer = offerSchema.parse(JSON.parse(String(request.headers[OFFER_HEADER])));
+    const admitted = gate.admit(offer, abort.signal);
+    const queued = setImmediate(() => response.writeProcessing());
+    admission = await admitted.finally(() => clearImmediate(queued));
+    response.writeContinue();
+    const frame = await readFrame(request);
+    result = await admission.run(frame, abort.signal);
+  } catch (thrown) {
+    admission?.cancel();
+    const error = toMedlarlaneError(thrown);
+    if (error.code === 'INTERNAL' && !abort.signal.aborted) {
+      logger.warn({err: error}, 'Offer failed');
+    }
+    const retryAfterMs = Number(error.details['retryAfterMs']);
+    result = {
+      kind: 'refused',
+      code: error.code,
+      ...(Number.isFinite(retryAfterMs) ? {retryAfterMs} : {}),
+      load: gate.load,
+    };
+  }
+  if (response.destroyed) return;
+  const body = encode(result, {ignoreUndefined: true});
+  response.writeHead(200, {'content-length': body.byteLength});
+  response.end(body);
+}
+
+async function readFrame(request: http.IncomingMessage): Promise<RequestFrame> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
+  return requestFrameSchema.parse(decode(Buffer.concat(chunks)));
+}
--- /dev/null
+++ b/routing/site-link/src/index.ts
@@ -0,0 +1,2 @@
+export {SiteLink} from './siteLink.js';
+export type {SiteLinkOptions} from './siteLink.js';
--- /dev/null
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -0,0 +1,294 @@
+import type {Clock} from '@medlarlane/lifecycle';
+import type {Logger} from '@medlarlane/logger';
+
+/** What a target says of itself, about once a second. */
+export interface Heartbeat {
+  readonly targetId: string;
+  /** Start of this life of the target, Unix milliseconds. */
+  readonly bornMs: number;
+  readonly service: string;
+  readonly state: 'ready' | 'draining';
+  readonly slots: number;
+  /** How long the target stays slow after its start. */
+  readonly coldLeftMs: number;
+  /** Grows with each heartbeat of a life. */
+  readonly sequence: number;
+  readonly holds: readonly HeldRange[];
+  /** Given back since the last heartbeat that was answered. */
+  readonly freed: ReadonlyArray<{fromKey: number; toKey: number; handover: string}>;
+}
+
+export interface HeldRange {
+  readonly fromKey: number;
+  /** Inclusive. */
+  readonly toKey: number;
+  readonly epoch: number;
+}
+
+export interface GrantedRange extends HeldRange {
+  /** Proof of the release by the last holder, or empty. */
+  readonly handover: string;
+}
+
+/** Everything that the target is to hold, counted from when it sent its heartbeat. */
+export interface KeyGrant {
+  readonly ranges: readonly GrantedRange[];
+  readonly holdMs: number;
+}
+
+export interface HostedTargetOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Pause between heartbeats. */
+  readonly heartbeatMs: number;
+  /** A leaving target takes no new work when this time has passed since it was told so. */
+  readonly drainMs: number;
+  /** Longest grant that targets accept. */
+  readonly maxHoldMs: number;
+}
+
+export type HostedState = 'ready' | 'draining' | 'silent' | 'ended';
+
+/** A range that the control leader assigned to the current life. */
+export interface AssignedRange extends GrantedRange {
+  readonly ownerLife: string;
+}
+
+/**
+ * Longest grant. Covers a heartbeat that comes two seconds late; a silent target's keys are free
+ * when it has run out.
+ */
+const HOLD_MS = 3_200;
+/** A target's clock may run 2% slow, and it counts from when it sent the heartbeat. */
+const CLOCK_RATE_MARGIN = 0.97;
+/** A shorter grant would run out before the next heartbeat. */
+const MIN_HOLD_MS = 300;
+/** Heartbeats that may be missing before the target counts as silent. */
+const SILENT_AFTER_HEARTBEATS = 3;
+/** Time by which the gate closes before the drain time is over. */
+const DRAIN_MARGIN_MS = 250;
+
+/** The target beside this daemon: its life, its state and what it may hold. */
+export class HostedTarget {
+  private heartbeat: Heartbeat | undefined;
+  private heardAtMs = -Infinity;
+  private drainSinceMs: number | undefined;
+  private ended = false;
+  private readonly startedAtMs: number;
+  private grantedUntilMs = -Infinity;
+  private granted: readonly GrantedRange[] = [];
+  private leaseUntilMs = -Infinity;
+  /** Leases from reports that were sent before do not count; see `disclaim`. */
+  private leaseFloorMs = -Infinity;
+  private assigned: readonly AssignedRange[] = [];
+  /** Given back by the target and not yet reassigned; never granted again under the old epoch. */
+  private givenBack: Array<{fromKey: number; toKey: number; handover: string}> = [];
+  private askedBack: ReadonlyArray<{fromKey: number; toKey: number}> = [];
+  private formerLives: string[] = [];
+  private hasSuccessors = false;
+  /** Called when something changed that the control leader should learn at once. */
+  onChange: () => void = () => undefined;
+
+  constructor(private readonly opts: HostedTargetOptions) {
+    this.startedAtMs = opts.clock.nowMs();
+  }
+
+  get life(): string | undefined {
+    return this.heartbeat && lifeOf(this.heartbeat);
+  }
+
+  get current(): Heartbeat | undefined {
+    return this.heartbeat;
+  }
+
+  get state(): HostedState | undefined {
+    if (!this.heartbeat) return undefined;
+    if (this.ended) return 'ended';
+    if (this.drainSinceMs !== undefined) return 'draining';
+    const silentMs = this.opts.clock.nowMs() - this.heardAtMs;
+    return silentMs > SILENT_AFTER_HEARTBEATS * this.opts.heartbeatMs ? 'silent' : 'ready';
+  }
+
+  /** Whether the next heartbeat is overdue, so that it is worth asking whether the target still runs. */
+  get overdue(): boolean {
+    const silentMs = this.opts.clock.nowMs() - this.heardAtMs;
+    return this.heartbeat !== undefined && !this.ended && silentMs > 1.3 * this.opts.heartbeatMs;
+  }
+
+  /** Whether the target may still serve new requests. */
+  get takesWork(): boolean {
+    const {drainSinceMs} = this;
+    if (!this.heartbeat || this.ended) return false;
+    if (drainSinceMs === undefined) return true;
+    return this.opts.clock.nowMs() - drainSinceMs < this.opts.drainMs - DRAIN_MARGIN_MS;
+  }
+
+  /** An earlier process of this daemon may have given a grant just before it ended. */
+  get mayHoldKeys(): boolean {
+    const nowMs = this.opts.clock.nowMs();
+    const earlierProcess = nowMs < this.startedAtMs + HOLD_MS / CLOCK_RATE_MARGIN;
+    return !this.ended && (earlierProcess || nowMs < this.grantedUntilMs);
+  }
+
+  /** Lives that ended for certain, for the control leader. */
+  get endedLives(): readonly string[] {
+    return this.formerLives;
+  }
+
+  get released(): ReadonlyArray<{life: string; fromKey: number; toKey: number; handover: string}> {
+    const {life} = this;
+    return life === undefined ? [] : this.givenBack.map((stretch) => ({life, ...stretch}));
+  }
+
+  /** Whether the target holds the key under a grant that is still in force. */
+  holdsKey(key: number): boolean {
+    return (
+      this.opts.clock.nowMs() < this.grantedUntilMs &&
+      this.granted.some(({fromKey, toKey}) => fromKey <= key && key <= toKey)
+    );
+  }
+
+  /** Takes a heartbeat; returns the grant to answer it with, or why it was not taken. */
+  receive(next: Heartbeat): {accepted: true; grant: KeyGrant | undefined} | {accepted: false} {
+    if (!this.isNewer(next)) {
+      this.opts.logger.info(
+        {life: lifeOf(next), sequence: next.sequence, current: this.life},
+        'Ignored an old heartbeat',
+      );
+      return {accepted: false};
+    }
+    const former = this.heartbeat;
+    if (!former || lifeOf(former) !== lifeOf(next)) this.startLife(next, former);
+    const stateBefore = this.state;
+    this.heartbeat = next;
+    this.heardAtMs = this.opts.clock.nowMs();
+    this.ended = false;
+    if (next.state === 'draining' && this.drainSinceMs === undefined) {
+      this.drainSinceMs = this.heardAtMs;
+      this.opts.logger.info({life: lifeOf(next)}, 'Target drains');
+    }
+    this.takeFreed(next);
+    if (this.state !== stateBefore || next.freed.length > 0) this.onChange();
+    return {accepted: true, grant: this.grant()};
+  }
+
+  /** The target says that it leaves. It serves what it has for a while. */
+  leave(targetId: string): void {
+    if (this.heartbeat?.targetId !== targetId || this.drainSinceMs !== undefined) return;
+    this.drainSinceMs = this.opts.clock.nowMs();
+    this.opts.logger.info({life: this.life}, 'Target leaves');
+    this.onChange();
+  }
+
+  /** Nothing listens at the target's address any more. */
+  markEnded(): void {
+    if (!this.heartbeat || this.ended) return;
+    this.ended = true;
+    this.granted = [];
+    this.grantedUntilMs = -Infinity;
+    this.opts.logger.info({life: this.life}, 'Target ended');
+    this.onChange();
+  }
+
+  /** Takes what the control leader answered to a report sent at `sentAtMs`. */
+  renew(answer: {
+    sentAtMs: number;
+    leaseMs: number;
+    ranges: readonly AssignedRange[];
+    askedBack: ReadonlyArray<{fromKey: number; toKey: number}>;
+    /** Whether another target can take over keys that this one gives back. */
+    hasSuccessors: boolean;
+  }): void {
+    const leased = answer.leaseMs > 0 && answer.sentAtMs >= this.leaseFloorMs;
+    if (leased) this.leaseUntilMs = Math.max(this.leaseUntilMs, answer.sentAtMs + answer.leaseMs);
+    else if (answer.leaseMs === 0) this.leaseUntilMs = -Infinity;
+    this.assigned = answer.ranges.filter(({ownerLife}) => ownerLife === this.life);
+    this.askedBack = answer.askedBack;
+    this.hasSuccessors = answer.hasSuccessors;
+    this.givenBack = this.givenBack.filter((stretch) =>
+      this.assigned.some((range) => overlaps(range, stretch)),
+    );
+  }
+
+  /**
+   * To be called before a report says that the target holds no keys: the leader may then give them
+   * away, so that nothing may be granted before it has answered a later report.
+   */
+  disclaim(): void {
+    this.leaseUntilMs = -Infinity;
+    this.leaseFloorMs = this.opts.clock.nowMs();
+  }
+
+  private isNewer(next: Heartbeat): boolean {
+    const {heartbeat} = this;
+    if (!heartbeat) return true;
+    if (lifeOf(heartbeat) === lifeOf(next)) return next.sequence > heartbeat.sequence;
+    return next.bornMs > heartbeat.bornMs;
+  }
+
+  /** One process at a time listens at the target's address, so a new life proves the former's end. */
+  private startLife(next: Heartbeat, former: Heartbeat | undefined): void {
+    this.opts.logger.info(
+      {life: lifeOf(next), former: former && lifeOf(former)},
+      'Target started a life',
+    );
+    if (former) this.formerLives = [...this.formerLives, lifeOf(former)].slice(-8);
+    this.drainSinceMs = undefined;
+    this.granted = [];
+    this.grantedUntilMs = -Infinity;
+    this.assigned = [];
+    this.givenBack = [];
+    this.askedBack = [];
+  }
+
+  private takeFreed({freed}: Heartbeat): void {
+    for (const {fromKey, toKey, handover} of freed) {
+      this.opts.logger.info({life: this.life, fromKey, toKey}, 'Target gave back keys');
+      const owned = this.assigned.filter((range) => overlaps(range, {fromKey, toKey}));
+      if (owned.length === 0) continue;
+      const known = this.givenBack.some((other) => other.handover === handover);
+      if (!known) this.givenBack.push({fromKey, toKey, handover});
+    }
+  }
+
+  private grant(): KeyGrant | undefined {
+    const nowMs = this.opts.clock.nowMs();
+    const leftMs = (this.leaseUntilMs - nowMs) * CLOCK_RATE_MARGIN;
+    const holdMs = Math.floor(Math.min(HOLD_MS, this.opts.maxHoldMs, leftMs));
+    if (holdMs < MIN_HOLD_MS) return undefined;
+    const leaving = this.drainSinceMs !== undefined && this.hasSuccessors;
+    const ranges = leaving ? [] : this.assigned.flatMap((range) => this.remaining(range));
+    if (ranges.length === 0 && this.granted.length === 0 && this.heartbeat?.holds.length === 0) {
+      return undefined;
+    }
+    this.granted = ranges;
+    this.grantedUntilMs = nowMs + holdMs / CLOCK_RATE_MARGIN;
+    return {ranges, holdMs};
+  }
+
+  /** The parts of a range that the target is to keep. */
+  private remaining(range: AssignedRange): GrantedRange[] {
+    const {epoch, handover} = range;
+    let parts = [{fromKey: range.fromKey, toKey: range.toKey}];
+    for (const gone of [...this.givenBack, ...this.askedBack]) {
+      parts = parts.flatMap((part) => {
+        if (!overlaps(part, gone)) return [part];
+        const left = {fromKey: part.fromKey, toKey: gone.fromKey - 1};
+        const right = {fromKey: gone.toKey + 1, toKey: part.toKey};
+        return [left, right].filter(({fromKey, toKey}) => fromKey <= toKey);
+      });
+    }
+    return parts.map((part) => ({...part, epoch, handover}));
+  }
+}
+
+function lifeOf({targetId, bornMs}: Heartbeat): string {
+  return `${targetId}/${bornMs}`;
+}
+
+function overlaps(
+  a: {fromKey: number; toKey: number},
+  b: {fromKey: number; toKey: number},
+): boolean {
+  return a.fromKey <= b.toKey && b.fromKey <= a.toKey;
+}
