--- a/apps/site/src/startSiteControl.ts
+++ b/apps/site/src/startSiteControl.ts
@@ -67,6 +67,8 @@
   const ownAddress = `${host}:${rpcPort}`;
   const founding = opts.bootstrap && seeds().includes(ownAddress);
   const store = await openLogStore(opts.dataFolder, {
+    // The platform gives each process its own folder, and process ids there cannot be compared.
+    assumeExclusive: true,
     newReplicaId: () => newReplicaId(ownAddress, founding),
   });
   disposables.add(() => store.close());
--- a/control/log-store/src/openLogStore.ts
+++ b/control/log-store/src/openLogStore.ts
@@ -45,6 +45,11 @@
   readonly replicaId?: string;
   /** Names the replica of a new folder in place of a random id. */
   readonly newReplicaId?: () => string;
+  /**
+   * The caller guarantees that no other process uses the folder, for example because it holds a port
+   * that belongs to the folder. No lock file is written then.
+   */
+  readonly assumeExclusive?: boolean;
   readonly files?: FileSystem;
 }
 
@@ -60,7 +65,9 @@
 ): Promise<LogStore> {
   const files = opts.files ?? nodeFileSystem;
   await files.makeFolder(dataFolder);
-  const release = await lockFolder(dataFolder, files);
+  const release = opts.assumeExclusive
+    ? async () => undefined
+    : await lockFolder(dataFolder, files);
   try {
     const names = await files.list(dataFolder);
     const found = await findLog(dataFolder, names, files);
