--- a/apps/site/src/operatorDesk.ts
+++ b/apps/site/src/operatorDesk.ts
@@ -1,5 +1,6 @@
 import type {Replica} from '@medlarlane/consensus';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
+import type {ErrorCode} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
 import type {RpcClient, RpcHandler} from '@medlarlane/rpc';
@@ -19,6 +20,14 @@
 /** Operators give up on a call after a second and ask another replica. */
 const ANSWER_WITHIN_MS = 900;
 const RETRY_PAUSE_MS = 60;
+/** A leader that does not answer a relayed call by then is probably gone; its successor may. */
+const RELAY_WITHIN_MS = 400;
+/** The log tells a repeated change from a new one, so that an open outcome may be asked for again. */
+const REPEATABLE: ReadonlySet<ErrorCode> = new Set([
+  'NOT_LEADER',
+  'PEER_FAILED',
+  'COMMIT_UNKNOWN',
+]);
 
 /** Carries out operators' calls at any replica: here when it leads, else at the leader. */
 export class OperatorDesk {
@@ -69,11 +78,11 @@
       try {
         if (replica.isLeader()) return await within(leftMs, here());
         const address = this.leaderAddress();
-        if (address !== undefined) return await there(address, leftMs);
+        if (address !== undefined) return await there(address, Math.min(leftMs, RELAY_WITHIN_MS));
       } catch (thrown) {
         const error = toMedlarlaneError(thrown);
         logger.info({code: error.code}, 'Operator call met no leader');
-        if (error.code !== 'NOT_LEADER') throw error;
+        if (!REPEATABLE.has(error.code)) throw error;
       }
       await clock.sleep(RETRY_PAUSE_MS);
     }
--- a/apps/site/src/startSiteControl.ts
+++ b/apps/site/src/startSiteControl.ts
@@ -121,6 +121,18 @@
     onFault: (method, err) => logger.error({method, err}, 'Call failed'),
   });
   disposables.add(() => server.close());
+  const askToJoin = async (addresses: readonly string[], signal: AbortSignal): Promise<void> => {
+    const request = {replicaId: replica.replicaId, address: ownAddress};
+    await Promise.all(
+      addresses.map((address) =>
+        rpc
+          .call(address, 'join', request, {timeoutMs: JOIN_TIMEOUT_MS, signal})
+          .catch((thrown: unknown) => {
+            logger.debug({address, code: toMedlarlaneError(thrown).code}, 'Join got no answer');
+          }),
+      ),
+    );
+  };
   const tasks = new BackgroundTasks({
     onFailure: (taskName, err) => logger.error({err, taskName}, 'Task failed'),
   }).ownedBy(disposables);
@@ -141,18 +153,6 @@
       await clock.sleep(JOIN_PERIOD_MS, {signal});
     }
   });
-  const askToJoin = async (addresses: readonly string[], signal: AbortSignal): Promise<void> => {
-    const request = {replicaId: replica.replicaId, address: ownAddress};
-    await Promise.all(
-      addresses.map((address) =>
-        rpc
-          .call(address, 'join', request, {timeoutMs: JOIN_TIMEOUT_MS, signal})
-          .catch((thrown: unknown) => {
-            logger.debug({address, code: toMedlarlaneError(thrown).code}, 'Join got no answer');
-          }),
-      ),
-    );
-  };
   control.start();
   disposables.add(() => control.stop());
   return {desk, replica, state, close: () => disposables.dispose()};
