--- a/apps/site/src/operatorDesk.ts
+++ b/apps/site/src/operatorDesk.ts
@@ -15,6 +15,8 @@
   readonly rpc: RpcClient;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Told about each change that an operator asked for here. */
+  readonly onOutcome: (outcome: ChangeOutcome['kind']) => void;
 }
 
 /** Operators give up on a call after a second and ask another replica. */
@@ -34,14 +36,16 @@
   constructor(private readonly opts: OperatorDeskOptions) {}
 
   /** @throws MedlarlaneError when the outcome is open or no leader was found in time. */
-  changeConfiguration(change: ConfigurationChange): Promise<ChangeOutcome> {
-    return this.atLeader(
+  async changeConfiguration(change: ConfigurationChange): Promise<ChangeOutcome> {
+    const outcome = await this.atLeader(
       () => this.opts.control.changeConfiguration(change),
       async (address, timeoutMs) =>
         (await this.opts.rpc.call(address, 'changeConfiguration', change, {
           timeoutMs,
         })) as ChangeOutcome,
     );
+    this.opts.onOutcome(outcome.kind);
+    return outcome;
   }
 
   /** @throws MedlarlaneError when no leader could confirm the newest configuration in time. */
--- a/apps/site/src/startSiteControl.ts
+++ b/apps/site/src/startSiteControl.ts
@@ -17,6 +17,7 @@
 import {SiteState} from '@medlarlane/site-state';
 import {consensusHandler, createRpcTransport} from './consensusRpc.js';
 import {OperatorDesk} from './operatorDesk.js';
+import {createControlMetrics} from './siteMetrics.js';
 
 export interface SiteControlProcessOptions {
   readonly host: string;
@@ -37,6 +38,7 @@
   readonly desk: OperatorDesk;
   readonly replica: Replica;
   readonly state: SiteState;
+  readonly metrics: ReturnType<typeof createControlMetrics>;
   close(): Promise<void>;
 }
 
@@ -99,12 +101,19 @@
     logger: loggerFor('members', logger),
     voterCount: 2 * opts.lossesTolerated + 1,
   });
+  const metrics = createControlMetrics({
+    term: () => replica.term,
+    isLeader: () => replica.isLeader(),
+    commitIndex: () => replica.commitIndex,
+    configVersion: () => state.configuration.version,
+  });
   const desk = new OperatorDesk({
     control,
     replica,
     rpc,
     clock,
     logger: loggerFor('operator', logger),
+    onOutcome: (outcome) => metrics.changes.inc({outcome}),
   });
   const server = await startRpcServer({
     host,
@@ -155,7 +164,7 @@
   });
   control.start();
   disposables.add(() => control.stop());
-  return {desk, replica, state, close: () => disposables.dispose()};
+  return {desk, replica, state, metrics, close: () => disposables.dispose()};
 }
 
 /** Founders know each other by address; every later replica is a new one, even at an old address. */
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -17,14 +17,17 @@
 import type {
   CallerWire,
   EntryHandler,
-  EntryOutcome,
   GateTarget,
   TargetWire,
 } from '@medlarlane/request-path';
+import {PoisonTable} from '@medlarlane/poison';
 import {RetryBudget} from '@medlarlane/retry';
 import {createRpcClient} from '@medlarlane/rpc';
 import type {ReportRequest, ReportResponse} from '@medlarlane/site-control';
 import {SiteLink} from '@medlarlane/site-link';
+import {KEY_COUNT} from '@medlarlane/site-state';
+import {createDaemonMetrics} from './siteMetrics.js';
+import type {SiteMetrics} from './siteMetrics.js';
 
 export interface SiteDaemonOptions {
   readonly availabilityZone: string;
@@ -48,7 +51,6 @@
   readonly targetWire: TargetWire;
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly onAnswer?: (outcome: EntryOutcome) => void;
 }
 
 export interface Endpoint {
@@ -58,6 +60,7 @@
 
 export interface SiteDaemon {
   readonly hosted: HostedTarget;
+  readonly metrics: SiteMetrics;
   /** Whether callers may be sent to this daemon. */
   readonly ready: boolean;
   /** Stops taking work, finishes what is in flight within `graceMs` and closes. */
@@ -91,25 +94,35 @@
     heartbeatMs: opts.heartbeatMs,
     drainMs: opts.drainMs,
     maxHoldMs: opts.maxHoldMs,
+    keyCount: KEY_COUNT,
   });
   const targetClient = disposables.use(
     createTargetClient({
       ...opts.target,
       wire: opts.targetWire,
       maxConnections: CONNECTIONS_PER_TARGET,
+      onRefused: () => void checkTarget(),
     }),
     (client) => client.close(),
   );
-  let workMs = 0;
-  const gate = new TargetGate({
+  const metrics = createDaemonMetrics({
+    load: () => gate.load,
+    configVersion: () => view.configuration.version,
+    controlSilentMs: () => link.silentMs,
+  });
+  const poison = new PoisonTable({reporterId: forwardAddress, clock});
+  let poisonReported = true;
+  let crashedAtMs = -Infinity;
+  const gate: TargetGate = new TargetGate({
     clock,
     logger: loggerFor('gate', logger),
     client: targetClient,
     target: () => gateTarget(hosted),
     holdsKey: (key) => hosted.holdsKey(key),
-    onWork: (offer, ms) => {
-      if (offer.key !== undefined) workMs += ms;
-    },
+    grantDueInMs: (key) => hosted.grantDueInMs(key),
+    poison,
+    onRun: (result, workMs) => metrics.ranAtTarget(result, workMs),
+    onKeyOffer: (key) => hosted.countOffer(key),
   });
   const peers = disposables.use(createPeerClient(), (client) => client.close());
   let daemonCount = 1;
@@ -136,12 +149,14 @@
     gate,
     forwardAddress,
     callerService: opts.service,
+    poison,
     retryBudget,
     stopping: () => stopping,
-    ...(opts.onAnswer ? {onAnswer: opts.onAnswer} : {}),
+    onAnswer: (outcome) => metrics.answered(outcome),
   });
   const rpc = disposables.use(createRpcClient(), (client) => client.close());
   const takeAnswer = (answer: ReportResponse, sentAtMs: number): void => {
+    if (sentAtMs > crashedAtMs) poisonReported = true;
     if (answer.configuration && answer.configuration.version > view.configuration.version) {
       logger.info(
         {version: answer.configuration.version, before: view.configuration.version},
@@ -155,6 +170,7 @@
       budgets.clear();
     }
     view.updateInstances(answer);
+    if (answer.poison) poison.merge(answer.poison);
     for (const [service, ranges] of answer.ranges) view.setRanges(service, ranges);
     const others = view
       .instancesOf(opts.service)
@@ -163,11 +179,11 @@
       sentAtMs,
       leaseMs: answer.leaseMs,
       ranges: view.rangesOf(opts.service) as Parameters<HostedTarget['renew']>[0]['ranges'],
-      askedBack: answer.release,
+      transfers: answer.transfers,
       hasSuccessors: others.length > 0,
     });
   };
-  const link = new SiteLink({
+  const link: SiteLink = new SiteLink({
     rpc,
     clock,
     logger: loggerFor('link', logger),
@@ -178,13 +194,19 @@
       configVersion: view.configuration.version,
       ...known,
       waitMs: 0,
-      ...reportedTarget(hosted, gate, workMs),
+      ...reportedTarget(hosted, gate),
       endedLives: [...hosted.endedLives],
       released: [...hosted.released],
+      ...(poisonReported ? {} : {poison: poison.export()}),
       stopping,
     }),
     onAnswer: takeAnswer,
   });
+  hosted.onCrash = (life) => {
+    gate.targetCrashed(life);
+    poisonReported = poison.isEmpty;
+    crashedAtMs = clock.nowMs();
+  };
   hosted.onChange = () => {
     if (!hosted.takesWork) gate.refuseWaiting('DRAINING');
     link.reportNow();
@@ -204,20 +226,25 @@
   const gateListener = await startGateListener({...opts.forward, gate, logger});
   link.start();
   disposables.add(() => link.stop());
+  /** A refused connection proves that the target's process is gone. */
+  const checkTarget = async (): Promise<void> => {
+    const {life, state} = hosted;
+    if (life === undefined || state === 'ended') return;
+    const listens = await targetClient.listens(CONNECT_TIMEOUT_MS);
+    if (listens === 'no' && hosted.life === life) hosted.markEnded();
+  };
   const tasks = new BackgroundTasks({
     onFailure: (taskName, err) => logger.error({err, taskName}, 'Task failed'),
   }).ownedBy(disposables);
   tasks.run('watch target', async (signal) => {
     while (!signal.aborted) {
       await clock.sleep(TARGET_CHECK_MS, {signal});
-      if (!hosted.overdue) continue;
-      const {life} = hosted;
-      const listens = await targetClient.listens(CONNECT_TIMEOUT_MS);
-      if (listens === 'no' && hosted.overdue && hosted.life === life) hosted.markEnded();
+      if (hosted.overdue) await checkTarget();
     }
   });
   return {
     hosted,
+    metrics,
     get ready() {
       return !stopping && view.hasConfiguration;
     },
@@ -254,7 +281,6 @@
 function reportedTarget(
   hosted: HostedTarget,
   gate: TargetGate,
-  workMsPerS: number,
 ): Pick<ReportRequest, 'target'> {
   const {current, life, state, mayHoldKeys} = hosted;
   if (!current || life === undefined || state === undefined) return {};
@@ -269,8 +295,8 @@
       slots: current.slots,
       coldLeftMs: current.coldLeftMs,
       mayHoldKeys,
-      workMsPerS: Math.round(workMsPerS),
-      utilisation: gate.utilisation,
+      offeredRps: Math.round(hosted.offeredRps),
+      meanMs: gate.load.meanMs,
     },
   };
 }
--- a/control/site-control/src/index.ts
+++ b/control/site-control/src/index.ts
@@ -5,6 +5,7 @@
   ReportResponse,
   ReportedTarget,
   TargetState,
+  TransferRequest,
 } from './reports.js';
 export {joinRequestSchema, MemberManager} from './memberManager.js';
 export type {JoinRequest, MemberManagerOptions} from './memberManager.js';
@@ -12,5 +13,7 @@
 export type {SiteControlOptions} from './siteControl.js';
 export {KEY_LEASE_MS, LeaseLedger} from './leaseLedger.js';
 export {Directory} from './directory.js';
+export {planTransfers} from './planTransfers.js';
+export type {LoadedTarget, Transfer} from './planTransfers.js';
 export {planKeys} from './planKeys.js';
 export type {KeyPlan, PlanInput, PlanTarget} from './planKeys.js';
--- a/control/site-control/src/planKeys.ts
+++ b/control/site-control/src/planKeys.ts
@@ -4,10 +4,6 @@
 /** A target that may own keys. */
 export interface PlanTarget {
   readonly life: string;
-  readonly slots: number;
-  /** Share of the slots in use; see the report. */
-  readonly utilisation: number;
-  readonly workMsPerS: number;
 }
 
 export interface PlanInput {
--- a/control/site-control/src/reports.ts
+++ b/control/site-control/src/reports.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {poisonExportSchema} from '@medlarlane/poison';
 import {siteConfigurationSchema} from '@medlarlane/site-config';
 import {keyRangeSchema} from '@medlarlane/site-state';
 
@@ -19,10 +20,10 @@
   coldLeftMs: z.number(),
   /** Whether a grant that this daemon gave may still be in force at the target. */
   mayHoldKeys: z.boolean(),
-  /** Milliseconds of work per second on keys, over the last seconds. */
-  workMsPerS: z.number(),
-  /** Share of the target's slots in use, over the last seconds; queued work counts, so it may pass 1. */
-  utilisation: z.number(),
+  /** Requests for the target's keys per second, whether admitted or not. */
+  offeredRps: z.number(),
+  /** Smoothed duration of one request at the target. */
+  meanMs: z.number(),
 });
 
 const releasedStretchSchema = z.object({
@@ -30,6 +31,8 @@
   fromKey: z.int(),
   toKey: z.int(),
   handover: z.string(),
+  /** The transfer for which the keys were given back; 0 for none. */
+  transferId: z.int(),
 });
 
 /** What a daemon tells the control leader, a few times a second. */
@@ -47,6 +50,8 @@
   /** Earlier lives of targets beside this daemon that are certain to have ended. */
   endedLives: z.array(z.string()),
   released: z.array(releasedStretchSchema),
+  /** Requests that were in flight when targets crashed, when some are new. */
+  poison: poisonExportSchema.optional(),
   /** The process stops soon and takes no new work. */
   stopping: z.boolean(),
 });
@@ -63,6 +68,12 @@
   stopping: z.boolean(),
 });
 
+const transferRequestSchema = z.object({
+  transferId: z.int(),
+  /** Part of the requests for the target's keys; the daemon picks the keys that carry it. */
+  share: z.number(),
+});
+
 export const reportResponseSchema = z.object({
   leaderTerm: z.int(),
   /** Counted by the daemon from when it sent the report. */
@@ -79,12 +90,14 @@
   removed: z.array(z.string()),
   /** Ranges of keyed services that changed. */
   ranges: z.array(z.tuple([z.string(), z.array(keyRangeSchema)])),
-  /** Stretches that the daemon's target is to give up. */
-  release: z.array(z.object({fromKey: z.int(), toKey: z.int()})),
+  poison: poisonExportSchema.optional(),
+  /** Keys that the daemon's target is to give away. */
+  transfers: z.array(transferRequestSchema),
 });
 
 export type TargetState = z.infer<typeof targetStateSchema>;
 export type ReportedTarget = z.infer<typeof reportedTargetSchema>;
 export type ReportRequest = z.infer<typeof reportRequestSchema>;
 export type ReportResponse = z.infer<typeof reportResponseSchema>;
+export type TransferRequest = z.infer<typeof transferRequestSchema>;
 export type DirectoryInstance = z.infer<typeof directoryInstanceSchema>;
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -3,12 +3,15 @@
 import {BackgroundTasks} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
+import {POISON_CRASHES, PoisonTable} from '@medlarlane/poison';
 import type {ConfigurationChange, SiteConfiguration} from '@medlarlane/site-config';
 import {encodeCommand} from '@medlarlane/site-state';
 import type {ChangeOutcome, KeyAssignment, SiteState} from '@medlarlane/site-state';
 import {Directory} from './directory.js';
 import {KEY_LEASE_MS, LeaseLedger} from './leaseLedger.js';
 import {planKeys} from './planKeys.js';
+import {planTransfers} from './planTransfers.js';
+import type {Transfer} from './planTransfers.js';
 import type {ReportedTarget, ReportRequest, ReportResponse} from './reports.js';
 
 export interface SiteControlOptions {
@@ -35,6 +38,17 @@
   readonly firstTargetAtMs: Map<string, number>;
   /** Lives whose keys a proposed command gives away; they get no lease until it is applied. */
   readonly taking: Set<string>;
+  readonly transfers: Map<number, PendingTransfer>;
+  readonly poison: PoisonTable;
+  /** Revision of the directory at which the poison table last changed. */
+  poisonRevision: number;
+  /** When the keys of a service were last rebalanced. */
+  readonly rebalancedAtMs: Map<string, number>;
+}
+
+interface PendingTransfer extends Transfer {
+  readonly service: string;
+  readonly startedAtMs: number;
 }
 
 const STEP_MS = 100;
@@ -44,6 +58,10 @@
 const RECENT_REPORT_MS = 1_000;
 /** Before the first assignment of a service its targets have this time to appear. */
 const FIRST_ASSIGNMENT_DELAY_MS = 2_000;
+/** A transfer takes up to two heartbeats of the target; after this time it is given up. */
+const TRANSFER_TIMEOUT_MS = 4_000;
+/** Loads are measured anew for this time after keys have moved. */
+const REBALANCE_PAUSE_MS = 1_500;
 
 /** The leader's work: sessions of daemons, the directory, key placement and configuration changes. */
 export class SiteControl {
@@ -51,6 +69,7 @@
   private readonly tasks: BackgroundTasks;
   private readonly waiters = new Set<() => void>();
   private placing = false;
+  private lastTransferId = 0;
 
   constructor(private readonly opts: SiteControlOptions) {
     const {logger, state, replica} = opts;
@@ -82,7 +101,7 @@
   async report(report: ReportRequest): Promise<ReportResponse> {
     const term = this.requireTerm();
     this.acceptReport(term, report);
-    await this.release(report);
+    await this.release(term, report);
     if (!this.hasNews(term, report) && report.waitMs > 0) {
       await this.waitForNews(Math.min(report.waitMs, KEY_LEASE_MS));
     }
@@ -125,6 +144,10 @@
         rangeRevisions: new Map(),
         firstTargetAtMs: new Map(),
         taking: new Set(),
+        transfers: new Map(),
+        poison: new PoisonTable({reporterId: `leader-${replica.term}`, crashes: POISON_CRASHES, clock}),
+        poisonRevision: 0,
+        rebalancedAtMs: new Map(),
       };
     }
     return this.current;
@@ -136,6 +159,13 @@
     const before = term.sessions.get(forwardAddress)?.report;
     term.sessions.set(forwardAddress, {report, reportedAtMs: clock.nowMs()});
     for (const life of report.endedLives) term.leases.end(life);
+    if (report.poison) {
+      term.poison.merge(report.poison);
+      term.directory.touch();
+      term.poisonRevision = term.directory.revision;
+      logger.info({forwardAddress, entries: term.poison.list()}, 'Heard of crashed targets');
+      this.wake();
+    }
     if (target) this.acceptTarget(term, target);
     const changed = target
       ? term.directory.put({
@@ -168,16 +198,57 @@
   }
 
   /** Commits what the target gave back, so that its next owner gets the handover. */
-  private async release({released, target}: ReportRequest): Promise<void> {
+  private async release(term: Term, {released, target}: ReportRequest): Promise<void> {
     if (released.length === 0 || !target) return;
-    const assignments = released.map(({life, fromKey, toKey, handover}) => ({
-      fromKey,
-      toKey,
-      ownerLife: '',
-      handover,
-      previousOwnerLife: life,
-    }));
+    const ready = new Set(this.readyTargets(term, target.service).map(({life}) => life));
+    const assignments = released.map(({life, fromKey, toKey, handover, transferId}) => {
+      const toLife = term.transfers.get(transferId)?.toLife ?? '';
+      term.transfers.delete(transferId);
+      const ownerLife = ready.has(toLife) ? toLife : '';
+      return {fromKey, toKey, ownerLife, handover, previousOwnerLife: life};
+    });
     await this.assign(target.service, assignments);
+    term.rebalancedAtMs.set(target.service, this.opts.clock.nowMs());
+  }
+
+  /** Targets of a service that may get keys. */
+  private readyTargets(term: Term, service: string): ReportedTarget[] {
+    const nowMs = this.opts.clock.nowMs();
+    return [...term.sessions.values()]
+      .filter(
+        ({report, reportedAtMs}) =>
+          report.target?.service === service &&
+          report.target.state === 'ready' &&
+          !report.stopping &&
+          nowMs - reportedAtMs < RECENT_REPORT_MS,
+      )
+      .map(({report}) => report.target!);
+  }
+
+  /** Asks targets with more than their part of the load to give keys away. */
+  private rebalance(term: Term, service: string): void {
+    const {clock, logger} = this.opts;
+    const nowMs = clock.nowMs();
+    for (const [transferId, {startedAtMs}] of term.transfers) {
+      if (nowMs - startedAtMs > TRANSFER_TIMEOUT_MS) term.transfers.delete(transferId);
+    }
+    const pending = [...term.transfers.values()].some((transfer) => transfer.service === service);
+    const pausedMs = nowMs - (term.rebalancedAtMs.get(service) ?? term.startedAtMs);
+    if (pending || pausedMs < REBALANCE_PAUSE_MS) return;
+    const owners = new Set(this.opts.state.rangesOf(service).map(({ownerLife}) => ownerLife));
+    const targets = this.readyTargets(term, service).map((target) => ({
+      ...target,
+      ownsKeys: owners.has(target.life),
+    }));
+    for (const transfer of planTransfers(targets)) {
+      this.lastTransferId += 1;
+      term.transfers.set(this.lastTransferId, {...transfer, service, startedAtMs: nowMs});
+      logger.info(
+        {transferId: this.lastTransferId, ...transfer, service, loads: targets.map(loadOf)},
+        'Asked for keys',
+      );
+      this.wake();
+    }
   }
 
   private async assign(service: string, assignments: KeyAssignment[]): Promise<void> {
@@ -215,7 +286,10 @@
       directoryRevision: term.directory.revision,
       ...term.directory.since(known),
       ranges: ranges as ReportResponse['ranges'],
-      release: [],
+      ...(term.poisonRevision > known ? {poison: term.poison.export()} : {}),
+      transfers: [...term.transfers]
+        .filter(([, {fromLife}]) => fromLife === target?.life)
+        .map(([transferId, {share}]) => ({transferId, share})),
     };
   }
 
@@ -241,7 +315,7 @@
   }
 
   private async placeKeys(term: Term): Promise<void> {
-    const {state, clock, logger} = this.opts;
+    const {state, logger} = this.opts;
     this.placing = true;
     try {
       for (const {name, keyed} of state.configuration.services) {
@@ -254,21 +328,17 @@
             .filter(({report}) => report.target?.state === 'ready')
             .map(({report}) => report.target!.life),
         );
-        const targets = sessions
-          .filter(
-            ({report, reportedAtMs}) =>
-              report.target?.state === 'ready' &&
-              !report.stopping &&
-              clock.nowMs() - reportedAtMs < RECENT_REPORT_MS,
-          )
-          .map(({report}) => report.target!);
+        const targets = this.readyTargets(term, name);
         const {assignments} = planKeys({
           ranges: state.rangesOf(name),
           targets,
           mayTakeFrom: (life) => term.leases.mayTakeFrom(life),
           isServing: (life) => serving.has(life) && !term.leases.mayTakeFrom(life),
         });
-        if (assignments.length === 0) continue;
+        if (assignments.length === 0) {
+          this.rebalance(term, name);
+          continue;
+        }
         const losers = assignments.map(({previousOwnerLife}) => previousOwnerLife);
         for (const life of losers) term.taking.add(life);
         await this.assign(name, assignments);
@@ -317,6 +387,10 @@
   }
 }
 
+function loadOf({life, offeredRps, meanMs}: ReportedTarget): unknown {
+  return {life, offeredRps, meanMs};
+}
+
 /** Whether the target may hold keys under the daemon's lease. */
 function isLeasable({state, mayHoldKeys}: ReportedTarget): boolean {
   return state === 'ready' || (state !== 'ended' && mayHoldKeys);
--- /dev/null
+++ b/control/site-state/test/siteState.test.ts
@@ -0,0 +1,140 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {ConfigurationChange, Route} from '@medlarlane/site-config';
+import {encodeCommand, KEY_COUNT, SiteState} from '@medlarlane/site-state';
+import type {ChangeOutcome, SiteCommand} from '@medlarlane/site-state';
+
+describe('The state of a site', () => {
+  it('accepts one of two changes on the same version and refuses the other', () => {
+    const site = startSite();
+    assert.equal(site.change({version: 3, baseVersion: 0, digest: 'a'}).kind, 'accepted');
+    assert.deepEqual(site.change({version: 3, baseVersion: 0, digest: 'b'}), {
+      kind: 'conflict',
+      currentVersion: 3,
+    });
+  });
+
+  it('acknowledges a change that comes again, also after later changes and a snapshot', () => {
+    const site = startSite();
+    site.change({version: 3, baseVersion: 0, digest: 'a'});
+    site.change({version: 7, baseVersion: 3, digest: 'b'});
+    const restored = startSite();
+    restored.state.restore(site.state.snapshot());
+    assert.deepEqual(restored.change({version: 3, baseVersion: 0, digest: 'a'}), {
+      kind: 'accepted',
+      version: 3,
+    });
+    assert.equal(restored.state.configuration.version, 7);
+  });
+
+  it('refuses a version that is not above the current one', () => {
+    const site = startSite();
+    site.change({version: 3, baseVersion: 0, digest: 'a'});
+    assert.equal(site.change({version: 3, baseVersion: 3, digest: 'b'}).kind, 'invalid');
+  });
+
+  it('refuses a patch that leaves a route without its service', () => {
+    const site = startSite();
+    site.change({version: 3, baseVersion: 0, digest: 'a'});
+    const outcome = site.patch({version: 4, baseVersion: 3, removeServices: ['wallboard']});
+    assert.equal(outcome.kind, 'invalid');
+    assert.equal(site.state.configuration.version, 3);
+  });
+
+  it('gives each assignment a higher epoch and skips keys that changed hands meanwhile', () => {
+    const site = startSite();
+    site.assign({fromKey: 0, toKey: KEY_COUNT - 1, ownerLife: 'a', previousOwnerLife: ''});
+    const before = site.state.rangesOf('wallboard')[0]!.epoch;
+    site.assign({fromKey: 100, toKey: 199, ownerLife: 'b', previousOwnerLife: 'a'});
+    site.assign({fromKey: 150, toKey: 160, ownerLife: 'c', previousOwnerLife: 'a'});
+    const ranges = site.state.rangesOf('wallboard');
+    assert.deepEqual(
+      ranges.map(({fromKey, toKey, ownerLife}) => [fromKey, toKey, ownerLife]),
+      [
+        [0, 99, 'a'],
+        [100, 199, 'b'],
+        [200, KEY_COUNT - 1, 'a'],
+      ],
+    );
+    assert.ok(ranges[1]!.epoch > before);
+    assert.equal(ranges[0]!.epoch, before);
+  });
+});
+
+function startSite() {
+  const state = new SiteState();
+  let index = 0;
+  const apply = (command: SiteCommand): unknown => {
+    index += 1;
+    return state.apply({index, term: 1, kind: 'command', payload: encodeCommand(command)});
+  };
+  const change = (
+    fields: Pick<ConfigurationChange, 'version' | 'baseVersion' | 'digest'>,
+  ): ChangeOutcome =>
+    apply({
+      kind: 'changeConfiguration',
+      change: {
+        ...fields,
+        change: {
+          kind: 'replace',
+          configuration: {
+            version: fields.version,
+            routes: [route()],
+            services: [
+              {name: 'wallboard', maxConnections: 100, keyed: true, extras: {}},
+            ],
+            limits: {
+              maxHeaderBytes: 1,
+              maxBodyBytes: 1,
+              headerTimeoutMs: 1,
+              idleTimeoutMs: 1,
+              extras: {},
+            },
+          },
+        },
+      },
+    }) as ChangeOutcome;
+  const patch = (fields: {
+    version: number;
+    baseVersion: number;
+    removeServices: string[];
+  }): ChangeOutcome =>
+    apply({
+      kind: 'changeConfiguration',
+      change: {
+        version: fields.version,
+        baseVersion: fields.baseVersion,
+        digest: `patch-${fields.version}`,
+        change: {
+          kind: 'patch',
+          upsertRoutes: [],
+          upsertServices: [],
+          removeRoutes: [],
+          removeServices: fields.removeServices,
+        },
+      },
+    }) as ChangeOutcome;
+  const assign = (fields: {
+    fromKey: number;
+    toKey: number;
+    ownerLife: string;
+    previousOwnerLife: string;
+  }): unknown =>
+    apply({kind: 'assignKeys', service: 'wallboard', assignments: [{...fields, handover: ''}]});
+  return {state, change, patch, assign};
+}
+
+function route(): Route {
+  return {
+    name: 'schedule',
+    host: 'walls.example',
+    pathPrefix: '/schedule/',
+    kind: 'safe',
+    timeoutMs: 1_000,
+    targetLatencyMs: 200,
+    priority: 1,
+    maxAttempts: 2,
+    shares: [{service: 'wallboard', weight: 1}],
+    extras: {},
+  };
+}
--- a/routing/poison/src/poisonTable.ts
+++ b/routing/poison/src/poisonTable.ts
@@ -33,6 +33,8 @@
   readonly expiresInMs: number;
 }
 
+/** Crashes after which a deployment's requests are quarantined. */
+export const POISON_CRASHES = 2;
 const MAX_SPREAD_ENTRIES = 10_000;
 const MAX_CRASHES_PER_ENTRY = 8;
 
@@ -78,7 +80,7 @@
 
   constructor(private readonly opts: PoisonTableOptions) {
     this.clock = opts.clock ?? systemClock;
-    this.threshold = opts.crashes ?? 2;
+    this.threshold = opts.crashes ?? POISON_CRASHES;
     this.suspicionMs = opts.suspicionMs ?? 600_000;
     this.quarantineMs = opts.quarantineMs ?? 600_000;
     this.maxEntries = Math.min(opts.maxEntries ?? MAX_SPREAD_ENTRIES, MAX_SPREAD_ENTRIES);
--- a/routing/request-path/src/createTargetClient.ts
+++ b/routing/request-path/src/createTargetClient.ts
@@ -10,6 +10,8 @@
   readonly wire: TargetWire;
   /** Connections to the target at once. */
   readonly maxConnections: number;
+  /** A connection was refused, so that probably nothing listens any more. */
+  readonly onRefused?: () => void;
 }
 
 export interface TargetClient {
@@ -75,7 +77,7 @@
 
 function exchange(
   agent: http.Agent,
-  {host, port, wire}: TargetClientOptions,
+  {host, port, wire, onRefused}: TargetClientOptions,
   run: Parameters<TargetClient['run']>[0],
 ): Promise<RunResult> {
   const {offer, targetId, frame, deadlineLeftMs, signal} = run;
@@ -118,13 +120,14 @@
       deadlineLeftMs + DEADLINE_GRACE_MS,
     );
     signal.addEventListener('abort', onAbort, {once: true});
-    request.on('error', () =>
+    request.on('error', (failure: NodeJS.ErrnoException) => {
+      if (failure.code === 'ECONNREFUSED') onRefused?.();
       settle(
         connected
           ? {kind: 'lost', code: 'TARGET_FAILED'}
           : {kind: 'refused', code: 'NO_TARGET'},
-      ),
-    );
+      );
+    });
     request.on('response', (response) => {
       readWhole(response).then(
         (body) => {
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -3,10 +3,12 @@
 import type {ErrorCode} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
+import type {PoisonTable} from '@medlarlane/poison';
 import type {RetryBudget} from '@medlarlane/retry';
 import type {Route} from '@medlarlane/site-config';
 import type {PeerClient} from './createPeerClient.js';
 import {endToEndHeaders} from './endToEndHeaders.js';
+import {fingerprintsOf} from './fingerprintsOf.js';
 import type {CallerWire, Offer, RequestFrame, RunResult, TargetAnswer} from './messages.js';
 import type {InstanceView, SiteView} from './siteView.js';
 import type {TargetGate} from './targetGate.js';
@@ -22,6 +24,7 @@
   readonly forwardAddress: string;
   /** Service of the target beside this daemon. */
   readonly callerService: string;
+  readonly poison: PoisonTable;
   readonly retryBudget: (service: string) => RetryBudget;
   /** The process stops; connections are not kept. */
   readonly stopping: () => boolean;
@@ -160,6 +163,7 @@
     headers: endToEndHeaders(request.rawHeaders, {without: opts.wire.reservedHeaders}),
     body,
   };
+  if (!opts.poison.isEmpty) opts.poison.check(fingerprintsOf(service, frame));
   const timeout = clock.sleep(Math.max(0, deadlineAtMs - clock.nowMs()), {
     signal: job.abort.signal,
   });
@@ -294,9 +298,9 @@
   if (result?.kind === 'lost') return refusal(opts, job, new MedlarlaneError(result.code, undefined, {ran: 'unknown'}));
   const code = result?.code ?? 'NO_OWNER';
   const ownerChanges = code === 'NO_OWNER' || code === 'NOT_OWNER' || code === 'NO_TARGET';
-  const retryAfterMs = ownerChanges
-    ? OWNER_CHANGE_RETRY_MS
-    : (result?.kind === 'refused' && result.retryAfterMs) || opts.view.retryAfterMs(service);
+  const known = result?.kind === 'refused' ? result.retryAfterMs : undefined;
+  const retryAfterMs =
+    known ?? (ownerChanges ? OWNER_CHANGE_RETRY_MS : opts.view.retryAfterMs(service));
   return refusal(opts, job, new MedlarlaneError(code, undefined, {ran: 'no', details: {retryAfterMs}}));
 }
 
--- a/routing/request-path/src/targetGate.ts
+++ b/routing/request-path/src/targetGate.ts
@@ -3,6 +3,8 @@
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
+import type {PoisonTable} from '@medlarlane/poison';
+import {fingerprintsOf} from './fingerprintsOf.js';
 import type {TargetClient} from './createTargetClient.js';
 import type {GateLoad, Offer, RequestFrame, RunResult} from './messages.js';
 
@@ -22,8 +24,12 @@
   readonly target: () => GateTarget | MedlarlaneError;
   /** Whether the target holds the key now, by a grant that has not run out. */
   readonly holdsKey: (key: number) => boolean;
-  /** Told about each run, for the load of keys. */
-  readonly onWork?: (offer: Offer, workMs: number) => void;
+  /** Time until the target gets the key; `undefined` when it is not going to. */
+  readonly grantDueInMs: (key: number) => number | undefined;
+  readonly poison: PoisonTable;
+  readonly onRun: (result: RunResult, workMs: number) => void;
+  /** Told about each request for a key that the target holds. */
+  readonly onKeyOffer: (key: number) => void;
 }
 
 /** An admitted request, to be run or given back. */
@@ -32,6 +38,18 @@
   cancel(): void;
 }
 
+interface LostRun {
+  readonly requestId: string;
+  readonly life: string;
+  readonly fingerprints: readonly string[];
+  readonly startedAtMs: number;
+  readonly endedAtMs: number;
+}
+
+/** A crash is noticed by the next connection attempt or by the target's next life within this time. */
+const CRASH_NOTICE_MS = 6_000;
+/** A grant that is due later is not waited for. */
+const MAX_GRANT_WAIT_MS = 150;
 /** The time that an answer needs from the target's daemon back to the caller. */
 const RETURN_ALLOWANCE_MS = 5;
 
@@ -39,6 +57,8 @@
 export class TargetGate {
   private queue: SlotQueue;
   private life = '';
+  /** Requests whose answers were lost a moment ago, which may have crashed the target. */
+  private lost: LostRun[] = [];
 
   constructor(private readonly opts: GateOptions) {
     this.queue = new SlotQueue({slots: 1, clock: opts.clock});
@@ -62,13 +82,33 @@
     this.queue.refuseWaiting(new MedlarlaneError(code));
   }
 
+  /** The target's life ended; what it was running is suspected. Returns what is quarantined by it. */
+  targetCrashed(life: string): string[] {
+    const sinceMs = this.opts.clock.nowMs() - CRASH_NOTICE_MS;
+    const suspects = this.lost.filter((run) => run.life === life && run.endedAtMs >= sinceMs);
+    this.lost = [];
+    if (suspects.length === 0) return [];
+    const quarantined = this.opts.poison.crashed(
+      suspects.flatMap(({fingerprints, startedAtMs}) =>
+        fingerprints.map((fingerprint) => ({fingerprint, startedAtMs})),
+      ),
+    );
+    this.opts.logger.warn(
+      {life, requestIds: suspects.map(({requestId}) => requestId), quarantined},
+      'Target crashed with requests in flight',
+    );
+    return quarantined;
+  }
+
   /**
    * Resolves when a slot of the target is reserved.
    * @throws MedlarlaneError with ran `no`.
    */
   async admit(offer: Offer, signal: AbortSignal): Promise<GateAdmission> {
+    await this.waitForGrant(offer, signal);
     const target = this.requireTarget(offer);
     this.follow(target);
+    if (offer.key !== undefined) this.opts.onKeyOffer(offer.key);
     const {clock} = this.opts;
     const nowMs = clock.nowMs();
     const deadlineAtMs = nowMs + offer.deadlineLeftMs;
@@ -92,11 +132,23 @@
       throw new MedlarlaneError('NO_TARGET', 'Another target runs here');
     }
     if (offer.key !== undefined && !this.opts.holdsKey(offer.key)) {
-      throw new MedlarlaneError('NOT_OWNER');
+      const retryAfterMs = this.opts.grantDueInMs(offer.key);
+      throw new MedlarlaneError('NOT_OWNER', undefined, {
+        details: retryAfterMs === undefined ? {} : {retryAfterMs},
+      });
     }
     return target;
   }
 
+  /** Keys that are about to arrive are worth a short wait; it saves the caller a refusal. */
+  private async waitForGrant({key, targetLeftMs}: Offer, signal: AbortSignal): Promise<void> {
+    const {clock, holdsKey, grantDueInMs} = this.opts;
+    if (key === undefined || holdsKey(key)) return;
+    const waitMs = grantDueInMs(key);
+    if (waitMs === undefined || waitMs > Math.min(MAX_GRANT_WAIT_MS, targetLeftMs / 3)) return;
+    await clock.sleep(waitMs, {signal}).catch(() => undefined);
+  }
+
   /** Another life starts with an empty queue and nothing learned. */
   private follow({life, slots}: GateTarget): void {
     if (this.life === life) return;
@@ -120,6 +172,7 @@
     try {
       // The permit may have waited, and the target may have changed meanwhile.
       this.requireTarget(offer);
+      if (!this.opts.poison.isEmpty) this.opts.poison.check(fingerprintsOf(offer.service, frame));
       const deadlineLeftMs = Math.floor(deadlineAtMs - startedAtMs - RETURN_ALLOWANCE_MS);
       if (deadlineLeftMs <= 0) throw new MedlarlaneError('DEADLINE_EXCEEDED');
       result = await client.run({
@@ -136,11 +189,30 @@
     const worked = result.kind === 'answered' || result.kind === 'lost';
     permit.release(worked ? workMs : undefined);
     if (result.kind === 'answered') queue.learn(offer.route, workMs);
-    if (worked) this.opts.onWork?.(offer, workMs);
+    this.noteForCrash(offer, target, frame, result, startedAtMs);
+    this.opts.onRun(result, workMs);
     this.logRun(offer, target, permit, result, workMs);
     return {...result, load: this.load};
   }
 
+  private noteForCrash(
+    {requestId, service}: Offer,
+    {life}: GateTarget,
+    frame: RequestFrame,
+    result: RunResult,
+    startedAtMs: number,
+  ): void {
+    const {poison, clock} = this.opts;
+    const endedAtMs = clock.nowMs();
+    this.lost = this.lost.filter((run) => run.endedAtMs > endedAtMs - CRASH_NOTICE_MS);
+    if (result.kind === 'answered' && !poison.isEmpty) {
+      for (const fingerprint of fingerprintsOf(service, frame)) poison.completed(fingerprint);
+    }
+    if (result.kind !== 'lost' || result.code !== 'TARGET_FAILED') return;
+    const fingerprints = fingerprintsOf(service, frame);
+    this.lost.push({requestId, life, fingerprints, startedAtMs, endedAtMs});
+  }
+
   private logRun(
     {requestId, route, key}: Offer,
     {life}: GateTarget,
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -1,5 +1,7 @@
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
+import {KeyLoad} from './keyLoad.js';
+import type {KeyStretch} from './keyLoad.js';
 
 /** What a target says of itself, about once a second. */
 export interface Heartbeat {
@@ -45,6 +47,8 @@
   readonly drainMs: number;
   /** Longest grant that targets accept. */
   readonly maxHoldMs: number;
+  /** Keys are the integers in [0, keyCount). */
+  readonly keyCount: number;
 }
 
 export type HostedState = 'ready' | 'draining' | 'silent' | 'ended';
@@ -54,6 +58,20 @@
   readonly ownerLife: string;
 }
 
+/** A stretch that a transfer takes away. */
+interface LeavingStretch extends KeyStretch {
+  readonly transferId: number;
+}
+
+interface ReleasedStretch extends KeyStretch {
+  readonly life: string;
+  readonly handover: string;
+  /** 0 when the keys were given back without a transfer. */
+  readonly transferId: number;
+}
+
+/** A heartbeat takes about this long to be answered and applied. */
+const HEARTBEAT_SLACK_MS = 15;
 /**
  * Longest grant. Covers a heartbeat that comes two seconds late; a silent target's keys are free
  * when it has run out.
@@ -83,11 +101,14 @@
   private assigned: readonly AssignedRange[] = [];
   /** Given back by the target and not yet reassigned; never granted again under the old epoch. */
   private givenBack: Array<{fromKey: number; toKey: number; handover: string}> = [];
-  private askedBack: ReadonlyArray<{fromKey: number; toKey: number}> = [];
+  private leaving: LeavingStretch[] = [];
   private formerLives: string[] = [];
   private hasSuccessors = false;
+  private keyLoad: KeyLoad | undefined;
   /** Called when something changed that the control leader should learn at once. */
   onChange: () => void = () => undefined;
+  /** Called when a life of the target ended without having drained. */
+  onCrash: (life: string) => void = () => undefined;
 
   constructor(private readonly opts: HostedTargetOptions) {
     this.startedAtMs = opts.clock.nowMs();
@@ -135,9 +156,35 @@
     return this.formerLives;
   }
 
-  get released(): ReadonlyArray<{life: string; fromKey: number; toKey: number; handover: string}> {
+  /** What the target gave back and still counts as its own at the control leader. */
+  get released(): readonly ReleasedStretch[] {
     const {life} = this;
-    return life === undefined ? [] : this.givenBack.map((stretch) => ({life, ...stretch}));
+    if (life === undefined) return [];
+    return this.givenBack.flatMap(({fromKey, toKey, handover}) =>
+      this.splitByTransfer({fromKey, toKey}).map((part) => ({life, handover, ...part})),
+    );
+  }
+
+  /** Requests per second for the keys that the target is to keep, whether admitted or not. */
+  get offeredRps(): number {
+    return this.keyLoad?.rateOf(this.assigned) ?? 0;
+  }
+
+  /** Counts a request for a key. */
+  countOffer(key: number): void {
+    this.keyLoad ??= new KeyLoad({clock: this.opts.clock, keyCount: this.opts.keyCount});
+    this.keyLoad.count(key);
+  }
+
+  /** Time until a grant is due that includes the key; `undefined` when none is planned. */
+  grantDueInMs(key: number): number | undefined {
+    const nowMs = this.opts.clock.nowMs();
+    if (nowMs >= this.leaseUntilMs || this.drainSinceMs !== undefined) return undefined;
+    const planned = this.assigned
+      .flatMap((range) => this.remaining(range))
+      .some(({fromKey, toKey}) => fromKey <= key && key <= toKey);
+    if (!planned) return undefined;
+    return Math.max(0, this.heardAtMs + this.opts.heartbeatMs - nowMs) + HEARTBEAT_SLACK_MS;
   }
 
   /** Whether the target holds the key under a grant that is still in force. */
@@ -187,6 +234,7 @@
     this.granted = [];
     this.grantedUntilMs = -Infinity;
     this.opts.logger.info({life: this.life}, 'Target ended');
+    if (this.drainSinceMs === undefined) this.onCrash(lifeOf(this.heartbeat));
     this.onChange();
   }
 
@@ -195,7 +243,7 @@
     sentAtMs: number;
     leaseMs: number;
     ranges: readonly AssignedRange[];
-    askedBack: ReadonlyArray<{fromKey: number; toKey: number}>;
+    transfers: ReadonlyArray<{transferId: number; share: number}>;
     /** Whether another target can take over keys that this one gives back. */
     hasSuccessors: boolean;
   }): void {
@@ -203,7 +251,7 @@
     if (leased) this.leaseUntilMs = Math.max(this.leaseUntilMs, answer.sentAtMs + answer.leaseMs);
     else if (answer.leaseMs === 0) this.leaseUntilMs = -Infinity;
     this.assigned = answer.ranges.filter(({ownerLife}) => ownerLife === this.life);
-    this.askedBack = answer.askedBack;
+    this.takeTransfers(answer.transfers);
     this.hasSuccessors = answer.hasSuccessors;
     this.givenBack = this.givenBack.filter((stretch) =>
       this.assigned.some((range) => overlaps(range, stretch)),
@@ -222,7 +270,9 @@
   private isNewer(next: Heartbeat): boolean {
     const {heartbeat} = this;
     if (!heartbeat) return true;
-    if (lifeOf(heartbeat) === lifeOf(next)) return next.sequence > heartbeat.sequence;
+    // One heartbeat may still be under way when the end of its life is noticed.
+    const late = this.ended ? 1 : 0;
+    if (lifeOf(heartbeat) === lifeOf(next)) return next.sequence > heartbeat.sequence + late;
     return next.bornMs > heartbeat.bornMs;
   }
 
@@ -232,13 +282,14 @@
       {life: lifeOf(next), former: former && lifeOf(former)},
       'Target started a life',
     );
+    if (former && !this.ended && this.drainSinceMs === undefined) this.onCrash(lifeOf(former));
     if (former) this.formerLives = [...this.formerLives, lifeOf(former)].slice(-8);
     this.drainSinceMs = undefined;
     this.granted = [];
     this.grantedUntilMs = -Infinity;
     this.assigned = [];
     this.givenBack = [];
-    this.askedBack = [];
+    this.leaving = [];
   }
 
   private takeFreed({freed}: Heartbeat): void {
@@ -251,6 +302,38 @@
     }
   }
 
+  /** Picks the keys for new transfers and forgets those that the leader gave up or has carried out. */
+  private takeTransfers(transfers: ReadonlyArray<{transferId: number; share: number}>): void {
+    this.leaving = this.leaving.filter(({transferId}) =>
+      transfers.some((transfer) => transfer.transferId === transferId),
+    );
+    for (const {transferId, share} of transfers) {
+      if (this.leaving.some((stretch) => stretch.transferId === transferId)) continue;
+      const kept = this.assigned.flatMap((range) => this.remaining(range));
+      const stretch = this.keyLoad?.pickStretch(kept, share);
+      this.opts.logger.info({life: this.life, transferId, share, ...stretch}, 'Picked keys to give');
+      // An empty stretch marks the transfer as looked at.
+      this.leaving.push({transferId, ...(stretch ?? {fromKey: 0, toKey: -1})});
+    }
+  }
+
+  private splitByTransfer(freed: KeyStretch): Array<KeyStretch & {transferId: number}> {
+    const parts: Array<KeyStretch & {transferId: number}> = [];
+    let rest = [freed];
+    for (const stretch of this.leaving) {
+      rest = rest.flatMap((part) => {
+        if (!overlaps(part, stretch)) return [part];
+        parts.push({
+          fromKey: Math.max(part.fromKey, stretch.fromKey),
+          toKey: Math.min(part.toKey, stretch.toKey),
+          transferId: stretch.transferId,
+        });
+        return without(part, stretch);
+      });
+    }
+    return [...parts, ...rest.map((part) => ({...part, transferId: 0}))];
+  }
+
   private grant(): KeyGrant | undefined {
     const nowMs = this.opts.clock.nowMs();
     const leftMs = (this.leaseUntilMs - nowMs) * CLOCK_RATE_MARGIN;
@@ -270,13 +353,8 @@
   private remaining(range: AssignedRange): GrantedRange[] {
     const {epoch, handover} = range;
     let parts = [{fromKey: range.fromKey, toKey: range.toKey}];
-    for (const gone of [...this.givenBack, ...this.askedBack]) {
-      parts = parts.flatMap((part) => {
-        if (!overlaps(part, gone)) return [part];
-        const left = {fromKey: part.fromKey, toKey: gone.fromKey - 1};
-        const right = {fromKey: gone.toKey + 1, toKey: part.toKey};
-        return [left, right].filter(({fromKey, toKey}) => fromKey <= toKey);
-      });
+    for (const gone of [...this.givenBack, ...this.leaving]) {
+      parts = parts.flatMap((part) => (overlaps(part, gone) ? without(part, gone) : [part]));
     }
     return parts.map((part) => ({...part, epoch, handover}));
   }
@@ -286,9 +364,13 @@
   return `${targetId}/${bornMs}`;
 }
 
-function overlaps(
-  a: {fromKey: number; toKey: number},
-  b: {fromKey: number; toKey: number},
-): boolean {
+/** What remains of a stretch when an overlapping one is taken out. */
+function without(part: KeyStretch, gone: KeyStretch): KeyStretch[] {
+  const left = {fromKey: part.fromKey, toKey: gone.fromKey - 1};
+  const right = {fromKey: gone.toKey + 1, toKey: part.toKey};
+  return [left, right].filter(({fromKey, toKey}) => fromKey <= toKey);
+}
+
+function overlaps(a: KeyStretch, b: KeyStretch): boolean {
   return a.fromKey <= b.toKey && b.fromKey <= a.toKey;
 }
