--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -73,8 +73,11 @@
 /** How often a target whose heartbeat is overdue is looked at. */
 const TARGET_CHECK_MS = 250;
 const CONNECT_TIMEOUT_MS = 200;
-/** A stopping daemon stays reachable until the platform has noticed that it is not ready. */
-const MIN_STOP_MS = 2_500;
+/**
+ * A stopping daemon takes requests until the platform has noticed that it is not ready, which two
+ * failed checks a second apart tell it.
+ */
+const TAKE_REQUESTS_MS = 2_600;
 const STOP_CHECK_MS = 50;
 /** Connections that stay free for the target's other callers. */
 const CONNECTIONS_PER_TARGET = 64;
@@ -86,6 +89,7 @@
   const {clock, logger} = opts;
   const disposables = new DisposableStore();
   let stopping = false;
+  let closed = false;
   const forwardAddress = `${opts.forward.host}:${opts.forward.port}`;
   const view = new SiteView({clock, availabilityZone: opts.availabilityZone});
   const hosted = new HostedTarget({
@@ -117,7 +121,7 @@
     clock,
     logger: loggerFor('gate', logger),
     client: targetClient,
-    target: () => gateTarget(hosted),
+    target: () => gateTarget(hosted, closed),
     holdsKey: (key) => hosted.holdsKey(key),
     grantDueInMs: (key) => hosted.grantDueInMs(key),
     poison,
@@ -151,7 +155,7 @@
     callerService: opts.service,
     poison,
     retryBudget,
-    stopping: () => stopping,
+    phase: () => (closed ? 'closed' : stopping ? 'closing' : 'open'),
     onAnswer: (outcome) => metrics.answered(outcome),
   });
   const rpc = disposables.use(createRpcClient(), (client) => client.close());
@@ -255,12 +259,16 @@
       for (;;) {
         const elapsedMs = clock.nowMs() - startedAtMs;
         if (elapsedMs >= graceMs) break;
-        if (elapsedMs >= MIN_STOP_MS && isIdle(entry, gate)) break;
+        if (elapsedMs >= TAKE_REQUESTS_MS && !closed) {
+          closed = true;
+          callerServer.close();
+          callerServer.closeIdleConnections();
+        }
+        if (closed && isIdle(entry, gate)) break;
         await clock.sleep(STOP_CHECK_MS);
       }
       logger.info({inFlight: entry.inFlight}, 'Daemon closes');
       callerServer.closeAllConnections();
-      callerServer.close();
       await gateListener.close();
       await disposables.dispose();
     },
@@ -271,9 +279,10 @@
   return entry.inFlight === 0 && gate.inFlight === 0;
 }
 
-function gateTarget(hosted: HostedTarget): GateTarget | MedlarlaneError {
+function gateTarget(hosted: HostedTarget, closed: boolean): GateTarget | MedlarlaneError {
   const {current, life} = hosted;
   if (!current || life === undefined) return new MedlarlaneError('NO_TARGET');
+  if (closed) return new MedlarlaneError('DRAINING', 'This daemon stops');
   if (!hosted.takesWork) return new MedlarlaneError(hosted.state === 'ended' ? 'NO_TARGET' : 'DRAINING');
   return {targetId: current.targetId, life, service: current.service, slots: current.slots};
 }
--- a/routing/request-path/src/createTargetClient.ts
+++ b/routing/request-path/src/createTargetClient.ts
@@ -101,7 +101,9 @@
       ] as unknown as http.OutgoingHttpHeaders,
     });
     let connected = false;
+    let connection: Socket | undefined;
     request.on('socket', (socket) => {
+      connection = socket;
       if (!socket.connecting) connected = true;
       else socket.once('connect', () => (connected = true));
     });
@@ -133,7 +135,8 @@
         (body) => {
           const result = judge(wire, offer, response, body);
           settle(result);
-          if (result.kind === 'lost') response.socket.destroy();
+          // The connection may be back in the pool; what follows on it cannot be trusted.
+          if (result.kind === 'lost') connection?.destroy();
         },
         () => giveUp({kind: 'lost', code: 'TARGET_FAILED'}),
       );
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -26,8 +26,8 @@
   readonly callerService: string;
   readonly poison: PoisonTable;
   readonly retryBudget: (service: string) => RetryBudget;
-  /** The process stops; connections are not kept. */
-  readonly stopping: () => boolean;
+  /** `closing` connections are not kept, `closed` daemons take no request any more. */
+  readonly phase: () => 'open' | 'closing' | 'closed';
   readonly onAnswer?: (outcome: EntryOutcome) => void;
 }
 
@@ -139,6 +139,7 @@
 ): Promise<FinalAnswer> {
   const {view, clock} = opts;
   const {request} = job;
+  if (opts.phase() === 'closed') throw new MedlarlaneError('DRAINING', 'This daemon stops');
   if (!view.hasConfiguration) {
     throw new MedlarlaneError('STALE_CONFIGURATION', 'No configuration is known yet', {
       details: {retryAfterMs: NO_CONFIGURATION_RETRY_MS},
@@ -340,7 +341,7 @@
   response: http.ServerResponse,
   {status, headers, body}: FinalAnswer,
 ): void {
-  if (opts.stopping() || !request.complete) response.shouldKeepAlive = false;
+  if (opts.phase() !== 'open' || !request.complete) response.shouldKeepAlive = false;
   const bodiless = request.method === 'HEAD' || status === 204 || status === 304;
   const length = bodiless ? [] : ['Content-Length', String(body.length)];
   response.writeHead(status, [...headers, ...length] as unknown as http.OutgoingHttpHeaders);
