--- a/apps/site/src/operatorDesk.ts
+++ b/apps/site/src/operatorDesk.ts
@@ -25,11 +25,7 @@
 /** A leader that does not answer a relayed call by then is probably gone; its successor may. */
 const RELAY_WITHIN_MS = 400;
 /** The log tells a repeated change from a new one, so that an open outcome may be asked for again. */
-const REPEATABLE: ReadonlySet<ErrorCode> = new Set([
-  'NOT_LEADER',
-  'PEER_FAILED',
-  'COMMIT_UNKNOWN',
-]);
+const REPEATABLE: ReadonlySet<ErrorCode> = new Set(['NOT_LEADER', 'PEER_FAILED', 'COMMIT_UNKNOWN']);
 
 /** Carries out operators' calls at any replica: here when it leads, else at the leader. */
 export class OperatorDesk {
--- a/apps/site/src/startSiteControl.ts
+++ b/apps/site/src/startSiteControl.ts
@@ -157,7 +157,10 @@
       const {members: known} = replica.status();
       if (!known.voters.includes(replica.replicaId)) {
         const others = [...new Set([...seeds(), ...Object.values(known.addresses)])];
-        await askToJoin(others.filter((address) => address !== ownAddress), signal);
+        await askToJoin(
+          others.filter((address) => address !== ownAddress),
+          signal,
+        );
       }
       await clock.sleep(JOIN_PERIOD_MS, {signal});
     }
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -14,12 +14,7 @@
   startGateListener,
   TargetGate,
 } from '@medlarlane/request-path';
-import type {
-  CallerWire,
-  EntryHandler,
-  GateTarget,
-  TargetWire,
-} from '@medlarlane/request-path';
+import type {CallerWire, EntryHandler, GateTarget, TargetWire} from '@medlarlane/request-path';
 import {PoisonTable} from '@medlarlane/poison';
 import {RetryBudget} from '@medlarlane/retry';
 import {createRpcClient} from '@medlarlane/rpc';
@@ -222,7 +217,8 @@
   });
   callerServer.on('clientError', (failure: NodeJS.ErrnoException, socket) => {
     logger.info({code: failure.code}, '[entry] Request cannot be read');
-    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+    if (socket.writable)
+      socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
   });
   applyLimits(callerServer, view);
   callerServer.listen(opts.caller.port, opts.caller.host);
@@ -283,14 +279,12 @@
   const {current, life} = hosted;
   if (!current || life === undefined) return new MedlarlaneError('NO_TARGET');
   if (closed) return new MedlarlaneError('DRAINING', 'This daemon stops');
-  if (!hosted.takesWork) return new MedlarlaneError(hosted.state === 'ended' ? 'NO_TARGET' : 'DRAINING');
+  if (!hosted.takesWork)
+    return new MedlarlaneError(hosted.state === 'ended' ? 'NO_TARGET' : 'DRAINING');
   return {targetId: current.targetId, life, service: current.service, slots: current.slots};
 }
 
-function reportedTarget(
-  hosted: HostedTarget,
-  gate: TargetGate,
-): Pick<ReportRequest, 'target'> {
+function reportedTarget(hosted: HostedTarget, gate: TargetGate): Pick<ReportRequest, 'target'> {
   const {current, life, state, mayHoldKeys} = hosted;
   if (!current || life === undefined || state === undefined) return {};
   // The leader may give away the keys of a target that holds none and takes no new ones.
@@ -317,4 +311,3 @@
   // A body may take as long as its request's deadline, which the handler watches.
   server.requestTimeout = 0;
 }
-
--- a/control/consensus/src/leadership.ts
+++ b/control/consensus/src/leadership.ts
@@ -167,7 +167,11 @@
     // Every wait ends when the term does, so that none needs an abort signal.
     while (!this.stopped && this.host.commitIndex < this.noopIndex) await this.applied.wait();
     const readIndex = this.host.commitIndex;
-    while (!this.stopped && !(leaseSuffices && this.leaseValid()) && this.quorumAckMs() < askedAtMs) {
+    while (
+      !this.stopped &&
+      !(leaseSuffices && this.leaseValid()) &&
+      this.quorumAckMs() < askedAtMs
+    ) {
       await this.acknowledged.wait();
     }
     while (!this.stopped && this.host.appliedIndex < readIndex) await this.applied.wait();
--- a/control/site-control/src/memberManager.ts
+++ b/control/site-control/src/memberManager.ts
@@ -84,8 +84,6 @@
     const silentVoter = members.voters.find(isSilent);
     if (learner && silentVoter) return {kind: 'remove', replicaId: silentVoter};
     const silentLearner = members.learners.find((id) => isSilent(id) && !this.joiners.has(id));
-    return silentLearner === undefined
-      ? undefined
-      : {kind: 'remove', replicaId: silentLearner};
+    return silentLearner === undefined ? undefined : {kind: 'remove', replicaId: silentLearner};
   }
 }
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -145,7 +145,11 @@
         firstTargetAtMs: new Map(),
         taking: new Set(),
         transfers: new Map(),
-        poison: new PoisonTable({reporterId: `leader-${replica.term}`, crashes: POISON_CRASHES, clock}),
+        poison: new PoisonTable({
+          reporterId: `leader-${replica.term}`,
+          crashes: POISON_CRASHES,
+          clock,
+        }),
         poisonRevision: 0,
         rebalancedAtMs: new Map(),
       };
--- /dev/null
+++ b/control/site-control/test/planning.test.ts
@@ -0,0 +1,130 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {ManualClock} from '@medlarlane/lifecycle';
+import {KEY_LEASE_MS, LeaseLedger, planKeys, planTransfers} from '@medlarlane/site-control';
+import type {LoadedTarget} from '@medlarlane/site-control';
+import {KEY_COUNT} from '@medlarlane/site-state';
+import type {KeyRange} from '@medlarlane/site-state';
+
+describe('The placement of keys without a holder', () => {
+  it('divides all keys evenly at the start', () => {
+    const {assignments} = planKeys({
+      ranges: [range(0, KEY_COUNT - 1, '')],
+      targets: lives('a', 'b', 'c'),
+      mayTakeFrom: () => true,
+      isServing: () => false,
+    });
+    const sizes = assignments.map(({fromKey, toKey}) => toKey - fromKey + 1);
+    assert.equal(sum(sizes), KEY_COUNT);
+    assert.ok(Math.max(...sizes) - Math.min(...sizes) <= 2);
+  });
+
+  it('leaves the keys of a silent target alone until its lease has run out', () => {
+    const input = {
+      ranges: [range(0, 99, 'lost'), range(100, KEY_COUNT - 1, 'a')],
+      targets: lives('a'),
+      isServing: (life: string) => life === 'a',
+    };
+    assert.deepEqual(planKeys({...input, mayTakeFrom: () => false}).assignments, []);
+    const [taken] = planKeys({...input, mayTakeFrom: (life) => life === 'lost'}).assignments;
+    assert.deepEqual([taken?.fromKey, taken?.toKey, taken?.ownerLife], [0, 99, 'a']);
+  });
+
+  it('passes the handover of a released range on to its new owner', () => {
+    const released = {...range(0, 99, ''), handover: 'h'};
+    const {assignments} = planKeys({
+      ranges: [released, range(100, KEY_COUNT - 1, 'a')],
+      targets: lives('a'),
+      mayTakeFrom: (life) => life === '',
+      isServing: (life) => life === 'a',
+    });
+    assert.deepEqual(
+      assignments.map(({handover}) => handover),
+      ['h'],
+    );
+  });
+});
+
+describe('Leases', () => {
+  it('run for their whole time after the renewal and after the start of the term', async () => {
+    const clock = new ManualClock();
+    const ledger = new LeaseLedger(clock);
+    assert.equal(ledger.mayTakeFrom('a'), false);
+    await clock.advance(3_000);
+    ledger.renew('a');
+    await clock.advance(KEY_LEASE_MS);
+    assert.equal(ledger.mayTakeFrom('a'), false);
+    assert.equal(ledger.mayTakeFrom('b'), true);
+    await clock.advance(700);
+    assert.equal(ledger.mayTakeFrom('a'), true);
+  });
+
+  it('end at once for a life that is certain to have ended', () => {
+    const ledger = new LeaseLedger(new ManualClock());
+    ledger.end('a');
+    assert.equal(ledger.mayTakeFrom('a'), true);
+  });
+});
+
+/** Loads of three targets of 10 slots and 100 ms, which carry 100 requests a second each. */
+const PATTERNS: ReadonlyArray<{
+  readonly name: string;
+  readonly targets: readonly LoadedTarget[];
+  /** Giver, receiver and moved requests per second. */
+  readonly expected: ReadonlyArray<[string, string, number]>;
+}> = [
+  {name: 'even load moves nothing', targets: [at('a', 70), at('b', 72)], expected: []},
+  {
+    name: 'uneven load without need moves nothing',
+    targets: [at('a', 40), at('b', 5)],
+    expected: [],
+  },
+  {
+    name: 'a festival on the keys of one target spreads over the others',
+    targets: [at('a', 180), at('b', 30), at('c', 30)],
+    expected: [
+      ['a', 'b', 50],
+      ['a', 'c', 50],
+    ],
+  },
+  {
+    name: 'a slow target keeps less than a fast one',
+    targets: [{...at('slow', 60), meanMs: 200}, at('fast', 0)],
+    expected: [['slow', 'fast', 40]],
+  },
+  {
+    name: 'a new target gets its part although the others have room',
+    targets: [at('a', 40), {...at('new', 0), ownsKeys: false}],
+    expected: [['a', 'new', 20]],
+  },
+];
+
+describe('The balance of keys', () => {
+  for (const {name, targets, expected} of PATTERNS) {
+    it(name, () => {
+      const offered = new Map(targets.map(({life, offeredRps}) => [life, offeredRps]));
+      const moved = planTransfers(targets).map(({fromLife, toLife, share}) => [
+        fromLife,
+        toLife,
+        Math.round(share * offered.get(fromLife)!),
+      ]);
+      assert.deepEqual(moved, expected);
+    });
+  }
+});
+
+function at(life: string, offeredRps: number): LoadedTarget {
+  return {life, slots: 10, meanMs: 100, offeredRps, ownsKeys: true};
+}
+
+function lives(...names: string[]): Array<{life: string}> {
+  return names.map((life) => ({life}));
+}
+
+function range(fromKey: number, toKey: number, ownerLife: string): KeyRange {
+  return {fromKey, toKey, ownerLife, epoch: 1, handover: ''};
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- a/control/site-state/test/siteState.test.ts
+++ b/control/site-state/test/siteState.test.ts
@@ -80,9 +80,7 @@
           configuration: {
             version: fields.version,
             routes: [route()],
-            services: [
-              {name: 'wallboard', maxConnections: 100, keyed: true, extras: {}},
-            ],
+            services: [{name: 'wallboard', maxConnections: 100, keyed: true, extras: {}}],
             limits: {
               maxHeaderBytes: 1,
               maxBodyBytes: 1,
--- a/kernel/logger/src/createLogger.ts
+++ b/kernel/logger/src/createLogger.ts
@@ -11,6 +11,8 @@
    * leaves waiting beyond a bound are dropped.
    */
   readonly destination?: 'stderr' | 'stdout';
+  /** Lines about single requests beyond this number in a second are counted instead of written. */
+  readonly maxRequestLinesPerS?: number;
 }
 
 /** Lines that wait for a slow reader of standard output. */
@@ -22,7 +24,45 @@
     opts.destination === 'stdout'
       ? pino.destination({fd: 1, sync: false, maxLength: MAX_WAITING_BYTES})
       : pino.destination({fd: 2, sync: true});
-  return pino({level: opts.level ?? 'info', base: opts.bindings ?? {}}, destination);
+  const {maxRequestLinesPerS} = opts;
+  return pino(
+    {
+      level: opts.level ?? 'info',
+      base: opts.bindings ?? {},
+      ...(maxRequestLinesPerS === undefined
+        ? {}
+        : {hooks: {logMethod: boundRequestLines(maxRequestLinesPerS)}}),
+    },
+    destination,
+  );
+}
+
+type LogMethodHook = NonNullable<NonNullable<pino.LoggerOptions['hooks']>['logMethod']>;
+
+const MS_PER_S = 1_000;
+
+/** Writes at most `maxPerS` lines with a `requestId` in a second, and then how many were left out. */
+function boundRequestLines(maxPerS: number): LogMethodHook {
+  let startedAtMs = performance.now();
+  let written = 0;
+  let suppressed = 0;
+  return function (args, method) {
+    const [fields] = args as unknown[];
+    if (typeof fields !== 'object' || fields === null || !('requestId' in fields)) {
+      return method.apply(this, args);
+    }
+    const nowMs = performance.now();
+    if (nowMs - startedAtMs >= MS_PER_S) {
+      if (suppressed > 0) method.apply(this, [{suppressed}, 'Lines about requests left out']);
+      [startedAtMs, written, suppressed] = [nowMs, 0, 0];
+    }
+    if (written >= maxPerS) {
+      suppressed += 1;
+      return;
+    }
+    written += 1;
+    method.apply(this, args);
+  };
 }
 
 /** A logger whose messages start with the fixed prefix of one part, for example `[lease]`. */
--- a/routing/request-path/src/createTargetClient.ts
+++ b/routing/request-path/src/createTargetClient.ts
@@ -125,9 +125,7 @@
     request.on('error', (failure: NodeJS.ErrnoException) => {
       if (failure.code === 'ECONNREFUSED') onRefused?.();
       settle(
-        connected
-          ? {kind: 'lost', code: 'TARGET_FAILED'}
-          : {kind: 'refused', code: 'NO_TARGET'},
+        connected ? {kind: 'lost', code: 'TARGET_FAILED'} : {kind: 'refused', code: 'NO_TARGET'},
       );
     });
     request.on('response', (response) => {
@@ -156,7 +154,8 @@
   let sizeBytes = 0;
   for await (const chunk of response as AsyncIterable<Buffer>) {
     sizeBytes += chunk.length;
-    if (sizeBytes > MAX_ANSWER_BYTES) throw new MedlarlaneError('TARGET_FAILED', 'Answer too large');
+    if (sizeBytes > MAX_ANSWER_BYTES)
+      throw new MedlarlaneError('TARGET_FAILED', 'Answer too large');
     chunks.push(chunk);
   }
   if (!response.complete) throw new MedlarlaneError('TARGET_FAILED', 'Answer is incomplete');
@@ -201,8 +200,17 @@
     };
     const timer = setTimeout(() => settle('unknown'), timeoutMs);
     socket.once('connect', () => settle('yes'));
-    socket.once('error', (failure: NodeJS.ErrnoException) =>
-      settle(failure.code === 'ECONNREFUSED' ? 'no' : 'unknown'),
-    );
+    socket.once('error', (failure: NodeJS.ErrnoException) => {
+      // A target with too many connections turns new ones away, but the old ones stay open.
+      const refused = failure.code === 'ECONNREFUSED' && openConnections(agent) === 0;
+      settle(refused ? 'no' : 'unknown');
+    });
   });
 }
+
+function openConnections({sockets, freeSockets}: http.Agent): number {
+  return [...Object.values(sockets), ...Object.values(freeSockets)].reduce(
+    (count, list) => count + (list?.filter((socket) => !socket.connecting).length ?? 0),
+    0,
+  );
+}
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -296,13 +296,18 @@
   result: RunResult | undefined,
 ): FinalAnswer {
   if (result?.kind === 'answered') return fromTarget(result.answer);
-  if (result?.kind === 'lost') return refusal(opts, job, new MedlarlaneError(result.code, undefined, {ran: 'unknown'}));
+  if (result?.kind === 'lost')
+    return refusal(opts, job, new MedlarlaneError(result.code, undefined, {ran: 'unknown'}));
   const code = result?.code ?? 'NO_OWNER';
   const ownerChanges = code === 'NO_OWNER' || code === 'NOT_OWNER' || code === 'NO_TARGET';
   const known = result?.kind === 'refused' ? result.retryAfterMs : undefined;
   const retryAfterMs =
     known ?? (ownerChanges ? OWNER_CHANGE_RETRY_MS : opts.view.retryAfterMs(service));
-  return refusal(opts, job, new MedlarlaneError(code, undefined, {ran: 'no', details: {retryAfterMs}}));
+  return refusal(
+    opts,
+    job,
+    new MedlarlaneError(code, undefined, {ran: 'no', details: {retryAfterMs}}),
+  );
 }
 
 function fromTarget({status, headers, body}: TargetAnswer): FinalAnswer {
--- /dev/null
+++ b/routing/request-path/test/entry.test.ts
@@ -0,0 +1,265 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {after, describe, it} from 'node:test';
+import {DisposableStore, systemClock} from '@medlarlane/lifecycle';
+import {silentLogger} from '@medlarlane/logger';
+import {PoisonTable} from '@medlarlane/poison';
+import {createEntryHandler, SiteView} from '@medlarlane/request-path';
+import type {CallerWire, Offer, RunResult, TargetGate} from '@medlarlane/request-path';
+import {RetryBudget} from '@medlarlane/retry';
+import type {RequestKind} from '@medlarlane/site-config';
+
+const wire: CallerWire = {
+  reservedHeaders: new Set(['x-id']),
+  readRequest: (headers) => ({
+    requestId: headers['x-id'] as string | undefined,
+    timeLeftMs: Number(headers['x-left'] ?? 500),
+    key: headers['x-key'] === undefined ? undefined : Number(headers['x-key']),
+  }),
+  refusalHeaders: ({retryAfterMs}) =>
+    retryAfterMs === undefined ? [] : ['Retry-After', String(retryAfterMs / 1_000)],
+};
+
+const answered = (status: number, text = 'ok'): RunResult => ({
+  kind: 'answered',
+  answer: {status, headers: ['x-seal', 's'], body: Buffer.from(text)},
+});
+const refused = (retryAfterMs?: number): RunResult => ({
+  kind: 'refused',
+  code: 'OVERLOADED',
+  ...(retryAfterMs === undefined ? {} : {retryAfterMs}),
+});
+const rejected: RunResult = {kind: 'rejected', code: 'OVERLOADED'};
+const lost: RunResult = {kind: 'lost', code: 'TARGET_FAILED'};
+
+interface Row {
+  readonly name: string;
+  readonly kind?: RequestKind;
+  /** What becomes of the offers in turn. */
+  readonly results: readonly RunResult[];
+  readonly status: number;
+  readonly offers: number;
+}
+
+const ROWS: readonly Row[] = [
+  {name: 'an answer is passed on', results: [answered(200)], status: 200, offers: 1},
+  {
+    name: 'a refused offer is made elsewhere, also for requests that must not repeat',
+    kind: 'unsafe',
+    results: [refused(), answered(200)],
+    status: 200,
+    offers: 2,
+  },
+  {
+    name: 'a target that turned the request away lets another one have it',
+    kind: 'unsafe',
+    results: [rejected, answered(200)],
+    status: 200,
+    offers: 2,
+  },
+  {
+    name: 'a lost request that must not repeat is never sent again and promises nothing',
+    kind: 'unsafe',
+    results: [lost, answered(200)],
+    status: 502,
+    offers: 1,
+  },
+  {
+    name: 'a lost request that may repeat is sent to another target',
+    results: [lost, answered(200)],
+    status: 200,
+    offers: 2,
+  },
+  {
+    name: 'a failure of a target is answered when no other target does better',
+    results: [answered(500, 'no'), refused()],
+    status: 500,
+    offers: 4,
+  },
+  {
+    name: 'a failure is not repeated for requests that must not repeat',
+    kind: 'unsafe',
+    results: [answered(500, 'no'), answered(200)],
+    status: 500,
+    offers: 1,
+  },
+  {
+    name: 'a request that may have run is not said to be refused',
+    results: [lost, refused()],
+    status: 502,
+    offers: 4,
+  },
+  {
+    name: 'a request that nobody takes is refused',
+    kind: 'unsafe',
+    results: [refused(80)],
+    status: 503,
+    offers: 4,
+  },
+];
+
+describe('The entry of requests', () => {
+  const disposables = new DisposableStore();
+  after(() => disposables.dispose());
+
+  for (const row of ROWS) {
+    it(row.name, async () => {
+      const entry = await startEntry(disposables, row);
+      const {status} = await entry.send({});
+      assert.equal(status, row.status);
+      assert.equal(entry.offers.length, row.offers);
+    });
+  }
+
+  it('tells a refused caller when to come back', async () => {
+    const entry = await startEntry(disposables, {results: [refused(80)], kind: 'unsafe'});
+    const {headers} = await entry.send({});
+    assert.equal(headers['retry-after'], '0.08');
+  });
+
+  it('stops sending again when the budget of the service is used up', async () => {
+    const entry = await startEntry(disposables, {
+      results: [lost],
+      budget: new RetryBudget({share: 0, floorRps: 0}),
+    });
+    const {status} = await entry.send({});
+    assert.deepEqual([status, entry.offers.length], [502, 1]);
+  });
+
+  it('offers a request for a key to the owner only', async () => {
+    const entry = await startEntry(disposables, {results: [refused()], keyed: true});
+    const {status} = await entry.send({'x-key': '70'});
+    assert.equal(status, 503);
+    assert.deepEqual(
+      entry.offers.map(({life}) => life),
+      ['b/1'],
+    );
+  });
+
+  it('answers at the deadline, and not that the request did not run', async () => {
+    const entry = await startEntry(disposables, {results: []});
+    const startedAtMs = performance.now();
+    const {status} = await entry.send({'x-left': '60'});
+    assert.equal(status, 504);
+    assert.ok(performance.now() - startedAtMs < 400);
+  });
+
+  it('knows no route of another host', async () => {
+    const entry = await startEntry(disposables, {results: []});
+    const {status} = await entry.send({host: 'other.example'});
+    assert.equal(status, 404);
+  });
+
+  it('passes on what is left of the time to the deadline and to the target latency', async () => {
+    const entry = await startEntry(disposables, {results: [answered(200)]});
+    await entry.send({'x-left': '300'});
+    const [offer] = entry.offers;
+    assert.ok(offer && offer.deadlineLeftMs <= 300 && offer.deadlineLeftMs > 200);
+    // The route allows 500 ms, so that 200 ms of the target latency of 400 ms have passed.
+    assert.ok(offer.targetLeftMs <= 200 && offer.targetLeftMs > 100);
+  });
+});
+
+async function startEntry(
+  disposables: DisposableStore,
+  opts: {
+    results: readonly RunResult[];
+    kind?: RequestKind;
+    keyed?: boolean;
+    budget?: RetryBudget;
+  },
+) {
+  const view = new SiteView({clock: systemClock, availabilityZone: 'a'});
+  view.setConfiguration({
+    version: 1,
+    routes: [
+      {
+        name: 'schedule',
+        host: 'walls.example',
+        pathPrefix: '/schedule/',
+        kind: opts.kind ?? 'safe',
+        timeoutMs: 500,
+        targetLatencyMs: 400,
+        priority: 1,
+        maxAttempts: 2,
+        shares: [{service: 'wallboard', weight: 1}],
+        extras: {},
+      },
+    ],
+    services: [{name: 'wallboard', maxConnections: 9, keyed: opts.keyed ?? false, extras: {}}],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000,
+      headerTimeoutMs: 1_000,
+      idleTimeoutMs: 1_000,
+      extras: {},
+    },
+  });
+  view.updateInstances({
+    full: true,
+    removed: [],
+    instances: ['a/1', 'b/1', 'c/1', 'd/1', 'e/1'].map((life) => ({
+      forwardAddress: `${life}:1`,
+      availabilityZone: 'a',
+      life,
+      service: 'wallboard',
+      state: 'ready',
+      slots: 4,
+      coldLeftMs: 0,
+      stopping: false,
+    })),
+  });
+  view.setRanges('wallboard', [
+    {fromKey: 0, toKey: 49, ownerLife: 'a/1'},
+    {fromKey: 50, toKey: 99, ownerLife: 'b/1'},
+  ]);
+  const offers: Offer[] = [];
+  const handler = createEntryHandler({
+    view,
+    clock: systemClock,
+    logger: silentLogger,
+    wire,
+    peers: {
+      run: async ({offer, signal}) => {
+        const result = opts.results[Math.min(offers.length, opts.results.length - 1)];
+        offers.push(offer);
+        if (result) return result;
+        await once(signal, 'abort');
+        return {kind: 'lost', code: 'CANCELLED'};
+      },
+      close: () => undefined,
+    },
+    gate: {} as TargetGate,
+    forwardAddress: 'self:1',
+    callerService: 'desk',
+    poison: new PoisonTable({reporterId: 'test'}),
+    retryBudget: () => opts.budget ?? budget,
+    phase: () => 'open',
+  });
+  const budget = new RetryBudget({share: 1, floorRps: 10});
+  const server = http.createServer((request, response) => {
+    void handler.handle(request, response);
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  disposables.add(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const {port} = server.address() as AddressInfo;
+  const send = async (headers: Record<string, string>) => {
+    const request = http.get({
+      port,
+      host: '127.0.0.1',
+      path: '/schedule/1',
+      headers: {host: 'walls.example', 'x-id': 'r1', ...headers},
+    });
+    const [response] = (await once(request, 'response')) as [http.IncomingMessage];
+    response.resume();
+    await once(response, 'end');
+    return {status: response.statusCode, headers: response.headers};
+  };
+  return {send, offers};
+}
--- a/routing/site-link/src/siteLink.ts
+++ b/routing/site-link/src/siteLink.ts
@@ -94,10 +94,15 @@
     const address = this.leaderAddress ?? this.nextAddress();
     const sentAtMs = clock.nowMs();
     const answer = reportResponseSchema.parse(
-      await rpc.call(address, 'report', {...report(this.known), waitMs}, {
-        timeoutMs: waitMs + REPORT_TIMEOUT_MS,
-        ...(signal ? {signal} : {}),
-      }),
+      await rpc.call(
+        address,
+        'report',
+        {...report(this.known), waitMs},
+        {
+          timeoutMs: waitMs + REPORT_TIMEOUT_MS,
+          ...(signal ? {signal} : {}),
+        },
+      ),
     );
     if (!this.isNewer(answer)) return;
     this.leaderAddress = address;
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -3,7 +3,17 @@
 import {existsSync, readFileSync, readdirSync} from 'node:fs';
 import path from 'node:path';
 
-const DOMAINS = ['kernel', 'protocol', 'control', 'routing', 'targets', 'apps', 'testing', 'platform', 'bench'];
+const DOMAINS = [
+  'kernel',
+  'protocol',
+  'control',
+  'routing',
+  'targets',
+  'apps',
+  'testing',
+  'platform',
+  'bench',
+];
 // A system test starts up to ten processes; with more files at once their start delays the elections of
 // the others.
 const MAX_PARALLEL_FILES = 2;
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -311,7 +311,10 @@
       if (this.leaving.some((stretch) => stretch.transferId === transferId)) continue;
       const kept = this.assigned.flatMap((range) => this.remaining(range));
       const stretch = this.keyLoad?.pickStretch(kept, share);
-      this.opts.logger.info({life: this.life, transferId, share, ...stretch}, 'Picked keys to give');
+      this.opts.logger.info(
+        {life: this.life, transferId, share, ...stretch},
+        'Picked keys to give',
+      );
       // An empty stretch marks the transfer as looked at.
       this.leaving.push({transferId, ...(stretch ?? {fromKey: 0, toKey: -1})});
     }
--- a/targets/key-holds/test/hostedTarget.test.ts
+++ b/targets/key-holds/test/hostedTarget.test.ts
@@ -114,7 +114,10 @@
     for (let key = 500; key < 600; key += 1) hosted.countOffer(key);
     lease({leaseMs: 2_000, transfers: [{transferId: 4, share: 0.3}]});
     const ranges = grantOf(beat({sequence: 3}))?.ranges ?? [];
-    assert.deepEqual(ranges.map(({fromKey}) => fromKey), [3]);
+    assert.deepEqual(
+      ranges.map(({fromKey}) => fromKey),
+      [3],
+    );
     beat({sequence: 4, freed: [{fromKey: 0, toKey: 2, handover: 'h'}]});
     assert.equal(hosted.released[0]?.transferId, 4);
   });
