--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -11,7 +11,7 @@
 };
 
 export default tseslint.config(
-  {ignores: ['**/lib/**', '**/node_modules/**', '**/gen/**', '**/*.mjs']},
+  {ignores: ['**/target/**', '**/lib/**', '**/node_modules/**', '**/gen/**', '**/*.mjs']},
   ...tseslint.configs.recommended,
   {
     plugins: {'import-x': importPlugin},
