--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -10,6 +10,7 @@
   createEntryHandler,
   createPeerClient,
   createTargetClient,
+  LoopLag,
   SiteView,
   startGateListener,
   TargetGate,
@@ -123,6 +124,7 @@
     onRun: (result, workMs) => metrics.ranAtTarget(result, workMs),
     onKeyOffer: (key) => hosted.countOffer(key),
   });
+  const loopLag = new LoopLag(disposables);
   const peers = disposables.use(createPeerClient(), (client) => client.close());
   let daemonCount = 1;
   const budgets = new Map<string, RetryBudget>();
@@ -150,6 +152,7 @@
     callerService: opts.service,
     poison,
     retryBudget,
+    lagMs: () => loopLag.lagMs,
     phase: () => (closed ? 'closed' : stopping ? 'closing' : 'open'),
     onAnswer: (outcome) => metrics.answered(outcome),
   });
--- a/kernel/rpc/src/createRpcClient.ts
+++ b/kernel/rpc/src/createRpcClient.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import {decode, encode} from '@msgpack/msgpack';
 import {isErrorCode, MedlarlaneError} from '@medlarlane/errors';
+import {readWhole} from './readWhole.js';
 import {splitAddress} from './splitAddress.js';
 
 export interface RpcClientOptions {
@@ -87,15 +88,7 @@
 }
 
 async function readAnswer(response: http.IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  for await (const chunk of response as AsyncIterable<Buffer>) {
-    sizeBytes += chunk.length;
-    if (sizeBytes > MAX_ANSWER_BYTES) throw new Error('Answer is too large');
-    chunks.push(chunk);
-  }
-  if (!response.complete) throw new Error('Answer is incomplete');
-  return decode(Buffer.concat(chunks));
+  return decode(await readWhole(response, MAX_ANSWER_BYTES));
 }
 
 function toError(answer: unknown): MedlarlaneError {
--- a/kernel/rpc/src/index.ts
+++ b/kernel/rpc/src/index.ts
@@ -1,4 +1,5 @@
 export {createRpcClient} from './createRpcClient.js';
 export type {RpcCallOptions, RpcClient, RpcClientOptions} from './createRpcClient.js';
+export {readWhole} from './readWhole.js';
 export {startRpcServer} from './startRpcServer.js';
 export type {RpcHandler, RpcServer, RpcServerOptions} from './startRpcServer.js';
--- a/kernel/rpc/src/startRpcServer.ts
+++ b/kernel/rpc/src/startRpcServer.ts
@@ -3,6 +3,7 @@
 import type {AddressInfo} from 'node:net';
 import {decode, encode} from '@msgpack/msgpack';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
+import {readWhole} from './readWhole.js';
 
 /** Answers one method; the result is encoded as MessagePack. */
 export type RpcHandler = (payload: unknown) => Promise<unknown>;
@@ -22,6 +23,8 @@
   close(): Promise<void>;
 }
 
+/** The largest call is a snapshot for another replica. */
+const MAX_CALL_BYTES = 64 * 1024 * 1024;
 /** Longer than callers pause between calls, so that they find their connections open. */
 const IDLE_CONNECTION_MS = 30_000;
 
@@ -67,10 +70,9 @@
 }
 
 async function readPayload(request: http.IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
+  const body = await readWhole(request, MAX_CALL_BYTES);
   try {
-    return decode(Buffer.concat(chunks));
+    return decode(body);
   } catch (cause) {
     throw new MedlarlaneError('REQUEST_INVALID', 'Body is not MessagePack', {cause});
   }
--- a/routing/request-path/src/createPeerClient.ts
+++ b/routing/request-path/src/createPeerClient.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import {decode, encode} from '@msgpack/msgpack';
+import {readWhole} from '@medlarlane/rpc';
 import type {Offer, RequestFrame, RunResult} from './messages.js';
 import {OFFER_HEADER} from './peerProtocol.js';
 
@@ -23,6 +24,8 @@
 const ANSWER_GRACE_MS = 60;
 /** Requests of one daemon that may be on their way to another one. */
 const MAX_CONNECTIONS_PER_PEER = 256;
+/** The largest answer that a target may give, with its frame. */
+const MAX_RESULT_BYTES = 65 * 1024 * 1024;
 const MAX_IDLE_MS = 20_000;
 
 /** Creates the client for requests to other daemons. */
@@ -97,8 +100,5 @@
 }
 
 async function readResult(response: http.IncomingMessage): Promise<RunResult> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of response as AsyncIterable<Buffer>) chunks.push(chunk);
-  if (!response.complete) throw new Error('Result is incomplete');
-  return decode(Buffer.concat(chunks)) as RunResult;
+  return decode(await readWhole(response, MAX_RESULT_BYTES)) as RunResult;
 }
--- a/routing/request-path/src/createTargetClient.ts
+++ b/routing/request-path/src/createTargetClient.ts
@@ -1,6 +1,6 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
-import {MedlarlaneError} from '@medlarlane/errors';
+import {readWhole} from '@medlarlane/rpc';
 import {endToEndHeaders} from './endToEndHeaders.js';
 import type {Offer, RequestFrame, RunResult, TargetWire} from './messages.js';
 
@@ -129,7 +129,7 @@
       );
     });
     request.on('response', (response) => {
-      readWhole(response).then(
+      readWhole(response, MAX_ANSWER_BYTES).then(
         (body) => {
           const result = judge(wire, offer, response, body);
           settle(result);
@@ -149,19 +149,6 @@
   return mayOmit ? [] : ['Content-Length', String(body.length)];
 }
 
-async function readWhole(response: http.IncomingMessage): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  for await (const chunk of response as AsyncIterable<Buffer>) {
-    sizeBytes += chunk.length;
-    if (sizeBytes > MAX_ANSWER_BYTES)
-      throw new MedlarlaneError('TARGET_FAILED', 'Answer too large');
-    chunks.push(chunk);
-  }
-  if (!response.complete) throw new MedlarlaneError('TARGET_FAILED', 'Answer is incomplete');
-  return Buffer.concat(chunks);
-}
-
 function judge(
   wire: TargetWire,
   offer: Offer,
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -5,6 +5,7 @@
 import type {Logger} from '@medlarlane/logger';
 import type {PoisonTable} from '@medlarlane/poison';
 import type {RetryBudget} from '@medlarlane/retry';
+import {readWhole} from '@medlarlane/rpc';
 import type {Route} from '@medlarlane/site-config';
 import type {PeerClient} from './createPeerClient.js';
 import {endToEndHeaders} from './endToEndHeaders.js';
@@ -27,6 +28,8 @@
   readonly poison: PoisonTable;
   readonly retryBudget: (service: string) => RetryBudget;
   /** `closing` connections are not kept, `closed` daemons take no request any more. */
+  /** How late this process gets to its work, milliseconds. */
+  readonly lagMs: () => number;
   readonly phase: () => 'open' | 'closing' | 'closed';
   readonly onAnswer?: (outcome: EntryOutcome) => void;
 }
@@ -69,6 +72,17 @@
   readonly code?: ErrorCode;
 }
 
+/**
+ * A daemon that is later than this with its work refuses requests before anything else, because the
+ * time that they waited unread cannot be known.
+ */
+const MAX_LAG_MS = 150;
+/** An overloaded daemon catches up within about this time once it refuses. */
+const LAG_RETRY_MS = 300;
+const NO_BODY = Buffer.alloc(0);
+/** Given as values, because the default reason is an exception that costs a stack trace. */
+const CALLER_LEFT = 'caller left';
+const DEADLINE_PASSED = 'deadline passed';
 /** Daemons to which one request is offered; each refusal costs a round trip. */
 const MAX_OFFERS = 4;
 /** A caller that is refused while the owner of its key changes finds it settled after about this time. */
@@ -116,7 +130,7 @@
   response.on('close', () => {
     if (response.writableFinished) return;
     gone = true;
-    abort.abort();
+    abort.abort(CALLER_LEFT);
   });
   const final = await answerFor(opts, job, timeLeftMs).catch((thrown: unknown) =>
     refusal(opts, job, toMedlarlaneError(thrown)),
@@ -140,6 +154,11 @@
   const {view, clock} = opts;
   const {request} = job;
   if (opts.phase() === 'closed') throw new MedlarlaneError('DRAINING', 'This daemon stops');
+  if (opts.lagMs() > MAX_LAG_MS) {
+    throw new MedlarlaneError('OVERLOADED', 'This daemon is behind with its work', {
+      details: {retryAfterMs: LAG_RETRY_MS},
+    });
+  }
   if (!view.hasConfiguration) {
     throw new MedlarlaneError('STALE_CONFIGURATION', 'No configuration is known yet', {
       details: {retryAfterMs: NO_CONFIGURATION_RETRY_MS},
@@ -165,25 +184,16 @@
     body,
   };
   if (!opts.poison.isEmpty) opts.poison.check(fingerprintsOf(service, frame));
-  const timeout = clock.sleep(Math.max(0, deadlineAtMs - clock.nowMs()), {
-    signal: job.abort.signal,
+  const leftNowMs = deadlineAtMs - clock.nowMs();
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(() => {
+      job.abort.abort(DEADLINE_PASSED);
+      reject(new MedlarlaneError('TARGET_TIMEOUT', 'Deadline passed', {ran: 'unknown'}));
+    }, leftNowMs);
+    attempt(opts, job, route, service, frame, {targetAtMs, deadlineAtMs})
+      .then(resolve, reject)
+      .finally(() => clearTimeout(timer));
   });
-  const expired = timeout.then(
-    () => {
-      job.abort.abort();
-      throw new MedlarlaneError('TARGET_TIMEOUT', 'Deadline passed', {ran: 'unknown'});
-    },
-    // The caller has left, or the answer is there.
-    () => new Promise<never>(() => undefined),
-  );
-  try {
-    return await Promise.race([
-      attempt(opts, job, route, service, frame, {targetAtMs, deadlineAtMs}),
-      expired,
-    ]);
-  } finally {
-    job.abort.abort();
-  }
 }
 
 async function attempt(
@@ -206,6 +216,10 @@
         ? view.ownerOf(service, job.key)
         : view.pickInstance(service, tried);
     if (!instance || (keyed && tried.has(instance.life))) break;
+    if (keyed && view.isFull(instance.life)) {
+      last = preferred(last, {kind: 'refused', code: 'OVERLOADED'});
+      break;
+    }
     if (arrivals > 0 && !opts.retryBudget(service).tryTake()) break;
     tried.add(instance.life);
     const result = await offer(opts, job, route, service, frame, instance, times);
@@ -354,14 +368,22 @@
 }
 
 async function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    sizeBytes += chunk.length;
-    if (sizeBytes > maxBytes) throw new MedlarlaneError('REQUEST_TOO_LARGE');
-    chunks.push(chunk);
+  const {headers} = request;
+  const empty =
+    headers['transfer-encoding'] === undefined && (headers['content-length'] ?? '0') === '0';
+  if (empty) {
+    request.resume();
+    return NO_BODY;
+  }
+  try {
+    return await readWhole(request, maxBytes);
+  } catch (cause) {
+    const tooLarge = (cause as {code?: string}).code === 'BODY_TOO_LARGE';
+    throw new MedlarlaneError(tooLarge ? 'REQUEST_TOO_LARGE' : 'CANCELLED', undefined, {
+      cause,
+      ran: 'no',
+    });
   }
-  return Buffer.concat(chunks);
 }
 
 function logAnswer(
--- a/routing/request-path/src/index.ts
+++ b/routing/request-path/src/index.ts
@@ -1,5 +1,6 @@
 export {createEntryHandler} from './entryHandler.js';
 export type {EntryHandler, EntryOptions, EntryOutcome} from './entryHandler.js';
+export {LoopLag} from './loopLag.js';
 export {SiteView} from './siteView.js';
 export type {InstanceView} from './siteView.js';
 export {TargetGate} from './targetGate.js';
--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -33,6 +33,8 @@
   failureShare: number;
   /** Not tried before this time unless nothing else is left. */
   avoidUntilMs: number;
+  /** Its queue was full a moment ago. */
+  fullUntilMs: number;
 }
 
 /** Weight of a new outcome in the smoothed failure share. */
@@ -40,6 +42,11 @@
 /** An instance that could not be reached or has no room is left alone for this time. */
 const AVOID_UNREACHABLE_MS = 1_000;
 const AVOID_FULL_MS = 30;
+/**
+ * After a refusal for lack of room the owner of a key is not asked again for this time. Its daemon
+ * would otherwise spend its processor time on refusals.
+ */
+const ASSUME_FULL_MS = 15;
 /** Before a target told its load. */
 const INITIAL_MEAN_MS = 50;
 /** Doubles the predicted latency of an instance whose slots are all in use. */
@@ -57,6 +64,8 @@
   private routes = new RouteTable(NO_CONFIGURATION);
   private instances = new Map<string, InstanceView>();
   private byLife = new Map<string, InstanceView>();
+  private byService = new Map<string, InstanceView[]>();
+  private keyedServices: ReadonlySet<string> = new Set();
   private coldUntilMs = new Map<string, number>();
   private ranges = new Map<string, readonly OwnedRange[]>();
   private readonly experience = new Map<string, Experience>();
@@ -78,6 +87,9 @@
     this.configuration = configuration;
     this.routes = new RouteTable(configuration);
     this.sentByShare.clear();
+    this.keyedServices = new Set(
+      configuration.services.filter(({keyed}) => keyed).map(({name}) => name),
+    );
   }
 
   updateInstances(update: {
@@ -91,6 +103,12 @@
       this.instances.set(instance.forwardAddress, instance);
     }
     this.byLife = new Map([...this.instances.values()].map((entry) => [entry.life, entry]));
+    this.byService = new Map();
+    for (const instance of this.instances.values()) {
+      const list = this.byService.get(instance.service);
+      if (list) list.push(instance);
+      else this.byService.set(instance.service, [instance]);
+    }
     const nowMs = this.opts.clock.nowMs();
     for (const {life, coldLeftMs} of update.instances) {
       if (coldLeftMs > 0 && !this.coldUntilMs.has(life)) {
@@ -118,12 +136,12 @@
   }
 
   isKeyed(service: string): boolean {
-    return this.configuration.services.some(({name, keyed}) => name === service && keyed);
+    return this.keyedServices.has(service);
   }
 
   /** Instances of a service that take part, whether ready or not. */
-  instancesOf(service: string): InstanceView[] {
-    return [...this.instances.values()].filter((instance) => instance.service === service);
+  instancesOf(service: string): readonly InstanceView[] {
+    return this.byService.get(service) ?? [];
   }
 
   /** Deals the requests of a route to its services in proportion to their weights. */
@@ -194,6 +212,9 @@
       const outcome = failed ? 1 : 0;
       experience.failureShare += (outcome - experience.failureShare) * FAILURE_SMOOTHING;
     }
+    if (result.kind === 'refused' && result.code === 'OVERLOADED') {
+      experience.fullUntilMs = nowMs + ASSUME_FULL_MS;
+    }
     if (result.kind === 'refused') {
       const unreachable = result.code === 'PEER_FAILED' || result.code === 'NO_TARGET';
       if (!cancelled) {
@@ -202,6 +223,11 @@
     }
   }
 
+  /** Whether an offer there would be refused, as far as the last refusal tells. */
+  isFull(life: string): boolean {
+    return this.of(life).fullUntilMs > this.opts.clock.nowMs();
+  }
+
   private predictedMs({life, slots, availabilityZone}: InstanceView): number {
     const {load, outstanding, sentSinceLoad, failureShare} = this.of(life);
     const busy = load ? load.inFlight + load.waiting + sentSinceLoad : outstanding;
@@ -225,6 +251,7 @@
         sentSinceLoad: 0,
         failureShare: 0,
         avoidUntilMs: 0,
+        fullUntilMs: 0,
       };
       this.experience.set(life, experience);
     }
--- a/routing/request-path/src/startGateListener.ts
+++ b/routing/request-path/src/startGateListener.ts
@@ -4,6 +4,7 @@
 import {decode, encode} from '@msgpack/msgpack';
 import {toMedlarlaneError} from '@medlarlane/errors';
 import type {Logger} from '@medlarlane/logger';
+import {readWhole} from '@medlarlane/rpc';
 import {offerSchema, requestFrameSchema} from './messages.js';
 import type {RequestFrame, RunResult} from './messages.js';
 import {OFFER_HEADER} from './peerProtocol.js';
@@ -24,6 +25,10 @@
   close(): Promise<void>;
 }
 
+/** Given as a value, because the default reason is an exception that costs a stack trace. */
+const CALLER_LEFT = 'caller left';
+/** The largest body that a configuration may allow, with its frame. */
+const MAX_FRAME_BYTES = 65 * 1024 * 1024;
 /** Longer than daemons keep idle connections to each other. */
 const IDLE_CONNECTION_MS = 60_000;
 
@@ -65,7 +70,7 @@
 ): Promise<void> {
   const abort = new AbortController();
   response.on('close', () => {
-    if (!response.writableFinished) abort.abort();
+    if (!response.writableFinished) abort.abort(CALLER_LEFT);
   });
   let admission: GateAdmission | undefined;
   let result: RunResult;
@@ -98,7 +103,5 @@
 }
 
 async function readFrame(request: http.IncomingMessage): Promise<RequestFrame> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
-  return requestFrameSchema.parse(decode(Buffer.concat(chunks)));
+  return requestFrameSchema.parse(decode(await readWhole(request, MAX_FRAME_BYTES)));
 }
--- a/routing/request-path/test/entry.test.ts
+++ b/routing/request-path/test/entry.test.ts
@@ -146,6 +146,13 @@
     assert.ok(performance.now() - startedAtMs < 400);
   });
 
+  it('refuses at once while the process is behind with its work', async () => {
+    const entry = await startEntry(disposables, {results: [answered(200)], lagMs: 400});
+    const {status, headers} = await entry.send({});
+    assert.deepEqual([status, entry.offers.length], [503, 0]);
+    assert.ok(Number(headers['retry-after']) > 0);
+  });
+
   it('knows no route of another host', async () => {
     const entry = await startEntry(disposables, {results: []});
     const {status} = await entry.send({host: 'other.example'});
@@ -169,6 +176,7 @@
     kind?: RequestKind;
     keyed?: boolean;
     budget?: RetryBudget;
+    lagMs?: number;
   },
 ) {
   const view = new SiteView({clock: systemClock, availabilityZone: 'a'});
@@ -237,6 +245,7 @@
     poison: new PoisonTable({reporterId: 'test'}),
     retryBudget: () => opts.budget ?? budget,
     phase: () => 'open',
+    lagMs: () => opts.lagMs ?? 0,
   });
   const budget = new RetryBudget({share: 1, floorRps: 10});
   const server = http.createServer((request, response) => {
