Judge held keys by a clock that never runs ahead; pass joins on to the leader

A replica with an empty disk asked the three seeds to join, none of which led, and was never taken in; the final fault then left two of five logs.

--- a/apps/site/src/startSiteControl.ts
+++ b/apps/site/src/startSiteControl.ts
@@ -123,7 +123,15 @@
       consensus: consensusHandler(replica),
       report: (payload) => control.report(reportRequestSchema.parse(payload)),
       join: async (payload) => {
-        members.join(joinRequestSchema.parse(payload));
+        const request = joinRequestSchema.parse(payload);
+        const {leaderId, members: known} = replica.status();
+        const leaderAddress = leaderId === undefined ? undefined : known.addresses[leaderId];
+        if (replica.isLeader()) members.join(request);
+        // The joiner knows the seeds only, and none of them may be the leader.
+        else if (leaderAddress !== undefined && leaderAddress !== ownAddress && !request.relayed) {
+          const relayed = {...request, relayed: true};
+          await rpc.call(leaderAddress, 'join', relayed, {timeoutMs: JOIN_TIMEOUT_MS});
+        }
         return {};
       },
     },
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -2,7 +2,7 @@
 import {once} from 'node:events';
 import {MedlarlaneError} from '@medlarlane/errors';
 import {HostedTarget} from '@medlarlane/key-holds';
-import {BackgroundTasks, DisposableStore} from '@medlarlane/lifecycle';
+import {BackgroundTasks, DisposableStore, systemClock} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
 import {loggerFor} from '@medlarlane/logger';
 import type {Logger} from '@medlarlane/logger';
@@ -90,6 +90,7 @@
   const view = new SiteView({clock, availabilityZone: opts.availabilityZone});
   const hosted = new HostedTarget({
     clock,
+    steadyClock: systemClock,
     logger: loggerFor('target', logger),
     heartbeatMs: opts.heartbeatMs,
     drainMs: opts.drainMs,
--- a/control/site-control/src/memberManager.ts
+++ b/control/site-control/src/memberManager.ts
@@ -4,7 +4,12 @@
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
 
-export const joinRequestSchema = z.object({replicaId: z.string(), address: z.string()});
+export const joinRequestSchema = z.object({
+  replicaId: z.string(),
+  address: z.string(),
+  /** Passed on by a replica that is not the leader; it is not passed on again. */
+  relayed: z.boolean().optional(),
+});
 export type JoinRequest = z.infer<typeof joinRequestSchema>;
 
 export interface MemberManagerOptions {
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -39,7 +39,10 @@
 }
 
 export interface HostedTargetOptions {
+  /** Ends leases and grants; may run ahead when the machine was suspended. */
   readonly clock: Clock;
+  /** Never runs ahead; tells for how long a grant may still be in force at the target. */
+  readonly steadyClock: Clock;
   readonly logger: Logger;
   /** Pause between heartbeats. */
   readonly heartbeatMs: number;
@@ -94,6 +97,8 @@
   private ended = false;
   private readonly startedAtMs: number;
   private grantedUntilMs = -Infinity;
+  /** The same on the steady clock. */
+  private holdsUntilMs = -Infinity;
   private granted: readonly GrantedRange[] = [];
   private leaseUntilMs = -Infinity;
   /** Leases from reports that were sent before do not count; see `disclaim`. */
@@ -111,7 +116,7 @@
   onCrash: (life: string) => void = () => undefined;
 
   constructor(private readonly opts: HostedTargetOptions) {
-    this.startedAtMs = opts.clock.nowMs();
+    this.startedAtMs = opts.steadyClock.nowMs();
   }
 
   get life(): string | undefined {
@@ -126,13 +131,13 @@
     if (!this.heartbeat) return undefined;
     if (this.ended) return 'ended';
     if (this.drainSinceMs !== undefined) return 'draining';
-    const silentMs = this.opts.clock.nowMs() - this.heardAtMs;
+    const silentMs = this.opts.steadyClock.nowMs() - this.heardAtMs;
     return silentMs > SILENT_AFTER_HEARTBEATS * this.opts.heartbeatMs ? 'silent' : 'ready';
   }
 
   /** Whether the next heartbeat is overdue, so that it is worth asking whether the target still runs. */
   get overdue(): boolean {
-    const silentMs = this.opts.clock.nowMs() - this.heardAtMs;
+    const silentMs = this.opts.steadyClock.nowMs() - this.heardAtMs;
     return this.heartbeat !== undefined && !this.ended && silentMs > 1.3 * this.opts.heartbeatMs;
   }
 
@@ -146,9 +151,9 @@
 
   /** An earlier process of this daemon may have given a grant just before it ended. */
   get mayHoldKeys(): boolean {
-    const nowMs = this.opts.clock.nowMs();
+    const nowMs = this.opts.steadyClock.nowMs();
     const earlierProcess = nowMs < this.startedAtMs + HOLD_MS / CLOCK_RATE_MARGIN;
-    return !this.ended && (earlierProcess || nowMs < this.grantedUntilMs);
+    return !this.ended && (earlierProcess || nowMs < this.holdsUntilMs);
   }
 
   /** Lives that ended for certain, for the control leader. */
@@ -178,8 +183,9 @@
 
   /** Time until a grant is due that includes the key; `undefined` when none is planned. */
   grantDueInMs(key: number): number | undefined {
-    const nowMs = this.opts.clock.nowMs();
-    if (nowMs >= this.leaseUntilMs || this.drainSinceMs !== undefined) return undefined;
+    if (this.opts.clock.nowMs() >= this.leaseUntilMs) return undefined;
+    if (this.drainSinceMs !== undefined) return undefined;
+    const nowMs = this.opts.steadyClock.nowMs();
     const planned = this.assigned
       .flatMap((range) => this.remaining(range))
       .some(({fromKey, toKey}) => fromKey <= key && key <= toKey);
@@ -208,10 +214,10 @@
     if (!former || lifeOf(former) !== lifeOf(next)) this.startLife(next, former);
     const stateBefore = this.state;
     this.heartbeat = next;
-    this.heardAtMs = this.opts.clock.nowMs();
+    this.heardAtMs = this.opts.steadyClock.nowMs();
     this.ended = false;
     if (next.state === 'draining' && this.drainSinceMs === undefined) {
-      this.drainSinceMs = this.heardAtMs;
+      this.drainSinceMs = this.opts.clock.nowMs();
       this.opts.logger.info({life: lifeOf(next)}, 'Target drains');
     }
     this.takeFreed(next);
@@ -233,6 +239,7 @@
     this.ended = true;
     this.granted = [];
     this.grantedUntilMs = -Infinity;
+    this.holdsUntilMs = -Infinity;
     this.opts.logger.info({life: this.life}, 'Target ended');
     if (this.drainSinceMs === undefined) this.onCrash(lifeOf(this.heartbeat));
     this.onChange();
@@ -287,6 +294,7 @@
     this.drainSinceMs = undefined;
     this.granted = [];
     this.grantedUntilMs = -Infinity;
+    this.holdsUntilMs = -Infinity;
     this.assigned = [];
     this.givenBack = [];
     this.leaving = [];
@@ -349,6 +357,7 @@
     }
     this.granted = ranges;
     this.grantedUntilMs = nowMs + holdMs / CLOCK_RATE_MARGIN;
+    this.holdsUntilMs = this.opts.steadyClock.nowMs() + holdMs / CLOCK_RATE_MARGIN;
     return {ranges, holdMs};
   }
 
--- a/targets/key-holds/test/hostedTarget.test.ts
+++ b/targets/key-holds/test/hostedTarget.test.ts
@@ -104,6 +104,18 @@
     assert.equal(hosted.mayHoldKeys, false);
   });
 
+  it('may still hold keys when the time of day steps forward, but serves none of them', async () => {
+    const {hosted, clock, steps, beat, lease} = startHosted();
+    await clock.advance(3_400);
+    beat({sequence: 1});
+    lease({leaseMs: 4_000});
+    beat({sequence: 2});
+    steps.aheadMs = 5_000;
+    assert.equal(hosted.holdsKey(10), false);
+    assert.equal(hosted.mayHoldKeys, true);
+    assert.equal(hosted.state, 'ready');
+  });
+
   it('leaves out the keys of a transfer that carry the wanted part of the requests', () => {
     const {hosted, beat, lease} = startHosted();
     beat({sequence: 1});
@@ -138,8 +150,14 @@
 
 function startHosted() {
   const clock = new ManualClock();
+  const steps = {aheadMs: 0};
   const hosted = new HostedTarget({
-    clock,
+    clock: {
+      nowMs: () => clock.nowMs() + steps.aheadMs,
+      wallMs: () => clock.wallMs(),
+      sleep: (durationMs, opts) => clock.sleep(durationMs, opts),
+    },
+    steadyClock: clock,
     logger: silentLogger,
     heartbeatMs: 900,
     drainMs: 2_000,
@@ -176,5 +194,5 @@
       hasSuccessors: true,
       ...fields,
     });
-  return {clock, hosted, beat, lease};
+  return {clock, steps, hosted, beat, lease};
 }
