Tell a reset from the end of an answer without length

Ruled out: the check of the message's completeness, which Node.js sets for both. Change: the connection is written to after the end; a reset one fails at once. The new row of the target client's table fails without it.

--- a/routing/request-path/src/createTargetClient.ts
+++ b/routing/request-path/src/createTargetClient.ts
@@ -129,7 +129,10 @@
       );
     });
     request.on('response', (response) => {
-      readWhole(response, MAX_ANSWER_BYTES).then(
+      const whole = isFramed(response.headers)
+        ? readWhole(response, MAX_ANSWER_BYTES)
+        : readUntilClose(response);
+      whole.then(
         (body) => {
           const result = judge(wire, offer, response, body);
           settle(result);
@@ -149,6 +152,28 @@
   return mayOmit ? [] : ['Content-Length', String(body.length)];
 }
 
+function isFramed(headers: http.IncomingHttpHeaders): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
+/**
+ * Reads an answer that ends with its connection. libuv reports a reset that follows data closely as
+ * an orderly end, so the connection is written to: only a reset one fails at once. The bytes are an
+ * empty line, which HTTP allows before a request.
+ */
+async function readUntilClose(response: http.IncomingMessage): Promise<Buffer> {
+  const {socket} = response;
+  let failure: Error | undefined;
+  socket.prependListener('error', (error) => (failure = error));
+  socket.prependListener('end', () => {
+    socket.write('\r\n', (error) => (failure ??= error ?? undefined));
+  });
+  const body = await readWhole(response, MAX_ANSWER_BYTES);
+  await new Promise((resolve) => setImmediate(resolve));
+  if (failure) throw failure;
+  return body;
+}
+
 function judge(
   wire: TargetWire,
   offer: Offer,
--- a/routing/request-path/test/targetClient.test.ts
+++ b/routing/request-path/test/targetClient.test.ts
@@ -42,6 +42,12 @@
     },
     expected: 'lost TARGET_FAILED',
   },
+  {
+    name: 'an answer without length whose reset follows at once',
+    answer: (socket, id) =>
+      socket.write(head(id, 'Connection: close') + 'ok', () => socket.resetAndDestroy()),
+    expected: 'lost TARGET_FAILED',
+  },
   {
     name: 'an answer that is shorter than its length',
     answer: (socket, id) => socket.end(head(id, 'Content-Length: 9') + 'ok'),
