Keep instances that a new leader has not named yet; go on with the target after a restart

Requests were refused while a daemon restarted although its target went on. Calls of targets waited behind new work of the same priority. Change: instances stay for 20 s until the new leader names or removes them; a restarted daemon adopts its target from the directory; the queue orders by target latency within a priority.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -15,7 +15,7 @@
   startGateListener,
   TargetGate,
 } from '@medlarlane/request-path';
-import type {CallerWire, EntryHandler, GateTarget, TargetWire} from '@medlarlane/request-path';
+import type {CallerWire, GateTarget, TargetWire} from '@medlarlane/request-path';
 import {PoisonTable} from '@medlarlane/poison';
 import {RetryBudget} from '@medlarlane/retry';
 import {createRpcClient} from '@medlarlane/rpc';
@@ -86,6 +86,7 @@
   const disposables = new DisposableStore();
   let stopping = false;
   let closed = false;
+  let gateClosed = false;
   const forwardAddress = `${opts.forward.host}:${opts.forward.port}`;
   const view = new SiteView({clock, availabilityZone: opts.availabilityZone});
   const hosted = new HostedTarget({
@@ -118,7 +119,7 @@
     clock,
     logger: loggerFor('gate', logger),
     client: targetClient,
-    target: () => gateTarget(hosted, closed),
+    target: () => gateTarget(hosted, gateClosed),
     holdsKey: (key) => hosted.holdsKey(key),
     grantDueInMs: (key) => hosted.grantDueInMs(key),
     poison,
@@ -178,6 +179,8 @@
     const others = view
       .instancesOf(opts.service)
       .filter(({state, life}) => state === 'ready' && life !== hosted.life);
+    const ownEntry = answer.instances.find((entry) => entry.forwardAddress === forwardAddress);
+    if (ownEntry) hosted.adopt(ownEntry);
     hosted.renew({
       sentAtMs,
       leaseMs: answer.leaseMs,
@@ -264,7 +267,9 @@
           callerServer.close();
           callerServer.closeIdleConnections();
         }
-        if (closed && isIdle(entry, gate)) break;
+        // Other daemons need the target until this one really stops, since nobody else reaches it.
+        if (closed && entry.inFlight === 0) gateClosed = true;
+        if (gateClosed && gate.inFlight === 0) break;
         await clock.sleep(STOP_CHECK_MS);
       }
       logger.info({inFlight: entry.inFlight}, 'Daemon closes');
@@ -275,10 +280,6 @@
   };
 }
 
-function isIdle(entry: EntryHandler, gate: TargetGate): boolean {
-  return entry.inFlight === 0 && gate.inFlight === 0;
-}
-
 function gateTarget(hosted: HostedTarget, closed: boolean): GateTarget | MedlarlaneError {
   const {current, life} = hosted;
   if (!current || life === undefined) return new MedlarlaneError('NO_TARGET');
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -213,6 +213,9 @@
     });
     await this.assign(target.service, assignments);
     term.rebalancedAtMs.set(target.service, this.opts.clock.nowMs());
+    if (assignments.some(({ownerLife}) => ownerLife === '') && !this.placing) {
+      await this.placeKeys(term);
+    }
   }
 
   /** Targets of a service that may get keys. */
--- a/routing/admission/src/slotQueue.ts
+++ b/routing/admission/src/slotQueue.ts
@@ -48,7 +48,7 @@
 export class SlotQueue {
   private slots: number;
   private readonly clock: Clock;
-  /** Most urgent first, then by arrival. */
+  /** Most urgent first, then those whose target latency ends first. */
   private waiters: Waiter[] = [];
   private inFlightCount = 0;
   private readonly durationMs = new Map<string, number>();
@@ -104,7 +104,7 @@
     if (this.inFlightCount < this.slots && this.waiters.length === 0) {
       return Promise.resolve(this.grant(nowMs));
     }
-    const ahead = this.waiters.filter(({priority}) => priority <= request.priority).length;
+    const ahead = this.waiters.filter((waiter) => !isBefore(request, waiter)).length;
     const startAtMs = nowMs + this.predictedWaitMs(ahead);
     if (!this.meetsTarget(request, startAtMs)) {
       return Promise.reject(this.overloaded());
@@ -159,7 +159,7 @@
 
   private insert(waiter: Waiter): void {
     let place = this.waiters.length;
-    while (place > 0 && this.waiters[place - 1]!.priority > waiter.priority) place -= 1;
+    while (place > 0 && isBefore(waiter, this.waiters[place - 1]!)) place -= 1;
     this.waiters.splice(place, 0, waiter);
   }
 
@@ -216,6 +216,11 @@
   }
 }
 
+/** Among equals the one whose answer loses worth first; calls of targets have the shortest times. */
+function isBefore(a: SlotRequest, b: SlotRequest): boolean {
+  return a.priority < b.priority || (a.priority === b.priority && a.targetAtMs < b.targetAtMs);
+}
+
 function smooth(current: number, next: number): number {
   return current + (next - current) * DURATION_SMOOTHING;
 }
--- /dev/null
+++ b/routing/admission/test/slotQueue.test.ts
@@ -0,0 +1,113 @@
+import assert from 'node:assert/strict';
+import {afterEach, describe, it} from 'node:test';
+import {SlotQueue} from '@medlarlane/admission';
+import type {SlotPermit, SlotRequest} from '@medlarlane/admission';
+import {MedlarlaneError} from '@medlarlane/errors';
+import {ManualClock} from '@medlarlane/lifecycle';
+
+const WORK_MS = 100;
+
+describe('The queue for the slots of a target', () => {
+  const opened: Array<{close: () => void}> = [];
+  afterEach(() => {
+    for (const queue of opened.splice(0)) queue.close();
+  });
+
+  it('admits up to the slots at once', async () => {
+    const {admit, queue} = await open(2);
+    assert.deepEqual(await Promise.all([admit({}), admit({})]), ['run', 'run']);
+    assert.equal(queue.inFlight, 2);
+  });
+
+  it('lets a request wait that can still be answered in time', async () => {
+    const {admit, finishOne} = await open(1);
+    await admit({});
+    const second = admit({targetAtMs: 500});
+    finishOne();
+    assert.equal(await second, 'run');
+  });
+
+  it('refuses at once what cannot be answered in time, and says when there is room', async () => {
+    const {queue, admit, request} = await open(1);
+    await admit({});
+    await assert.rejects(queue.acquire(request({targetAtMs: 150})), (error: MedlarlaneError) => {
+      assert.deepEqual([error.code, error.ran], ['OVERLOADED', 'no']);
+      return Number(error.details['retryAfterMs']) > 0;
+    });
+  });
+
+  it('runs a call of another target before new work of the same priority', async () => {
+    const {admit, finishOne, order} = await open(1);
+    await admit({kind: 'first'});
+    const booking = admit({kind: 'booking', targetAtMs: 800});
+    const call = admit({kind: 'call', targetAtMs: 350});
+    finishOne();
+    await call;
+    finishOne();
+    await booking;
+    assert.deepEqual(order, ['first', 'call', 'booking']);
+  });
+
+  it('keeps the urgent work and refuses the rest when a crowd comes', async () => {
+    const {queue, admit, finishOne} = await open(1);
+    await admit({});
+    const outcomes = [
+      ...Array.from({length: 20}, () => admit({priority: 2, targetAtMs: 500})),
+      ...Array.from({length: 3}, () => admit({priority: 1, targetAtMs: 500})),
+    ];
+    for (let n = 0; n < 3; n += 1) {
+      await settle();
+      finishOne();
+    }
+    await settle();
+    queue.refuseWaiting(new MedlarlaneError('DRAINING'));
+    const results = await Promise.all(outcomes);
+    assert.deepEqual(results.slice(20), ['run', 'run', 'run']);
+    const refusedAtOnce = results.slice(0, 20).filter((result) => result === 'OVERLOADED');
+    assert.ok(refusedAtOnce.length >= 16);
+    assert.ok(!results.slice(0, 20).includes('run'));
+  });
+
+  it('refuses a request whose caller has left', async () => {
+    const {admit} = await open(1);
+    await admit({});
+    const abort = new AbortController();
+    const waiting = admit({targetAtMs: 900, signal: abort.signal});
+    abort.abort();
+    assert.equal(await waiting, 'CANCELLED');
+  });
+
+  async function open(slots: number) {
+    const clock = new ManualClock();
+    const queue = new SlotQueue({slots, clock});
+    const permits: SlotPermit[] = [];
+    const order: string[] = [];
+    const request = (fields: Partial<SlotRequest>): SlotRequest => ({
+      kind: 'booking',
+      priority: 1,
+      targetAtMs: 500,
+      deadlineAtMs: 1_500,
+      ...fields,
+    });
+    // Teaches the queue how long work takes.
+    for (let n = 0; n < 200; n += 1) {
+      (await queue.acquire(request({}))).release(WORK_MS);
+    }
+    const admit = async (fields: Partial<SlotRequest>): Promise<string> => {
+      try {
+        permits.push(await queue.acquire(request(fields)));
+        order.push(fields.kind ?? 'booking');
+        return 'run';
+      } catch (error) {
+        return (error as MedlarlaneError).code;
+      }
+    };
+    const finishOne = (): void => permits.shift()?.release(WORK_MS);
+    opened.push({close: () => queue.refuseWaiting(new MedlarlaneError('DRAINING'))});
+    return {queue, admit, finishOne, order, request};
+  }
+});
+
+function settle(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -41,12 +41,16 @@
 const FAILURE_SMOOTHING = 0.1;
 /** An instance that could not be reached or has no room is left alone for this time. */
 const AVOID_UNREACHABLE_MS = 1_000;
+/** Daemons report to a new leader within a second; one that is cut off from it still serves. */
+const KEEP_UNCONFIRMED_MS = 20_000;
 const AVOID_FULL_MS = 30;
 /**
  * After a refusal for lack of room the owner of a key is not asked again for this time. Its daemon
  * would otherwise spend its processor time on refusals.
  */
 const ASSUME_FULL_MS = 15;
+/** The same after the owner's daemon could not be reached, which each try takes 250 ms to find. */
+const ASSUME_UNREACHABLE_MS = 100;
 /** Before a target told its load. */
 const INITIAL_MEAN_MS = 50;
 /** Doubles the predicted latency of an instance whose slots are all in use. */
@@ -66,6 +70,8 @@
   private byLife = new Map<string, InstanceView>();
   private byService = new Map<string, InstanceView[]>();
   private keyedServices: ReadonlySet<string> = new Set();
+  /** Instances that a new leader has not named yet, and until when they stay. */
+  private readonly unconfirmedUntilMs = new Map<string, number>();
   private coldUntilMs = new Map<string, number>();
   private ranges = new Map<string, readonly OwnedRange[]>();
   private readonly experience = new Map<string, Experience>();
@@ -97,10 +103,17 @@
     instances: readonly InstanceView[];
     removed: readonly string[];
   }): void {
-    if (update.full) this.instances.clear();
+    const nowMs = this.opts.clock.nowMs();
+    if (update.full) this.keepUnconfirmed(nowMs);
     for (const forwardAddress of update.removed) this.instances.delete(forwardAddress);
     for (const instance of update.instances) {
       this.instances.set(instance.forwardAddress, instance);
+      this.unconfirmedUntilMs.delete(instance.forwardAddress);
+    }
+    for (const [forwardAddress, untilMs] of this.unconfirmedUntilMs) {
+      if (nowMs < untilMs) continue;
+      this.instances.delete(forwardAddress);
+      this.unconfirmedUntilMs.delete(forwardAddress);
     }
     this.byLife = new Map([...this.instances.values()].map((entry) => [entry.life, entry]));
     this.byService = new Map();
@@ -109,7 +122,6 @@
       if (list) list.push(instance);
       else this.byService.set(instance.service, [instance]);
     }
-    const nowMs = this.opts.clock.nowMs();
     for (const {life, coldLeftMs} of update.instances) {
       if (coldLeftMs > 0 && !this.coldUntilMs.has(life)) {
         this.coldUntilMs.set(life, nowMs + coldLeftMs);
@@ -123,6 +135,14 @@
     }
   }
 
+  /** A new leader knows only the instances that have reported to it so far. */
+  private keepUnconfirmed(nowMs: number): void {
+    for (const forwardAddress of this.instances.keys()) {
+      if (this.unconfirmedUntilMs.has(forwardAddress)) continue;
+      this.unconfirmedUntilMs.set(forwardAddress, nowMs + KEEP_UNCONFIRMED_MS);
+    }
+  }
+
   setRanges(service: string, ranges: readonly OwnedRange[]): void {
     this.ranges.set(service, ranges);
   }
@@ -215,6 +235,9 @@
     if (result.kind === 'refused' && result.code === 'OVERLOADED') {
       experience.fullUntilMs = nowMs + ASSUME_FULL_MS;
     }
+    if (result.kind === 'refused' && result.code === 'PEER_FAILED') {
+      experience.fullUntilMs = nowMs + ASSUME_UNREACHABLE_MS;
+    }
     if (result.kind === 'refused') {
       const unreachable = result.code === 'PEER_FAILED' || result.code === 'NO_TARGET';
       if (!cancelled) {
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -100,6 +100,8 @@
   /** The same on the steady clock. */
   private holdsUntilMs = -Infinity;
   private granted: readonly GrantedRange[] = [];
+  /** Until then an adopted target is assumed to hold what is assigned to it. */
+  private assumedUntilMs = -Infinity;
   private leaseUntilMs = -Infinity;
   /** Leases from reports that were sent before do not count; see `disclaim`. */
   private leaseFloorMs = -Infinity;
@@ -195,10 +197,10 @@
 
   /** Whether the target holds the key under a grant that is still in force. */
   holdsKey(key: number): boolean {
-    return (
-      this.opts.clock.nowMs() < this.grantedUntilMs &&
-      this.granted.some(({fromKey, toKey}) => fromKey <= key && key <= toKey)
-    );
+    const nowMs = this.opts.clock.nowMs();
+    const held = nowMs < this.grantedUntilMs ? this.granted : [];
+    const ranges = nowMs < this.assumedUntilMs ? this.assigned : held;
+    return ranges.some(({fromKey, toKey}) => fromKey <= key && key <= toKey);
   }
 
   /** Takes a heartbeat; returns the grant to answer it with, or why it was not taken. */
@@ -214,6 +216,7 @@
     if (!former || lifeOf(former) !== lifeOf(next)) this.startLife(next, former);
     const stateBefore = this.state;
     this.heartbeat = next;
+    this.assumedUntilMs = -Infinity;
     this.heardAtMs = this.opts.steadyClock.nowMs();
     this.ended = false;
     if (next.state === 'draining' && this.drainSinceMs === undefined) {
@@ -225,6 +228,27 @@
     return {accepted: true, grant: this.grant()};
   }
 
+  /**
+   * Takes over what the former process of this daemon knew, until the first heartbeat comes: the
+   * target goes on with its keys while its daemon restarts, and turns away what it does not hold.
+   */
+  adopt(known: {
+    targetId: string;
+    life: string;
+    service: string;
+    state: HostedState;
+    slots: number;
+  }): void {
+    const bornMs = Number(known.life.slice(known.targetId.length + 1));
+    if (this.heartbeat || known.state !== 'ready' || !Number.isFinite(bornMs)) return;
+    const {targetId, service, slots} = known;
+    const unheard = {coldLeftMs: 0, sequence: -1, holds: [], freed: []};
+    this.heartbeat = {targetId, bornMs, service, state: 'ready', slots, ...unheard};
+    this.heardAtMs = this.opts.steadyClock.nowMs();
+    this.assumedUntilMs = this.opts.clock.nowMs() + HOLD_MS;
+    this.opts.logger.info({life: known.life}, 'Adopted the target of the former process');
+  }
+
   /** The target says that it leaves. It serves what it has for a while. */
   leave(targetId: string): void {
     if (this.heartbeat?.targetId !== targetId || this.drainSinceMs !== undefined) return;
--- a/targets/key-holds/test/hostedTarget.test.ts
+++ b/targets/key-holds/test/hostedTarget.test.ts
@@ -134,6 +134,23 @@
     assert.equal(hosted.released[0]?.transferId, 4);
   });
 
+  it('goes on with the target of its former process until the first heartbeat', async () => {
+    const {hosted, beat, lease} = startHosted();
+    hosted.adopt({
+      targetId: 'i-1',
+      life: 'i-1/1000',
+      service: 'wallboard',
+      state: 'ready',
+      slots: 8,
+    });
+    lease({leaseMs: 2_000});
+    assert.equal(hosted.takesWork, true);
+    assert.equal(hosted.holdsKey(10), true);
+    beat({sequence: 9, state: 'draining'});
+    assert.equal(hosted.holdsKey(10), false);
+    assert.equal(hosted.state, 'draining');
+  });
+
   it('takes no new work shortly before the drain time is over', async () => {
     const {hosted, clock, beat} = startHosted();
     beat({sequence: 1});
