--- a/kernel/rpc/src/readWhole.ts
+++ b/kernel/rpc/src/readWhole.ts
@@ -22,7 +22,10 @@
     });
     message.on('end', () => {
       if (!message.complete) reject(new Error('Body is cut off'));
-      else resolve(chunks.length === 0 ? NOTHING : chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+      else
+        resolve(
+          chunks.length === 0 ? NOTHING : chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
+        );
     });
     message.on('error', reject);
     message.on('close', () => reject(new Error('Body is cut off')));
