Keep an instance in the directory while its daemon restarts

Cause: a daemon that was restarted reports before its target's first heartbeat, and the leader then took the instance out of the directory. Ruled out by the log: a change of leader. Change: a report without a target leaves the entry.

--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -171,22 +171,22 @@
       this.wake();
     }
     if (target) this.acceptTarget(term, target);
-    const changed = target
-      ? term.directory.put({
-          forwardAddress,
-          availabilityZone: report.availabilityZone,
-          targetId: target.targetId,
-          life: target.life,
-          service: target.service,
-          state: target.state,
-          slots: target.slots,
-          coldLeftMs: target.coldLeftMs,
-          stopping: report.stopping,
-        })
-      : term.directory.remove(forwardAddress);
+    // A daemon that has just started has not heard from its target yet; the target goes on.
+    if (!target) return;
+    const changed = term.directory.put({
+      forwardAddress,
+      availabilityZone: report.availabilityZone,
+      targetId: target.targetId,
+      life: target.life,
+      service: target.service,
+      state: target.state,
+      slots: target.slots,
+      coldLeftMs: target.coldLeftMs,
+      stopping: report.stopping,
+    });
     if (!changed) return;
     logger.info(
-      {forwardAddress, life: target?.life, state: target?.state, before: before?.target?.state},
+      {forwardAddress, life: target.life, state: target.state, before: before?.target?.state},
       'Directory entry changed',
     );
     this.wake();
