--- /dev/null
+++ b/control/site-control/test/memberManager.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {MemberChange, PeerStatus, Replica} from '@medlarlane/consensus';
+import {ManualClock} from '@medlarlane/lifecycle';
+import {silentLogger} from '@medlarlane/logger';
+import {MemberManager} from '@medlarlane/site-control';
+
+const UP: PeerStatus = {matchIndex: 9, reachable: true, caughtUp: true, failed: false};
+const SILENT: PeerStatus = {...UP, reachable: false};
+
+describe('The member manager', () => {
+  it('takes in a joiner as a learner', async () => {
+    const group = startGroup({voters: ['a', 'b', 'c'], learners: []}, {b: UP, c: UP});
+    group.manager.join({replicaId: 'd', address: 'd:1'});
+    await group.manager.step();
+    assert.deepEqual(group.changes, [{kind: 'addLearner', replicaId: 'd', address: 'd:1'}]);
+  });
+
+  it('makes a learner a voter while voters are missing', async () => {
+    const group = startGroup({voters: ['a', 'b', 'c'], learners: ['d']}, {b: UP, c: UP, d: UP});
+    await group.manager.step();
+    assert.deepEqual(group.changes, [{kind: 'promote', replicaId: 'd'}]);
+  });
+
+  it('leaves a learner alone that has not caught up', async () => {
+    const behind = {...UP, caughtUp: false};
+    const group = startGroup({voters: ['a', 'b', 'c'], learners: ['d']}, {b: UP, c: UP, d: behind});
+    await group.manager.step();
+    assert.deepEqual(group.changes, []);
+  });
+
+  it('removes the former replica of an address at which a new one joins', async () => {
+    const group = startGroup({voters: ['a', 'b', 'c'], learners: []}, {b: UP, c: SILENT});
+    group.manager.join({replicaId: 'c#2', address: 'c:1'});
+    await group.manager.step();
+    assert.deepEqual(group.changes, [{kind: 'remove', replicaId: 'c'}]);
+  });
+
+  it('replaces a voter only when it is silent for long and a learner stands by', async () => {
+    const voters = ['a', 'b', 'c', 'd', 'e'];
+    const alone = startGroup({voters, learners: []}, {b: UP, c: UP, d: UP, e: SILENT});
+    await alone.passTime(5_000);
+    assert.deepEqual(alone.changes, []);
+    const peers = {b: UP, c: UP, d: UP, e: SILENT, f: UP};
+    const group = startGroup({voters, learners: ['f']}, peers);
+    await group.passTime(2_500);
+    assert.deepEqual(group.changes, []);
+    await group.passTime(1_000);
+    assert.deepEqual(group.changes[0], {kind: 'remove', replicaId: 'e'});
+  });
+});
+
+function startGroup(
+  members: {voters: string[]; learners: string[]},
+  peers: Record<string, PeerStatus>,
+) {
+  const clock = new ManualClock();
+  const changes: MemberChange[] = [];
+  const all = [...members.voters, ...members.learners];
+  const addresses = Object.fromEntries(all.map((id) => [id, `${id}:1`]));
+  const replica = {
+    replicaId: 'a',
+    status: () => ({members: {...members, addresses}, peers}),
+    changeMembers: async (change: MemberChange) => void changes.push(change),
+  } as unknown as Replica;
+  const manager = new MemberManager({replica, clock, logger: silentLogger, voterCount: 5});
+  const passTime = async (durationMs: number): Promise<void> => {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += 250) {
+      await manager.step();
+      await clock.advance(250);
+    }
+  };
+  return {manager, changes, passTime};
+}
