--- a/apps/site/src/startSiteControl.ts
+++ b/apps/site/src/startSiteControl.ts
@@ -52,7 +52,7 @@
  * Elections on instances with a fraction of a core, whose processes pause for tens of milliseconds.
  */
 const TIMINGS = {
-  heartbeatMs: 100,
+  heartbeatMs: 150,
   leaseMs: 550,
   voteRefusalMs: 600,
   electionMinMs: 600,
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -54,8 +54,8 @@
 const STEP_MS = 100;
 /** An instance whose daemon is silent stays in the directory, because requests may still reach it. */
 const KEEP_SILENT_INSTANCE_MS = 20_000;
-/** A target whose daemon reported less recently gets no new keys; daemons report every 300 ms. */
-const RECENT_REPORT_MS = 1_000;
+/** A target whose daemon reported less recently gets no new keys; daemons report every 600 ms. */
+const RECENT_REPORT_MS = 1_500;
 /** Before the first assignment of a service its targets have this time to appear. */
 const FIRST_ASSIGNMENT_DELAY_MS = 2_000;
 /** A transfer takes up to two heartbeats of the target; after this time it is given up. */
--- a/routing/request-path/src/loopLag.ts
+++ b/routing/request-path/src/loopLag.ts
@@ -1,7 +1,7 @@
 import type {DisposableStore} from '@medlarlane/lifecycle';
 
 /** How often the delay of the event loop is measured. */
-const SAMPLE_MS = 20;
+const SAMPLE_MS = 50;
 /** Weight of a smaller delay than the one before, so that one quiet moment does not end an overload. */
 const FALL_SMOOTHING = 0.15;
 
--- a/routing/site-link/src/siteLink.ts
+++ b/routing/site-link/src/siteLink.ts
@@ -24,10 +24,14 @@
   readonly directoryRevision: number;
 }
 
-/** The leader holds a report without news for this time, which makes changes arrive at once. */
-export const REPORT_WAIT_MS = 300;
+/**
+ * The leader holds a report without news for this time, which makes changes arrive at once. A
+ * connection that has gone silent is noticed when it and the time limit below have passed, which has
+ * to leave room for a new connection within the 2 s that a configuration may take.
+ */
+const REPORT_WAIT_MS = 600;
 /** Bound of a report beyond the time that it may be held. */
-const REPORT_TIMEOUT_MS = 500;
+const REPORT_TIMEOUT_MS = 450;
 /** Pause after a failed report, so that the replicas of an election are not flooded. */
 const RETRY_PAUSE_MS = 100;
 /** Pause between reports that are answered at once. */
