--- a/apps/site/src/startSiteControl.ts
+++ b/apps/site/src/startSiteControl.ts
@@ -32,6 +32,8 @@
   readonly lossesTolerated: number;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** The log cannot be written any more; only a restart can help. */
+  readonly onLogFailure: (failure: Error) => void;
 }
 
 export interface SiteControlProcess {
@@ -157,6 +159,7 @@
   tasks.run('members', async (signal) => {
     while (!signal.aborted) {
       await clock.sleep(MEMBER_STEP_MS, {signal});
+      if (store.failure) return opts.onLogFailure(store.failure);
       if (replica.isLeader()) await members.step();
     }
   });
