Send nothing on for callers that left while the daemon was behind with its work

A daemon short of processor time reads a request up to a second late, and the caller's close one turn of the event loop later. Ruled out: the abort of requests in flight, which the target client's test covers. Change: beyond 15 ms of delay the sockets are read once more before anything is sent; the delay counts as used time; requests are refused beyond 100 ms (before 150 ms). Two new tests, the first fails without.

--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -12,6 +12,7 @@
 import {fingerprintsOf} from './fingerprintsOf.js';
 import type {CallerWire, Offer, RequestFrame, RunResult, TargetAnswer} from './messages.js';
 import type {InstanceView, SiteView} from './siteView.js';
+import {readTurn} from './readTurn.js';
 import type {TargetGate} from './targetGate.js';
 
 export interface EntryOptions {
@@ -76,7 +77,9 @@
  * A daemon that is later than this with its work refuses requests before anything else, because the
  * time that they waited unread cannot be known.
  */
-const MAX_LAG_MS = 150;
+const MAX_LAG_MS = 100;
+/** Beyond this delay a caller may have left while its request waited; its close is read a turn later. */
+const NOTICE_LAG_MS = 15;
 /** An overloaded daemon catches up within about this time once it refuses. */
 const LAG_RETRY_MS = 300;
 const NO_BODY = Buffer.alloc(0);
@@ -117,11 +120,13 @@
 ): Promise<void> {
   const {clock, wire} = opts;
   const abort = new AbortController();
+  const lagMs = opts.lagMs();
   const {requestId, timeLeftMs, key} = wire.readRequest(request.headers);
   const job: Job = {
     request,
     requestId,
-    startedAtMs: clock.nowMs(),
+    // The request waited unread for about as long as the process is behind.
+    startedAtMs: clock.nowMs() - lagMs,
     abort,
     attempts: [],
     ...(key === undefined ? {} : {key}),
@@ -154,7 +159,8 @@
   const {view, clock} = opts;
   const {request} = job;
   if (opts.phase() === 'closed') throw new MedlarlaneError('DRAINING', 'This daemon stops');
-  if (opts.lagMs() > MAX_LAG_MS) {
+  const lagMs = opts.lagMs();
+  if (lagMs > MAX_LAG_MS) {
     throw new MedlarlaneError('OVERLOADED', 'This daemon is behind with its work', {
       details: {retryAfterMs: LAG_RETRY_MS},
     });
@@ -173,6 +179,8 @@
   // latency counts from its first attempt.
   const elapsedMs = Math.max(0, route.timeoutMs - leftMs);
   const targetAtMs = job.startedAtMs + Math.max(0, route.targetLatencyMs - elapsedMs);
+  if (lagMs > NOTICE_LAG_MS) await readTurn();
+  if (job.abort.signal.aborted) throw new MedlarlaneError('CANCELLED', undefined, {ran: 'no'});
   const body = await readBody(request, view.configuration.limits.maxBodyBytes);
   const service = view.pickService(route);
   job.service = service;
--- a/routing/request-path/src/startGateListener.ts
+++ b/routing/request-path/src/startGateListener.ts
@@ -2,12 +2,13 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {decode, encode} from '@msgpack/msgpack';
-import {toMedlarlaneError} from '@medlarlane/errors';
+import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import type {Logger} from '@medlarlane/logger';
 import {readWhole} from '@medlarlane/rpc';
 import {offerSchema, requestFrameSchema} from './messages.js';
 import type {RequestFrame, RunResult} from './messages.js';
 import {OFFER_HEADER} from './peerProtocol.js';
+import {readTurn} from './readTurn.js';
 import type {GateAdmission, TargetGate} from './targetGate.js';
 
 export interface GateListenerOptions {
@@ -81,6 +82,9 @@
     admission = await admitted.finally(() => clearImmediate(queued));
     response.writeContinue();
     const frame = await readFrame(request);
+    // A close of the other daemon that arrived with the request is read a turn later.
+    await readTurn();
+    if (abort.signal.aborted) throw new MedlarlaneError('CANCELLED', undefined, {ran: 'no'});
     result = await admission.run(frame, abort.signal);
   } catch (thrown) {
     admission?.cancel();
--- a/routing/request-path/test/entry.test.ts
+++ b/routing/request-path/test/entry.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import http from 'node:http';
+import net from 'node:net';
 import type {AddressInfo} from 'node:net';
 import {after, describe, it} from 'node:test';
 import {DisposableStore, systemClock} from '@medlarlane/lifecycle';
@@ -146,6 +147,22 @@
     assert.ok(performance.now() - startedAtMs < 400);
   });
 
+  it('sends nothing for a caller that left while the process was behind', async () => {
+    const entry = await startEntry(disposables, {results: [answered(200)], lagMs: 50});
+    const socket = net.connect(entry.port, '127.0.0.1');
+    await once(socket, 'connect');
+    socket.end('GET /schedule/1 HTTP/1.1\r\nHost: walls.example\r\nx-id: r1\r\n\r\n');
+    socket.destroy();
+    await new Promise((resolve) => setTimeout(resolve, 60));
+    assert.equal(entry.offers.length, 0);
+  });
+
+  it('counts the time that a request waited unread as used', async () => {
+    const entry = await startEntry(disposables, {results: [answered(200)], lagMs: 90});
+    await entry.send({'x-left': '500'});
+    assert.ok(entry.offers[0] && entry.offers[0].deadlineLeftMs <= 410);
+  });
+
   it('refuses at once while the process is behind with its work', async () => {
     const entry = await startEntry(disposables, {results: [answered(200)], lagMs: 400});
     const {status, headers} = await entry.send({});
@@ -270,5 +287,5 @@
     await once(response, 'end');
     return {status: response.statusCode, headers: response.headers};
   };
-  return {send, offers};
+  return {send, offers, port};
 }
