One list of hop-by-hop headers; remove what nothing uses; bound the connections of callers

Refused callers leave connections open. Change: beyond 1,000 connections they are closed with their answers. Not measured yet.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -77,6 +77,13 @@
 const STOP_CHECK_MS = 50;
 /** Connections that stay free for the target's other callers. */
 const CONNECTIONS_PER_TARGET = 64;
+/**
+ * Callers that are refused come back on new connections. Beyond this number connections are closed
+ * with their answers, so that idle ones do not use up the descriptors of the process.
+ */
+const MAX_KEPT_CONNECTIONS = 1_000;
+/** Leaves some hundred of the 4,100 descriptors of an instance for other daemons and the target. */
+const MAX_CALLER_CONNECTIONS = 3_000;
 /** Bounds of what callers may send before a configuration is known. */
 const MAX_HEADER_BYTES = 65_536;
 
@@ -87,6 +94,7 @@
   let stopping = false;
   let closed = false;
   let gateClosed = false;
+  let callerConnections = 0;
   const forwardAddress = `${opts.forward.host}:${opts.forward.port}`;
   const view = new SiteView({clock, availabilityZone: opts.availabilityZone});
   const hosted = new HostedTarget({
@@ -155,7 +163,10 @@
     poison,
     retryBudget,
     lagMs: () => loopLag.lagMs,
-    phase: () => (closed ? 'closed' : stopping ? 'closing' : 'open'),
+    phase: () => {
+      if (closed) return 'closed';
+      return stopping || callerConnections > MAX_KEPT_CONNECTIONS ? 'closing' : 'open';
+    },
     onAnswer: (outcome) => metrics.answered(outcome),
   });
   const rpc = disposables.use(createRpcClient(), (client) => client.close());
@@ -222,6 +233,11 @@
   callerServer.on('request', (request, response) => {
     void entry.handle(request, response);
   });
+  callerServer.maxConnections = MAX_CALLER_CONNECTIONS;
+  callerServer.on('connection', (socket) => {
+    callerConnections += 1;
+    socket.once('close', () => (callerConnections -= 1));
+  });
   callerServer.on('clientError', (failure: NodeJS.ErrnoException, socket) => {
     logger.info({code: failure.code}, '[entry] Request cannot be read');
     if (socket.writable)
--- /dev/null
+++ b/kernel/rpc/src/hopByHopHeaders.ts
@@ -0,0 +1,13 @@
+/** Lower-case names of headers that concern one connection only (RFC 9110, section 7.6.1). */
+export const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+]);
--- a/routing/admission/src/slotQueue.ts
+++ b/routing/admission/src/slotQueue.ts
@@ -37,8 +37,6 @@
 const INITIAL_DURATION_MS = 50;
 /** The queue is checked against its deadlines at this period while something waits. */
 const CHECK_MS = 25;
-/** Time constant of the smoothed utilisation. */
-const UTILISATION_TIME_MS = 1_500;
 
 /**
  * Admits requests to the slots of one target. A request waits only while it can still be answered
@@ -46,7 +44,7 @@
  * its caller can turn elsewhere. Under overload the target thus spends its slots on answers in time.
  */
 export class SlotQueue {
-  private slots: number;
+  private readonly slots: number;
   private readonly clock: Clock;
   /** Most urgent first, then those whose target latency ends first. */
   private waiters: Waiter[] = [];
@@ -54,13 +52,10 @@
   private readonly durationMs = new Map<string, number>();
   private meanDurationMs = INITIAL_DURATION_MS;
   private timer: NodeJS.Timeout | undefined;
-  private smoothedUtilisation = 0;
-  private sampledAtMs: number;
 
   constructor(opts: SlotQueueOptions) {
     this.slots = Math.max(1, opts.slots);
     this.clock = opts.clock;
-    this.sampledAtMs = opts.clock.nowMs();
   }
 
   get inFlight(): number {
@@ -80,24 +75,12 @@
     return this.meanDurationMs;
   }
 
-  /** Smoothed share of the slots in use; waiting requests count, so that it may pass 1. */
-  get utilisation(): number {
-    this.sampleUtilisation();
-    return this.smoothedUtilisation;
-  }
-
-  resize(slots: number): void {
-    this.slots = Math.max(1, slots);
-    this.dispatch();
-  }
-
   /**
    * Resolves when the request may be sent to the target.
    * @throws MedlarlaneError `OVERLOADED` with `retryAfterMs`, `DEADLINE_EXCEEDED` or `CANCELLED`,
    *     each with ran `no`.
    */
   acquire(request: SlotRequest): Promise<SlotPermit> {
-    this.sampleUtilisation();
     if (request.signal?.aborted) return Promise.reject(cancelled());
     const nowMs = this.clock.nowMs();
     if (request.deadlineAtMs <= nowMs) return Promise.reject(expired());
@@ -185,7 +168,6 @@
       release: (workMs) => {
         if (!held) return;
         held = false;
-        this.sampleUtilisation();
         this.inFlightCount -= 1;
         if (workMs !== undefined) this.meanDurationMs = smooth(this.meanDurationMs, workMs);
         this.dispatch();
@@ -206,14 +188,6 @@
       this.armTimer();
     }, CHECK_MS);
   }
-
-  private sampleUtilisation(): void {
-    const nowMs = this.clock.nowMs();
-    const weight = 1 - Math.exp(-(nowMs - this.sampledAtMs) / UTILISATION_TIME_MS);
-    const used = (this.inFlightCount + this.waiters.length) / this.slots;
-    this.smoothedUtilisation += (used - this.smoothedUtilisation) * weight;
-    this.sampledAtMs = nowMs;
-  }
 }
 
 /** Among equals the one whose answer loses worth first; calls of targets have the shortest times. */
--- a/routing/forwarder/src/headers.ts
+++ b/routing/forwarder/src/headers.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, OutgoingHttpHeaders} from 'node:http';
+import {HOP_BY_HOP_HEADERS} from '@medlarlane/rpc';
 
 /** Header names of the protocol between callers, daemons and targets. */
 export const HEADER = {
@@ -21,20 +22,6 @@
 
 const PROTOCOL_PREFIX = 'medlarlane-';
 
-// RFC 9110, section 7.6.1.
-const HOP_BY_HOP = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'expect',
-]);
-
 // Set by the daemons on each hop; a caller's value must not reach the target.
 const SET_BY_DAEMONS = new Set<string>([
   HEADER.hop,
@@ -54,7 +41,7 @@
   const {rawHeaders} = request;
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index]!.toLowerCase();
-    if (HOP_BY_HOP.has(name) || SET_BY_DAEMONS.has(name) || named?.has(name)) continue;
+    if (HOP_BY_HOP_HEADERS.has(name) || SET_BY_DAEMONS.has(name) || named?.has(name)) continue;
     kept.push(rawHeaders[index]!, rawHeaders[index + 1]!);
   }
   return kept;
@@ -62,12 +49,15 @@
 
 /** Response headers without those that concern one connection only. */
 export function endToEndResponseHeaders(headers: ResponseHeaders): OutgoingHttpHeaders {
-  return keepHeaders(headers, (name) => !HOP_BY_HOP.has(name));
+  return keepHeaders(headers, (name) => !HOP_BY_HOP_HEADERS.has(name));
 }
 
 /** A target's response headers; names of this protocol are dropped, since only daemons may use them. */
 export function targetResponseHeaders(headers: ResponseHeaders): OutgoingHttpHeaders {
-  return keepHeaders(headers, (name) => !HOP_BY_HOP.has(name) && !name.startsWith(PROTOCOL_PREFIX));
+  return keepHeaders(
+    headers,
+    (name) => !HOP_BY_HOP_HEADERS.has(name) && !name.startsWith(PROTOCOL_PREFIX),
+  );
 }
 
 function keepHeaders(
--- a/routing/request-path/src/endToEndHeaders.ts
+++ b/routing/request-path/src/endToEndHeaders.ts
@@ -1,17 +1,7 @@
-/** RFC 9110, section 7.6.1, and what each hop sets itself. */
-const HOP_BY_HOP = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'content-length',
-  'upgrade',
-  'expect',
-]);
+import {HOP_BY_HOP_HEADERS} from '@medlarlane/rpc';
+
+/** Each hop frames the body anew. */
+const FRAMING = 'content-length';
 const NONE: ReadonlySet<string> = new Set();
 
 /** Copies a flat list of names and values without those that concern one connection only. */
@@ -24,7 +14,8 @@
   const kept: string[] = [];
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index]!.toLowerCase();
-    if (HOP_BY_HOP.has(name) || without.has(name) || options.has(name)) continue;
+    const concernsHop = HOP_BY_HOP_HEADERS.has(name) || name === FRAMING || options.has(name);
+    if (concernsHop || without.has(name)) continue;
     kept.push(rawHeaders[index]!, rawHeaders[index + 1]!);
   }
   return kept;
--- a/routing/request-path/src/startGateListener.ts
+++ b/routing/request-path/src/startGateListener.ts
@@ -21,8 +21,6 @@
 
 export interface GateListener {
   readonly address: string;
-  /** Requests of other daemons that are being handled. */
-  readonly inFlight: number;
   close(): Promise<void>;
 }
 
@@ -39,11 +37,9 @@
  * other daemon may give up and turn elsewhere, knowing that nothing ran.
  */
 export async function startGateListener(opts: GateListenerOptions): Promise<GateListener> {
-  let inFlight = 0;
   const server = http.createServer({keepAliveTimeout: IDLE_CONNECTION_MS, requestTimeout: 0});
   server.on('checkContinue', (request: http.IncomingMessage, response: http.ServerResponse) => {
-    inFlight += 1;
-    void serve(request, response, opts).finally(() => (inFlight -= 1));
+    void serve(request, response, opts);
   });
   server.on('request', (_request, response: http.ServerResponse) => {
     response.writeHead(400).end();
@@ -53,9 +49,6 @@
   const {address, port} = server.address() as AddressInfo;
   return {
     address: `${address}:${port}`,
-    get inFlight() {
-      return inFlight;
-    },
     close: async () => {
       server.closeAllConnections();
       server.close();
--- a/routing/request-path/src/targetGate.ts
+++ b/routing/request-path/src/targetGate.ts
@@ -69,10 +69,6 @@
     return {inFlight, waiting, slots: slotCount, meanMs: Math.round(meanMs)};
   }
 
-  get utilisation(): number {
-    return this.queue.utilisation;
-  }
-
   get inFlight(): number {
     return this.queue.inFlight;
   }
