Carry requests between daemons over one connection to each peer; answer late rather than refuse

Ruled out: waiting for callers only at the entry. It already reduces times by its own delay; the gate did not.

Change: protocol/peer-rpc carries MessagePack messages of many requests over one connection, long ones in pieces. A repeatable request travels with its offer, any other one after a slot is reserved. A cancel is a message. A silent connection is found by a ping and takes no new requests. The gate reduces the times of an offer by its own delay. SlotQueue keeps a request for a late answer where slots are left by those in time, when no other target is likely to have room. The owner of a key is found by binary search.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -246,7 +246,12 @@
   applyLimits(callerServer, view);
   callerServer.listen(opts.caller.port, opts.caller.host);
   await once(callerServer, 'listening');
-  const gateListener = await startGateListener({...opts.forward, gate, logger});
+  const gateListener = await startGateListener({
+    ...opts.forward,
+    gate,
+    logger,
+    lagMs: () => loopLag.lagMs,
+  });
   link.start();
   disposables.add(() => link.stop());
   /** A refused connection proves that the target's process is gone. */
--- a/routing/admission/src/slotQueue.ts
+++ b/routing/admission/src/slotQueue.ts
@@ -16,6 +16,8 @@
   readonly targetAtMs: number;
   /** After that nobody waits for the answer; on the monotonic clock. */
   readonly deadlineAtMs: number;
+  /** Whether to wait for an answer after `targetAtMs` when there is none in time. */
+  readonly acceptLate?: boolean;
   readonly signal?: AbortSignal;
 }
 
@@ -31,23 +33,36 @@
   readonly settle: (result: SlotPermit | MedlarlaneError) => void;
 }
 
+const MS_PER_S = 1_000;
 /** Weight of a new duration in the smoothed one. */
 const DURATION_SMOOTHING = 0.08;
 /** Before anything is learned. */
 const INITIAL_DURATION_MS = 50;
+/** Time over which the rate of requests in time is measured. */
+const RATE_MEMORY_MS = 1_000;
+/** With a smaller part of the slots left, late requests would mostly wait in vain. */
+const MIN_LATE_SHARE = 0.08;
+/** A prediction this much before the deadline leaves room for work that takes longer than usual. */
+const LATE_MARGIN = 0.15;
 /** The queue is checked against its deadlines at this period while something waits. */
 const CHECK_MS = 25;
 
 /**
- * Admits requests to the slots of one target. A request waits only while it can still be answered
- * within its target latency behind the more urgent ones; otherwise it is refused at once, so that
- * its caller can turn elsewhere. Under overload the target thus spends its slots on answers in time.
+ * Admits requests to the slots of one target. A request waits while it can still be answered within its
+ * target latency behind the more urgent ones. One that cannot is refused at once, so that its caller can
+ * turn elsewhere, or, where a late answer is wanted, waits for slots that requests in time leave free.
+ * Under overload the target thus spends its slots on answers in time.
  */
 export class SlotQueue {
   private readonly slots: number;
   private readonly clock: Clock;
   /** Most urgent first, then those whose target latency ends first. */
   private waiters: Waiter[] = [];
+  /** Those that will be answered late at best, the most urgent first. */
+  private lateWaiters: Waiter[] = [];
+  /** Requests per second that were taken to be answered in time, as of `ratedAtMs`. */
+  private timelyRps = 0;
+  private ratedAtMs = -Infinity;
   private inFlightCount = 0;
   private readonly durationMs = new Map<string, number>();
   private meanDurationMs = INITIAL_DURATION_MS;
@@ -63,7 +78,7 @@
   }
 
   get waiting(): number {
-    return this.waiters.length;
+    return this.waiters.length + this.lateWaiters.length;
   }
 
   get slotCount(): number {
@@ -85,11 +100,12 @@
     const nowMs = this.clock.nowMs();
     if (request.deadlineAtMs <= nowMs) return Promise.reject(expired());
     if (this.inFlightCount < this.slots && this.waiters.length === 0) {
+      this.countTimely(nowMs);
       return Promise.resolve(this.grant(nowMs));
     }
     const ahead = this.waiters.filter((waiter) => !isBefore(request, waiter)).length;
-    const startAtMs = nowMs + this.predictedWaitMs(ahead);
-    if (!this.meetsTarget(request, startAtMs)) {
+    const timely = this.meetsTarget(request, nowMs + this.predictedWaitMs(ahead));
+    if (!timely && !this.meetsDeadline(request, nowMs, this.lateAhead(request))) {
       return Promise.reject(this.overloaded());
     }
     return new Promise((resolve, reject) => {
@@ -105,15 +121,20 @@
         },
       };
       signal?.addEventListener('abort', onAbort, {once: true});
-      this.insert(waiter);
-      this.refuseLate();
+      if (timely) {
+        this.countTimely(nowMs);
+        insert(this.waiters, waiter, isBefore);
+      } else {
+        insert(this.lateWaiters, waiter, endsBefore);
+      }
+      this.reviewWaiting();
       this.armTimer();
     });
   }
 
   /** Refuses everything that waits; it can run elsewhere. */
   refuseWaiting(refusal: MedlarlaneError): void {
-    for (const waiter of [...this.waiters]) this.remove(waiter, refusal);
+    for (const waiter of [...this.waiters, ...this.lateWaiters]) this.remove(waiter, refusal);
   }
 
   private predictedWaitMs(ahead: number): number {
@@ -121,42 +142,77 @@
   }
 
   private meetsTarget(request: SlotRequest, startAtMs: number): boolean {
-    const expectedMs = this.durationMs.get(request.kind) ?? this.meanDurationMs;
-    return startAtMs + expectedMs <= request.targetAtMs;
+    return startAtMs + this.expectedMs(request) <= request.targetAtMs;
   }
 
-  /** Refuses what can no longer be answered in time because more urgent requests came. */
-  private refuseLate(): void {
+  /** Whether a late answer is wanted and likely before the deadline, `ahead` other late ones first. */
+  private meetsDeadline(request: SlotRequest, nowMs: number, ahead: number): boolean {
+    if (!request.acceptLate) return false;
+    const freeShare = 1 - (this.rateAt(nowMs) * this.meanDurationMs) / (this.slots * MS_PER_S);
+    if (freeShare < MIN_LATE_SHARE) return false;
+    const waitMs =
+      this.predictedWaitMs(this.waiters.length) + this.predictedWaitMs(ahead) / freeShare;
+    const leftMs = (request.deadlineAtMs - nowMs) * (1 - LATE_MARGIN);
+    return waitMs + this.expectedMs(request) <= leftMs;
+  }
+
+  private expectedMs({kind}: SlotRequest): number {
+    return this.durationMs.get(kind) ?? this.meanDurationMs;
+  }
+
+  private lateAhead(request: SlotRequest): number {
+    return this.lateWaiters.filter((waiter) => !endsBefore(request, waiter)).length;
+  }
+
+  private rateAt(nowMs: number): number {
+    return this.timelyRps * Math.exp((this.ratedAtMs - nowMs) / RATE_MEMORY_MS);
+  }
+
+  private countTimely(nowMs: number): void {
+    this.timelyRps = this.rateAt(nowMs) + MS_PER_S / RATE_MEMORY_MS;
+    this.ratedAtMs = nowMs;
+  }
+
+  /** Moves or refuses what can no longer be answered as promised because more urgent requests came. */
+  private reviewWaiting(): void {
     const nowMs = this.clock.nowMs();
     let ahead = 0;
     for (const waiter of [...this.waiters]) {
-      if (this.meetsTarget(waiter, nowMs + this.predictedWaitMs(ahead))) ahead += 1;
+      if (this.meetsTarget(waiter, nowMs + this.predictedWaitMs(ahead))) {
+        ahead += 1;
+      } else if (waiter.acceptLate) {
+        this.waiters.splice(this.waiters.indexOf(waiter), 1);
+        insert(this.lateWaiters, waiter, endsBefore);
+      } else {
+        this.remove(waiter, this.overloaded());
+      }
+    }
+    ahead = 0;
+    for (const waiter of [...this.lateWaiters]) {
+      if (this.meetsDeadline(waiter, nowMs, ahead)) ahead += 1;
       else this.remove(waiter, this.overloaded());
     }
   }
 
   private overloaded(): MedlarlaneError {
-    const retryAfterMs = Math.round(this.predictedWaitMs(this.waiters.length));
+    const retryAfterMs = Math.round(this.predictedWaitMs(this.waiting));
     return new MedlarlaneError('OVERLOADED', undefined, {details: {retryAfterMs}});
   }
 
-  private insert(waiter: Waiter): void {
-    let place = this.waiters.length;
-    while (place > 0 && isBefore(waiter, this.waiters[place - 1]!)) place -= 1;
-    this.waiters.splice(place, 0, waiter);
-  }
-
   private remove(waiter: Waiter, result: SlotPermit | MedlarlaneError): void {
-    const place = this.waiters.indexOf(waiter);
-    if (place < 0) return;
-    this.waiters.splice(place, 1);
-    waiter.settle(result);
+    for (const list of [this.waiters, this.lateWaiters]) {
+      const place = list.indexOf(waiter);
+      if (place < 0) continue;
+      list.splice(place, 1);
+      waiter.settle(result);
+    }
   }
 
   private dispatch(): void {
-    while (this.waiters.length > 0 && this.inFlightCount < this.slots) {
-      const [waiter] = this.waiters;
-      this.remove(waiter!, this.grant(waiter!.enqueuedAtMs));
+    while (this.inFlightCount < this.slots) {
+      const waiter = this.waiters[0] ?? this.lateWaiters[0];
+      if (!waiter) return;
+      this.remove(waiter, this.grant(waiter.enqueuedAtMs));
     }
   }
 
@@ -181,10 +237,10 @@
   }
 
   private armTimer(): void {
-    if (this.timer || this.waiters.length === 0) return;
+    if (this.timer || this.waiting === 0) return;
     this.timer = setTimeout(() => {
       this.timer = undefined;
-      this.refuseLate();
+      this.reviewWaiting();
       this.armTimer();
     }, CHECK_MS);
   }
@@ -195,6 +251,21 @@
   return a.priority < b.priority || (a.priority === b.priority && a.targetAtMs < b.targetAtMs);
 }
 
+function endsBefore(a: SlotRequest, b: SlotRequest): boolean {
+  return a.priority < b.priority || (a.priority === b.priority && a.deadlineAtMs < b.deadlineAtMs);
+}
+
+/** Inserts into a list that is in the order of `precedes`. */
+function insert(
+  list: Waiter[],
+  waiter: Waiter,
+  precedes: (a: SlotRequest, b: SlotRequest) => boolean,
+): void {
+  let place = list.length;
+  while (place > 0 && precedes(waiter, list[place - 1]!)) place -= 1;
+  list.splice(place, 0, waiter);
+}
+
 function smooth(current: number, next: number): number {
   return current + (next - current) * DURATION_SMOOTHING;
 }
--- a/routing/admission/test/slotQueue.test.ts
+++ b/routing/admission/test/slotQueue.test.ts
@@ -68,6 +68,50 @@
     assert.ok(!results.slice(0, 20).includes('run'));
   });
 
+  it('answers late what a short crowd leaves over, after everything that can be in time', async () => {
+    const {admit, finishOne, order} = await open(1);
+    await admit({kind: 'first'});
+    const late = admit({kind: 'late', targetAtMs: 150, acceptLate: true});
+    const timely = admit({kind: 'timely', targetAtMs: 900});
+    finishOne();
+    await timely;
+    finishOne();
+    assert.equal(await late, 'run');
+    assert.deepEqual(order, ['first', 'timely', 'late']);
+  });
+
+  it('keeps a waiting request for a late answer when more urgent ones push it back', async () => {
+    const {admit, finishOne, order} = await open(1);
+    await admit({kind: 'first'});
+    const pushed = admit({kind: 'pushed', priority: 2, targetAtMs: 250, acceptLate: true});
+    const urgent = admit({kind: 'urgent', priority: 0, targetAtMs: 250});
+    finishOne();
+    await urgent;
+    finishOne();
+    assert.equal(await pushed, 'run');
+    assert.deepEqual(order, ['first', 'urgent', 'pushed']);
+  });
+
+  it('refuses at once what would wait beyond its deadline', async () => {
+    const {admit} = await open(1);
+    await admit({});
+    assert.equal(await admit({targetAtMs: 150, deadlineAtMs: 180, acceptLate: true}), 'OVERLOADED');
+  });
+
+  it('takes nothing for a late answer while requests in time need all slots', async () => {
+    const {admit, finishOne, clock, elapsedMs} = await open(1);
+    const timely = () => ({targetAtMs: elapsedMs() + 500, deadlineAtMs: elapsedMs() + 1_500});
+    for (let n = 0; n < 25; n += 1) {
+      assert.equal(await admit(timely()), 'run');
+      await clock.advance(WORK_MS);
+      finishOne();
+      await settle();
+    }
+    assert.equal(await admit(timely()), 'run');
+    const late = {...timely(), targetAtMs: elapsedMs() + 150, acceptLate: true};
+    assert.equal(await admit(late), 'OVERLOADED');
+  });
+
   it('refuses a request whose caller has left', async () => {
     const {admit} = await open(1);
     await admit({});
@@ -82,17 +126,22 @@
     const queue = new SlotQueue({slots, clock});
     const permits: SlotPermit[] = [];
     const order: string[] = [];
-    const request = (fields: Partial<SlotRequest>): SlotRequest => ({
+    let startMs = clock.nowMs();
+    /** Times are counted from when the queue has learned. */
+    const request = ({targetAtMs, deadlineAtMs, ...fields}: Partial<SlotRequest>): SlotRequest => ({
       kind: 'booking',
       priority: 1,
-      targetAtMs: 500,
-      deadlineAtMs: 1_500,
+      targetAtMs: startMs + (targetAtMs ?? 500),
+      deadlineAtMs: startMs + (deadlineAtMs ?? 1_500),
       ...fields,
     });
     // Teaches the queue how long work takes.
     for (let n = 0; n < 200; n += 1) {
       (await queue.acquire(request({}))).release(WORK_MS);
     }
+    await clock.advance(60_000);
+    startMs = clock.nowMs();
+    const elapsedMs = (): number => clock.nowMs() - startMs;
     const admit = async (fields: Partial<SlotRequest>): Promise<string> => {
       try {
         permits.push(await queue.acquire(request(fields)));
@@ -104,7 +153,7 @@
     };
     const finishOne = (): void => permits.shift()?.release(WORK_MS);
     opened.push({close: () => queue.refuseWaiting(new MedlarlaneError('DRAINING'))});
-    return {queue, admit, finishOne, order, request};
+    return {queue, admit, finishOne, order, request, clock, elapsedMs};
   }
 });
 
--- a/routing/request-path/src/createPeerClient.ts
+++ b/routing/request-path/src/createPeerClient.ts
@@ -1,104 +1,200 @@
-import http from 'node:http';
-import {decode, encode} from '@msgpack/msgpack';
-import {readWhole} from '@medlarlane/rpc';
+import net from 'node:net';
+import {MessageSocket, OPERATION, PROTOCOL_VERSION, readPeerMessage} from '@medlarlane/peer-rpc';
+import type {PeerMessage} from '@medlarlane/peer-rpc';
+import {splitAddress} from '@medlarlane/rpc';
+import {writeOffer} from './messages.js';
 import type {Offer, RequestFrame, RunResult} from './messages.js';
-import {OFFER_HEADER} from './peerProtocol.js';
+
+export interface PeerRun {
+  readonly address: string;
+  readonly offer: Offer;
+  readonly frame: RequestFrame;
+  /** Whether the request may run more than once. */
+  readonly repeatable: boolean;
+  readonly signal: AbortSignal;
+}
 
 export interface PeerClient {
   /** Offers a request to the daemon at `address` and, once admitted, has it run there. */
-  run(opts: {
-    address: string;
-    offer: Offer;
-    frame: RequestFrame;
-    signal: AbortSignal;
-  }): Promise<RunResult>;
+  run(run: PeerRun): Promise<RunResult>;
   close(): void;
 }
 
 /**
- * A daemon that is reachable confirms an offer within a round trip; giving up then is harmless,
- * because the request itself has not been sent.
+ * A reachable daemon shows a sign of life within a round trip. An offer without one can be given up
+ * without harm, because the request itself has not been sent.
  */
 const OFFER_TIMEOUT_MS = 250;
-/** The owning daemon ends a request at its deadline; this covers the way back. */
-const ANSWER_GRACE_MS = 60;
-/** Requests of one daemon that may be on their way to another one. */
-const MAX_CONNECTIONS_PER_PEER = 256;
-/** The largest answer that a target may give, with its frame. */
-const MAX_RESULT_BYTES = 65 * 1024 * 1024;
-const MAX_IDLE_MS = 20_000;
-
-/** Creates the client for requests to other daemons. */
+/**
+ * The same for a request that was sent and may be repeated. Longer, because an answer may be lost with
+ * it and another target has to do the work again.
+ */
+const REPEAT_TIMEOUT_MS = 500;
+/** A connection that was silent for this time is asked for a sign of life. */
+const PING_AFTER_MS = 100;
+const CHECK_MS = 50;
+/** Larger bodies are sent only once a slot is reserved, so that refusals cost no bandwidth. */
+const MAX_EAGER_BODY_BYTES = 2_048;
+/** Finds peers that are gone while nothing is sent to them. */
+const KEEP_ALIVE_MS = 10_000;
+
+interface Exchange {
+  readonly run: PeerRun;
+  /** Whether the request has been sent, so that it may have run. */
+  sent: boolean;
+  settle(result: RunResult): void;
+}
+
+/** Creates the client for requests to other daemons: one connection to each. */
 export function createPeerClient(): PeerClient {
-  const agent = new http.Agent({
-    keepAlive: true,
-    scheduling: 'lifo',
-    maxSockets: MAX_CONNECTIONS_PER_PEER,
-    timeout: MAX_IDLE_MS,
-  });
+  const connections = new Map<string, PeerConnection>();
+  const all = new Set<PeerConnection>();
+  const connect = (address: string): PeerConnection => {
+    const connection = new PeerConnection(address, {
+      onSuspect: () => {
+        if (connections.get(address) === connection) connections.delete(address);
+      },
+      onClose: () => all.delete(connection),
+    });
+    connections.set(address, connection);
+    all.add(connection);
+    return connection;
+  };
   return {
-    run: (run) => runAtPeer(agent, run),
-    close: () => agent.destroy(),
+    run: (run) => (connections.get(run.address) ?? connect(run.address)).start(run),
+    close: () => {
+      for (const connection of all) connection.close();
+    },
   };
 }
 
-function runAtPeer(
-  agent: http.Agent,
-  {address, offer, frame, signal}: Parameters<PeerClient['run']>[0],
-): Promise<RunResult> {
-  const colon = address.lastIndexOf(':');
-  return new Promise((resolve) => {
-    const request = http.request({
-      agent,
-      host: address.slice(0, colon),
-      port: Number(address.slice(colon + 1)),
-      method: 'POST',
-      path: '/run',
-      headers: {
-        [OFFER_HEADER]: JSON.stringify(offer),
-        expect: '100-continue',
-        'transfer-encoding': 'chunked',
-      },
-    });
-    const endsAtMs = performance.now() + offer.deadlineLeftMs + ANSWER_GRACE_MS;
-    let sent = false;
-    const settle = (result: RunResult): void => {
-      clearTimeout(timer);
-      signal.removeEventListener('abort', onAbort);
-      resolve(result);
-    };
-    const giveUp = (): void => {
-      settle(sent ? {kind: 'lost', code: 'PEER_FAILED'} : {kind: 'refused', code: 'PEER_FAILED'});
-      request.destroy();
-    };
-    const onAbort = (): void => {
-      settle(sent ? {kind: 'lost', code: 'CANCELLED'} : {kind: 'refused', code: 'CANCELLED'});
-      request.destroy();
-    };
-    let timer = setTimeout(giveUp, Math.min(OFFER_TIMEOUT_MS, offer.deadlineLeftMs));
-    const waitUntilDeadline = (): void => {
-      clearTimeout(timer);
-      timer = setTimeout(giveUp, endsAtMs - performance.now());
-    };
-    signal.addEventListener('abort', onAbort, {once: true});
-    if (signal.aborted) return onAbort();
-    request.on('information', waitUntilDeadline);
-    request.on('continue', () => {
-      waitUntilDeadline();
-      if (signal.aborted) return;
-      sent = true;
-      request.end(encode(frame));
+/**
+ * One connection to another daemon. When it stays silent it takes no new requests, because it may never
+ * carry anything again; requests that were sent and must not be repeated still wait for its answers.
+ */
+class PeerConnection {
+  private readonly exchanges = new Map<number, Exchange>();
+  private readonly messages: MessageSocket;
+  private lastExchange = 0;
+  private connected = false;
+  private suspect = false;
+  /** When the first message after the last sign of life was sent. */
+  private awaitingSinceMs: number | undefined;
+  private pinged = false;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    address: string,
+    private readonly opts: {onSuspect: () => void; onClose: () => void},
+  ) {
+    const socket = net.connect(splitAddress(address));
+    socket.setKeepAlive(true, KEEP_ALIVE_MS);
+    socket.once('connect', () => (this.connected = true));
+    this.messages = new MessageSocket(socket, {
+      onMessage: (message) => this.receive(readPeerMessage(message)),
+      onClose: () => this.onClose(),
     });
-    request.on('error', giveUp);
-    request.on('response', (response) => {
-      // Without the confirmation the request stays unsent; its empty end frees the connection.
-      if (!sent) request.end();
-      readResult(response).then(settle, giveUp);
+    this.messages.send([OPERATION.hello, PROTOCOL_VERSION]);
+  }
+
+  start(run: PeerRun): Promise<RunResult> {
+    const {signal, frame, offer, repeatable} = run;
+    if (signal.aborted) return Promise.resolve({kind: 'refused', code: 'CANCELLED'});
+    this.lastExchange += 1;
+    const id = this.lastExchange;
+    const eager = repeatable && frame.body.length <= MAX_EAGER_BODY_BYTES;
+    return new Promise((resolve) => {
+      const onAbort = (): void => this.giveUp(id, 'CANCELLED');
+      const exchange: Exchange = {
+        run,
+        sent: eager,
+        settle: (result) => {
+          this.exchanges.delete(id);
+          signal.removeEventListener('abort', onAbort);
+          resolve(result);
+          if (this.suspect && this.exchanges.size === 0) this.close();
+        },
+      };
+      this.exchanges.set(id, exchange);
+      signal.addEventListener('abort', onAbort, {once: true});
+      this.send([OPERATION.offer, id, ...writeOffer(offer), ...(eager ? frameFields(frame) : [])]);
     });
-    request.flushHeaders();
-  });
+  }
+
+  close(): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+    this.messages.destroy();
+  }
+
+  private send(message: readonly unknown[]): void {
+    this.messages.send(message);
+    this.awaitingSinceMs ??= performance.now();
+    this.timer ??= setTimeout(() => this.check(), CHECK_MS);
+  }
+
+  private receive({operation, exchange: id, fields}: PeerMessage): void {
+    this.awaitingSinceMs = undefined;
+    this.pinged = false;
+    const exchange = this.exchanges.get(id);
+    if (!exchange) return;
+    if (operation === OPERATION.admitted) {
+      exchange.sent = true;
+      this.send([OPERATION.request, id, ...frameFields(exchange.run.frame)]);
+    } else if (operation === OPERATION.result) {
+      exchange.settle(fields[0] as RunResult);
+    }
+  }
+
+  private giveUp(id: number, code: 'CANCELLED' | 'PEER_FAILED'): void {
+    const exchange = this.exchanges.get(id);
+    if (!exchange) return;
+    this.messages.send([OPERATION.cancel, id]);
+    exchange.settle({kind: this.mayHaveRun(exchange) ? 'lost' : 'refused', code});
+  }
+
+  /** Runs while something is awaited. */
+  private check(): void {
+    this.timer = undefined;
+    if (this.exchanges.size === 0) return;
+    this.timer = setTimeout(() => this.check(), CHECK_MS);
+    if (this.awaitingSinceMs === undefined) {
+      this.awaitingSinceMs = performance.now();
+      return;
+    }
+    const silentMs = performance.now() - this.awaitingSinceMs;
+    if (silentMs >= PING_AFTER_MS && !this.pinged) {
+      this.pinged = true;
+      this.messages.send([OPERATION.ping, 0]);
+    }
+    if (silentMs >= OFFER_TIMEOUT_MS) this.onSilence(silentMs);
+  }
+
+  private onSilence(silentMs: number): void {
+    this.suspect = true;
+    this.opts.onSuspect();
+    for (const [id, exchange] of [...this.exchanges]) {
+      const repeats = exchange.run.repeatable && silentMs >= REPEAT_TIMEOUT_MS;
+      if (repeats || !this.mayHaveRun(exchange)) this.giveUp(id, 'PEER_FAILED');
+    }
+  }
+
+  private onClose(): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+    this.opts.onSuspect();
+    this.opts.onClose();
+    for (const exchange of [...this.exchanges.values()]) {
+      const kind = this.mayHaveRun(exchange) ? 'lost' : 'refused';
+      exchange.settle({kind, code: 'PEER_FAILED'});
+    }
+  }
+
+  private mayHaveRun({sent}: Exchange): boolean {
+    return sent && this.connected;
+  }
 }
 
-async function readResult(response: http.IncomingMessage): Promise<RunResult> {
-  return decode(await readWhole(response, MAX_RESULT_BYTES)) as RunResult;
+function frameFields({method, path, headers, body}: RequestFrame): unknown[] {
+  return [method, path, headers, body];
 }
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -13,6 +13,7 @@
 import type {CallerWire, Offer, RequestFrame, RunResult, TargetAnswer} from './messages.js';
 import type {InstanceView, SiteView} from './siteView.js';
 import {readTurn} from './readTurn.js';
+import {refusedBy} from './startGateListener.js';
 import type {TargetGate} from './targetGate.js';
 
 export interface EntryOptions {
@@ -66,6 +67,12 @@
   key?: number;
 }
 
+interface OfferTerms {
+  readonly targetAtMs: number;
+  readonly deadlineAtMs: number;
+  readonly acceptLate: boolean;
+}
+
 interface FinalAnswer {
   readonly status: number;
   readonly headers: readonly string[];
@@ -230,7 +237,9 @@
     }
     if (arrivals > 0 && !opts.retryBudget(service).tryTake()) break;
     tried.add(instance.life);
-    const result = await offer(opts, job, route, service, frame, instance, times);
+    // A late answer is better than none, but only where no other target is likely to have room.
+    const acceptLate = keyed || offers === MAX_OFFERS - 1 || !view.hasRoom(service, tried);
+    const result = await offer(opts, job, route, service, frame, instance, {...times, acceptLate});
     last = preferred(last, result);
     if (result.kind === 'answered') {
       const retriable =
@@ -259,7 +268,7 @@
   service: string,
   frame: RequestFrame,
   instance: InstanceView,
-  {targetAtMs, deadlineAtMs}: {targetAtMs: number; deadlineAtMs: number},
+  {targetAtMs, deadlineAtMs, acceptLate}: OfferTerms,
 ): Promise<RunResult> {
   const {view, clock, gate, peers} = opts;
   const startedAtMs = clock.nowMs();
@@ -271,6 +280,7 @@
     priority: route.priority,
     targetLeftMs: Math.round(targetAtMs - startedAtMs),
     deadlineLeftMs: Math.round(deadlineAtMs - startedAtMs),
+    acceptLate,
     ...(job.key === undefined || !view.isKeyed(service) ? {} : {key: job.key}),
     callerService: opts.callerService,
   };
@@ -279,7 +289,13 @@
   const result =
     instance.forwardAddress === opts.forwardAddress
       ? await runHere(gate, message, frame, signal)
-      : await peers.run({address: instance.forwardAddress, offer: message, frame, signal});
+      : await peers.run({
+          address: instance.forwardAddress,
+          offer: message,
+          frame,
+          repeatable: route.kind === 'safe',
+          signal,
+        });
   view.ended(instance.life, result);
   job.attempts.push({
     instance: instance.forwardAddress,
@@ -300,14 +316,7 @@
     const admission = await gate.admit(message, signal);
     return await admission.run(frame, signal);
   } catch (thrown) {
-    const {code, details} = toMedlarlaneError(thrown);
-    const retryAfterMs = Number(details['retryAfterMs']);
-    return {
-      kind: 'refused',
-      code,
-      ...(Number.isFinite(retryAfterMs) ? {retryAfterMs} : {}),
-      load: gate.load,
-    };
+    return refusedBy(toMedlarlaneError(thrown), gate);
   }
 }
 
--- a/routing/request-path/src/messages.ts
+++ b/routing/request-path/src/messages.ts
@@ -1,33 +1,89 @@
 import type {IncomingHttpHeaders} from 'node:http';
-import {z} from 'zod';
+import {MedlarlaneError} from '@medlarlane/errors';
 import type {ErrorCode} from '@medlarlane/errors';
 
 /** What the daemon beside a target needs to know to admit a request. */
-export const offerSchema = z.object({
-  requestId: z.string(),
-  service: z.string(),
+export interface Offer {
+  readonly requestId: string;
+  readonly service: string;
   /** Life of the target that the sender chose. */
-  life: z.string(),
-  route: z.string(),
-  priority: z.number(),
+  readonly life: string;
+  readonly route: string;
+  readonly priority: number;
   /** What remains until an answer loses worth, and until nobody waits for it. */
-  targetLeftMs: z.number(),
-  deadlineLeftMs: z.number(),
+  readonly targetLeftMs: number;
+  readonly deadlineLeftMs: number;
+  /** Whether to wait for an answer after its target latency when there is none in time. */
+  readonly acceptLate: boolean;
   /** Set for services whose targets own keys. */
-  key: z.int().optional(),
+  readonly key?: number;
   /** Service beside which the request began. */
-  callerService: z.string(),
-});
-export type Offer = z.infer<typeof offerSchema>;
+  readonly callerService: string;
+}
+
+/** Number of fields that an offer has on the wire. */
+export const OFFER_FIELDS = 10;
+
+/** An offer by position, which is cheaper to write and read than one with names. */
+export function writeOffer(offer: Offer): unknown[] {
+  return [
+    offer.requestId,
+    offer.service,
+    offer.life,
+    offer.route,
+    offer.priority,
+    offer.targetLeftMs,
+    offer.deadlineLeftMs,
+    offer.acceptLate,
+    offer.key ?? null,
+    offer.callerService,
+  ];
+}
+
+/**
+ * Reads an offer that waited unread for `waitedMs`, which its times left are reduced by.
+ * @throws MedlarlaneError `REQUEST_INVALID`.
+ */
+export function readOffer(fields: readonly unknown[], opts: {waitedMs: number}): Offer {
+  const [requestId, service, life, route, priority, targetLeftMs, deadlineLeftMs] = fields;
+  const [acceptLate, key, caller] = fields.slice(7);
+  const texts = [requestId, service, life, route, caller];
+  const numbers = [priority, targetLeftMs, deadlineLeftMs, ...(key === null ? [] : [key])];
+  if (!texts.every(isText) || !numbers.every(Number.isFinite)) {
+    throw new MedlarlaneError('REQUEST_INVALID', 'Offer with fields of other types');
+  }
+  return {
+    requestId: requestId as string,
+    service: service as string,
+    life: life as string,
+    route: route as string,
+    priority: priority as number,
+    targetLeftMs: (targetLeftMs as number) - opts.waitedMs,
+    deadlineLeftMs: (deadlineLeftMs as number) - opts.waitedMs,
+    acceptLate: acceptLate === true,
+    ...(key === null ? {} : {key: key as number}),
+    callerService: caller as string,
+  };
+}
+
+/** @throws MedlarlaneError `REQUEST_INVALID`. */
+export function readFrame(fields: readonly unknown[]): RequestFrame {
+  const [method, path, headers, body] = fields;
+  const valid =
+    isText(method) && isText(path) && Array.isArray(headers) && body instanceof Uint8Array;
+  if (!valid) throw new MedlarlaneError('REQUEST_INVALID', 'Request with fields of other types');
+  return {method, path, headers: headers as string[], body};
+}
+
+function isText(value: unknown): value is string {
+  return typeof value === 'string';
+}
 
 /** The request itself; headers are a flat list of names and values. */
-export const requestFrameSchema = z.object({
-  method: z.string(),
-  path: z.string(),
-  headers: z.array(z.string()),
-  body: z.instanceof(Uint8Array),
-});
-export interface RequestFrame extends Omit<z.infer<typeof requestFrameSchema>, 'body'> {
+export interface RequestFrame {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly string[];
   readonly body: Uint8Array;
 }
 
--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -15,7 +15,7 @@
   readonly stopping: boolean;
 }
 
-/** Keys and the life of the target that owns them. */
+/** Keys and the life of the target that owns them; the ranges of a service are in the order of keys. */
 export interface OwnedRange {
   readonly fromKey: number;
   /** Inclusive. */
@@ -69,6 +69,8 @@
   private instances = new Map<string, InstanceView>();
   private byLife = new Map<string, InstanceView>();
   private byService = new Map<string, InstanceView[]>();
+  /** Ready instances that do not stop, by service. */
+  private workingByService = new Map<string, InstanceView[]>();
   private keyedServices: ReadonlySet<string> = new Set();
   /** Instances that a new leader has not named yet, and until when they stay. */
   private readonly unconfirmedUntilMs = new Map<string, number>();
@@ -122,6 +124,12 @@
       if (list) list.push(instance);
       else this.byService.set(instance.service, [instance]);
     }
+    this.workingByService = new Map(
+      [...this.byService].map(([service, list]) => [
+        service,
+        list.filter(({state, stopping}) => state === 'ready' && !stopping),
+      ]),
+    );
     for (const {life, coldLeftMs} of update.instances) {
       if (coldLeftMs > 0 && !this.coldUntilMs.has(life)) {
         this.coldUntilMs.set(life, nowMs + coldLeftMs);
@@ -181,26 +189,57 @@
   }
 
   ownerOf(service: string, key: number): InstanceView | undefined {
-    const range = this.rangesOf(service).find(({fromKey, toKey}) => fromKey <= key && key <= toKey);
-    return range && this.byLife.get(range.ownerLife);
+    const ranges = this.rangesOf(service);
+    let low = 0;
+    let high = ranges.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      if (ranges[middle]!.toKey < key) low = middle + 1;
+      else high = middle;
+    }
+    const range = ranges[low];
+    return range && range.fromKey <= key ? this.byLife.get(range.ownerLife) : undefined;
   }
 
   /** The instance with the lowest predicted latency of two drawn ones, leaving out `tried` lives. */
   pickInstance(service: string, tried: ReadonlySet<string>): InstanceView | undefined {
-    const all = this.instancesOf(service).filter(({life}) => !tried.has(life));
-    const takesWork = all.filter(({state, stopping}) => state === 'ready' && !stopping);
     const nowMs = this.opts.clock.nowMs();
-    const preferred = takesWork.filter(({life}) => this.of(life).avoidUntilMs <= nowMs);
-    const candidates = [preferred, takesWork, all.filter(({state}) => state === 'silent')].find(
-      (list) => list.length > 0,
-    );
-    if (!candidates) return undefined;
-    const random = this.opts.random ?? Math.random;
-    const draw = (): InstanceView => candidates[Math.floor(random() * candidates.length)]!;
-    const [a, b] = [draw(), draw()];
+    const isOpen = (entry: InstanceView): boolean => !tried.has(entry.life);
+    const isPreferred = (entry: InstanceView): boolean =>
+      isOpen(entry) && this.of(entry.life).avoidUntilMs <= nowMs;
+    const working = this.workingByService.get(service) ?? [];
+    const [list, isEligible] = working.some(isPreferred)
+      ? [working, isPreferred]
+      : working.some(isOpen)
+        ? [working, isOpen]
+        : [this.instancesOf(service).filter(({state}) => state === 'silent'), isOpen];
+    const a = this.draw(list, isEligible);
+    const b = this.draw(list, isEligible);
+    if (!a || !b || a === b) return a;
     return this.predictedMs(a) <= this.predictedMs(b) ? a : b;
   }
 
+  /** Whether an instance outside `tried` takes work and did not refuse any a moment ago. */
+  hasRoom(service: string, tried: ReadonlySet<string>): boolean {
+    const nowMs = this.opts.clock.nowMs();
+    return (this.workingByService.get(service) ?? []).some(
+      ({life}) => !tried.has(life) && this.of(life).avoidUntilMs <= nowMs,
+    );
+  }
+
+  /** The first eligible instance from a random place on. */
+  private draw(
+    list: readonly InstanceView[],
+    isEligible: (instance: InstanceView) => boolean,
+  ): InstanceView | undefined {
+    const start = Math.floor((this.opts.random ?? Math.random)() * list.length);
+    for (let step = 0; step < list.length; step += 1) {
+      const instance = list[(start + step) % list.length]!;
+      if (isEligible(instance)) return instance;
+    }
+    return undefined;
+  }
+
   /** Earliest time in which an instance of the service may have room again. */
   retryAfterMs(service: string): number {
     const waits = this.instancesOf(service).map(({life}) => {
--- a/routing/request-path/src/startGateListener.ts
+++ b/routing/request-path/src/startGateListener.ts
@@ -1,13 +1,12 @@
 import {once} from 'node:events';
-import http from 'node:http';
-import type {AddressInfo} from 'node:net';
-import {decode, encode} from '@msgpack/msgpack';
+import net from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import type {Logger} from '@medlarlane/logger';
-import {readWhole} from '@medlarlane/rpc';
-import {offerSchema, requestFrameSchema} from './messages.js';
+import {MessageSocket, OPERATION, PROTOCOL_VERSION, readPeerMessage} from '@medlarlane/peer-rpc';
+import type {PeerMessage} from '@medlarlane/peer-rpc';
+import {OFFER_FIELDS, readFrame, readOffer} from './messages.js';
 import type {RequestFrame, RunResult} from './messages.js';
-import {OFFER_HEADER} from './peerProtocol.js';
 import {readTurn} from './readTurn.js';
 import type {GateAdmission, TargetGate} from './targetGate.js';
 
@@ -17,6 +16,8 @@
   readonly port: number;
   readonly gate: TargetGate;
   readonly logger: Logger;
+  /** How late this process gets to its work, milliseconds. */
+  readonly lagMs: () => number;
 }
 
 export interface GateListener {
@@ -26,23 +27,30 @@
 
 /** Given as a value, because the default reason is an exception that costs a stack trace. */
 const CALLER_LEFT = 'caller left';
-/** The largest body that a configuration may allow, with its frame. */
-const MAX_FRAME_BYTES = 65 * 1024 * 1024;
-/** Longer than daemons keep idle connections to each other. */
-const IDLE_CONNECTION_MS = 60_000;
+/** Beyond this delay a caller may have left while its offer waited; the news is read a turn later. */
+const NOTICE_LAG_MS = 15;
+/** Finds daemons that are gone while they send nothing. */
+const KEEP_ALIVE_MS = 10_000;
+
+/** A request that another daemon offered. */
+interface Exchange {
+  readonly abort: AbortController;
+  /** Takes the request once the offer was admitted; absent when the offer came with it. */
+  take?: (frame: RequestFrame) => void;
+}
 
 /**
- * Starts the listener for requests of other daemons. A request comes in two steps: the offer in the
- * head, and after a slot was reserved and confirmed with 100, the request itself. Until then the
- * other daemon may give up and turn elsewhere, knowing that nothing ran.
+ * Starts the listener for requests of other daemons. An offer without its request is confirmed when a
+ * slot is reserved, and only then the request is sent. Until then the other daemon may give up and
+ * turn elsewhere, knowing that nothing ran.
  */
 export async function startGateListener(opts: GateListenerOptions): Promise<GateListener> {
-  const server = http.createServer({keepAliveTimeout: IDLE_CONNECTION_MS, requestTimeout: 0});
-  server.on('checkContinue', (request: http.IncomingMessage, response: http.ServerResponse) => {
-    void serve(request, response, opts);
-  });
-  server.on('request', (_request, response: http.ServerResponse) => {
-    response.writeHead(400).end();
+  const sockets = new Set<Socket>();
+  const server = net.createServer((socket) => {
+    sockets.add(socket);
+    socket.setKeepAlive(true, KEEP_ALIVE_MS);
+    socket.once('close', () => sockets.delete(socket));
+    new GateConnection(socket, opts);
   });
   server.listen(opts.port, opts.host);
   await once(server, 'listening');
@@ -50,55 +58,106 @@
   return {
     address: `${address}:${port}`,
     close: async () => {
-      server.closeAllConnections();
       server.close();
+      for (const socket of sockets) socket.destroy();
       await once(server, 'close');
     },
   };
 }
 
-async function serve(
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
-  {gate, logger}: GateListenerOptions,
-): Promise<void> {
-  const abort = new AbortController();
-  response.on('close', () => {
-    if (!response.writableFinished) abort.abort(CALLER_LEFT);
-  });
-  let admission: GateAdmission | undefined;
-  let result: RunResult;
-  try {
-    const offer = offerSchema.parse(JSON.parse(String(request.headers[OFFER_HEADER])));
-    const admitted = gate.admit(offer, abort.signal);
-    const queued = setImmediate(() => response.writeProcessing());
-    admission = await admitted.finally(() => clearImmediate(queued));
-    response.writeContinue();
-    const frame = await readFrame(request);
-    // A close of the other daemon that arrived with the request is read a turn later.
-    await readTurn();
-    if (abort.signal.aborted) throw new MedlarlaneError('CANCELLED', undefined, {ran: 'no'});
-    result = await admission.run(frame, abort.signal);
-  } catch (thrown) {
-    admission?.cancel();
-    const error = toMedlarlaneError(thrown);
-    if (error.code === 'INTERNAL' && !abort.signal.aborted) {
-      logger.warn({err: error}, 'Offer failed');
+/** One connection of another daemon. */
+class GateConnection {
+  private readonly exchanges = new Map<number, Exchange>();
+  private readonly messages: MessageSocket;
+  private readonly handlers: Readonly<Record<number, (message: PeerMessage) => void>> = {
+    [OPERATION.hello]: ({exchange: version}) => this.checkVersion(version),
+    [OPERATION.offer]: (message) => void this.serve(message),
+    [OPERATION.request]: ({exchange, fields}) =>
+      this.exchanges.get(exchange)?.take?.(readFrame(fields)),
+    [OPERATION.cancel]: ({exchange}) => this.exchanges.get(exchange)?.abort.abort(CALLER_LEFT),
+    [OPERATION.ping]: () => this.messages.send([OPERATION.pong, 0]),
+  };
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly opts: GateListenerOptions,
+  ) {
+    this.messages = new MessageSocket(socket, {
+      onMessage: (message) => {
+        const read = readPeerMessage(message);
+        this.handlers[read.operation]?.(read);
+      },
+      onClose: (failure) => {
+        if (failure) opts.logger.info({peer: this.peer, err: failure}, '[gate] Connection failed');
+        for (const {abort} of this.exchanges.values()) abort.abort(CALLER_LEFT);
+      },
+    });
+  }
+
+  private get peer(): string | undefined {
+    return this.socket.remoteAddress;
+  }
+
+  private checkVersion(version: number): void {
+    if (version === PROTOCOL_VERSION) return;
+    this.opts.logger.warn({peer: this.peer, version}, '[gate] Peer speaks another version');
+    this.messages.destroy();
+  }
+
+  private async serve({exchange, fields}: PeerMessage): Promise<void> {
+    const {gate, logger} = this.opts;
+    const {signal} = this.open(exchange);
+    let admission: GateAdmission | undefined;
+    let result: RunResult;
+    try {
+      const lagMs = this.opts.lagMs();
+      const offer = readOffer(fields, {waitedMs: lagMs});
+      const eager = fields.length > OFFER_FIELDS;
+      if (lagMs > NOTICE_LAG_MS) await readTurn();
+      admission = await gate.admit(offer, signal);
+      const frame = eager ? readFrame(fields.slice(OFFER_FIELDS)) : await this.fetch(exchange);
+      if (!eager && this.opts.lagMs() > NOTICE_LAG_MS) await readTurn();
+      if (signal.aborted) throw cancelled();
+      result = await admission.run(frame, signal);
+    } catch (thrown) {
+      admission?.cancel();
+      const error = toMedlarlaneError(thrown);
+      if (error.code === 'INTERNAL') logger.warn({err: error}, '[gate] Offer failed');
+      result = refusedBy(error, gate);
     }
-    const retryAfterMs = Number(error.details['retryAfterMs']);
-    result = {
-      kind: 'refused',
-      code: error.code,
-      ...(Number.isFinite(retryAfterMs) ? {retryAfterMs} : {}),
-      load: gate.load,
-    };
+    this.exchanges.delete(exchange);
+    if (!signal.aborted) this.messages.send([OPERATION.result, exchange, result]);
+  }
+
+  private open(exchange: number): AbortController {
+    const abort = new AbortController();
+    this.exchanges.set(exchange, {abort});
+    return abort;
+  }
+
+  /** Asks for the request of an admitted offer. @throws MedlarlaneError `CANCELLED`. */
+  private fetch(exchange: number): Promise<RequestFrame> {
+    return new Promise((resolve, reject) => {
+      const opened = this.exchanges.get(exchange);
+      if (!opened || opened.abort.signal.aborted) return reject(cancelled());
+      opened.take = resolve;
+      opened.abort.signal.addEventListener('abort', () => reject(cancelled()), {once: true});
+      this.messages.send([OPERATION.admitted, exchange]);
+    });
   }
-  if (response.destroyed) return;
-  const body = encode(result, {ignoreUndefined: true});
-  response.writeHead(200, {'content-length': body.byteLength});
-  response.end(body);
 }
 
-async function readFrame(request: http.IncomingMessage): Promise<RequestFrame> {
-  return requestFrameSchema.parse(decode(await readWhole(request, MAX_FRAME_BYTES)));
+/** A refusal before anything was sent to the target. */
+export function refusedBy({code, details}: MedlarlaneError, gate: TargetGate): RunResult {
+  const retryAfterMs = Number(details['retryAfterMs']);
+  return {
+    kind: 'refused',
+    code,
+    ...(Number.isFinite(retryAfterMs) ? {retryAfterMs} : {}),
+    load: gate.load,
+  };
+}
+
+function cancelled(): MedlarlaneError {
+  return new MedlarlaneError('CANCELLED', undefined, {ran: 'no'});
 }
--- a/routing/request-path/src/targetGate.ts
+++ b/routing/request-path/src/targetGate.ts
@@ -113,6 +113,7 @@
       priority: offer.priority,
       targetAtMs: nowMs + offer.targetLeftMs,
       deadlineAtMs,
+      acceptLate: offer.acceptLate,
       signal,
     });
     return {
--- /dev/null
+++ b/routing/request-path/test/peerLink.test.ts
@@ -0,0 +1,292 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import net from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {after, describe, it} from 'node:test';
+import {MedlarlaneError} from '@medlarlane/errors';
+import {DisposableStore} from '@medlarlane/lifecycle';
+import {silentLogger} from '@medlarlane/logger';
+import {MessageSocket, OPERATION} from '@medlarlane/peer-rpc';
+import {createPeerClient, startGateListener} from '@medlarlane/request-path';
+import type {
+  Offer,
+  PeerClient,
+  RequestFrame,
+  RunResult,
+  TargetGate,
+} from '@medlarlane/request-path';
+
+const OFFER: Offer = {
+  requestId: 'r1',
+  service: 'desk',
+  life: 't/1',
+  route: 'walls',
+  priority: 1,
+  targetLeftMs: 400,
+  deadlineLeftMs: 900,
+  acceptLate: false,
+  key: 7,
+  callerService: 'log',
+};
+const FRAME: RequestFrame = {
+  method: 'POST',
+  path: '/a?b=c',
+  headers: ['x-a', '1'],
+  body: Buffer.from('body'),
+};
+const ANSWERED: RunResult = {
+  kind: 'answered',
+  answer: {status: 200, headers: ['x-b', '2'], body: Buffer.from('answer')},
+};
+
+describe('A request between two daemons', () => {
+  const disposables = new DisposableStore();
+  after(() => disposables.dispose());
+
+  for (const repeatable of [true, false]) {
+    it(`reaches the gate whole and its answer comes back (repeatable: ${repeatable})`, async () => {
+      const peer = await startPeer(disposables, {});
+      const result = await send(peer, {repeatable});
+      assert.deepEqual(peer.offers, [OFFER]);
+      assert.deepEqual(peer.frames.map(plain), [plain(FRAME)]);
+      assert.equal(result.kind, 'answered');
+      if (result.kind !== 'answered') return;
+      assert.equal(Buffer.from(result.answer.body).toString(), 'answer');
+      assert.deepEqual(result.answer.headers, ['x-b', '2']);
+    });
+  }
+
+  it('carries bodies of megabytes', async () => {
+    const peer = await startPeer(disposables, {});
+    const frame = {...FRAME, body: Buffer.alloc(5_000_000, 3)};
+    const result = await send(peer, {frame, repeatable: false});
+    assert.equal(result.kind, 'answered');
+    assert.ok(frame.body.equals(Buffer.from(peer.frames[0]!.body)));
+  });
+
+  it('is refused with the reason of the gate and the time to come back', async () => {
+    const peer = await startPeer(disposables, {
+      admit: () => new MedlarlaneError('OVERLOADED', undefined, {details: {retryAfterMs: 70}}),
+    });
+    const result = await send(peer, {repeatable: false});
+    assert.equal(result.kind, 'refused');
+    assert.equal(result.kind === 'refused' && result.code, 'OVERLOADED');
+    assert.equal(result.kind === 'refused' && result.retryAfterMs, 70);
+    assert.equal(peer.frames.length, 0);
+  });
+
+  it('is cancelled at the gate when its caller leaves', async () => {
+    const peer = await startPeer(disposables, {neverEnds: true});
+    const abort = new AbortController();
+    const running = send(peer, {repeatable: true, signal: abort.signal});
+    await waitFor(() => peer.frames.length === 1);
+    abort.abort('left');
+    assert.deepEqual(await running, {kind: 'lost', code: 'CANCELLED'});
+    await waitFor(() => peer.cancelled === 1);
+  });
+
+  it('does not run when it was cancelled in the same moment', async () => {
+    const peer = await startPeer(disposables, {lagMs: 100});
+    const abort = new AbortController();
+    const running = send(peer, {repeatable: true, signal: abort.signal});
+    abort.abort('left');
+    await running;
+    await send(peer, {repeatable: true, offer: {...OFFER, requestId: 'r2'}});
+    assert.equal(peer.frames.length, 1);
+  });
+
+  it('has less time left when the gate was late to read it', async () => {
+    const peer = await startPeer(disposables, {lagMs: 120});
+    await send(peer, {repeatable: true});
+    assert.equal(peer.offers[0]?.deadlineLeftMs, OFFER.deadlineLeftMs - 120);
+    assert.equal(peer.offers[0]?.targetLeftMs, OFFER.targetLeftMs - 120);
+  });
+
+  it('goes on after the other daemon was started again', async () => {
+    const first = await startPeer(disposables, {});
+    await send(first, {repeatable: false});
+    await first.close();
+    const second = await startPeer(disposables, {port: Number(first.address.split(':')[1])});
+    let result = await send(first, {repeatable: false});
+    // The end of the former connection may arrive only now.
+    if (result.kind === 'refused') result = await send(first, {repeatable: false});
+    assert.equal(second.frames.length, 1);
+    assert.equal(result.kind, 'answered');
+  });
+
+  interface SilentRow {
+    readonly name: string;
+    readonly repeatable: boolean;
+    /** Operations that the peer answers before it falls silent. */
+    readonly admits: boolean;
+    readonly expected: RunResult['kind'] | 'waits';
+  }
+  const SILENT_ROWS: readonly SilentRow[] = [
+    {
+      name: 'an offer is given up as not run',
+      repeatable: false,
+      admits: false,
+      expected: 'refused',
+    },
+    {
+      name: 'a request that may repeat is given up as lost',
+      repeatable: true,
+      admits: false,
+      expected: 'lost',
+    },
+    {
+      name: 'a request that was sent and must not repeat waits for its answer',
+      repeatable: false,
+      admits: true,
+      expected: 'waits',
+    },
+  ];
+  for (const {name, repeatable, admits, expected} of SILENT_ROWS) {
+    it(`at a peer that falls silent: ${name}`, async () => {
+      const peer = await startSilentPeer(disposables, {admits});
+      const abort = new AbortController();
+      const running = send(peer, {repeatable, signal: abort.signal});
+      const waited = new Promise<'waits'>((resolve) => setTimeout(() => resolve('waits'), 750));
+      const outcome = await Promise.race([running.then(({kind}) => kind), waited]);
+      abort.abort('end of test');
+      assert.equal(outcome, expected);
+    });
+  }
+
+  it('takes a new connection when the old one is silent', async () => {
+    const peer = await startSilentPeer(disposables, {admits: false});
+    await send(peer, {repeatable: false});
+    await send(peer, {repeatable: false});
+    assert.equal(peer.connections(), 2);
+  });
+
+  it('is refused at once where nobody listens', async () => {
+    const peer = await startPeer(disposables, {});
+    await peer.close();
+    const startedAtMs = performance.now();
+    const result = await send(peer, {repeatable: true});
+    assert.deepEqual(result, {kind: 'refused', code: 'PEER_FAILED'});
+    assert.ok(performance.now() - startedAtMs < 200);
+  });
+});
+
+interface Peer {
+  readonly client: PeerClient;
+  readonly address: string;
+}
+
+interface GatePeer extends Peer {
+  readonly offers: Offer[];
+  readonly frames: RequestFrame[];
+  readonly cancelled: number;
+  close(): Promise<void>;
+}
+
+async function startPeer(
+  disposables: DisposableStore,
+  opts: {
+    admit?: () => MedlarlaneError | undefined;
+    neverEnds?: boolean;
+    lagMs?: number;
+    port?: number;
+  },
+): Promise<GatePeer> {
+  const offers: Offer[] = [];
+  const frames: RequestFrame[] = [];
+  let cancelled = 0;
+  const gate = {
+    load: {inFlight: 0, waiting: 0, slots: 1, meanMs: 1},
+    admit: async (offer: Offer) => {
+      offers.push(offer);
+      const refusal = opts.admit?.();
+      if (refusal) throw refusal;
+      return {
+        cancel: () => undefined,
+        run: (frame: RequestFrame, signal: AbortSignal): Promise<RunResult> => {
+          frames.push(frame);
+          if (!opts.neverEnds) return Promise.resolve(ANSWERED);
+          return new Promise((resolve) => {
+            signal.addEventListener('abort', () => {
+              cancelled += 1;
+              resolve({kind: 'lost', code: 'CANCELLED'});
+            });
+          });
+        },
+      };
+    },
+  } as unknown as TargetGate;
+  const listener = await startGateListener({
+    host: '127.0.0.1',
+    port: opts.port ?? 0,
+    gate,
+    logger: silentLogger,
+    lagMs: () => opts.lagMs ?? 0,
+  });
+  let open = true;
+  const close = async (): Promise<void> => {
+    if (open) await listener.close();
+    open = false;
+  };
+  disposables.add(close);
+  const client = disposables.use(createPeerClient(), (created) => created.close());
+  return {
+    client,
+    address: listener.address,
+    offers,
+    frames,
+    get cancelled() {
+      return cancelled;
+    },
+    close,
+  };
+}
+
+/** A peer that accepts connections and, at most, admits one offer. */
+async function startSilentPeer(
+  disposables: DisposableStore,
+  {admits}: {admits: boolean},
+): Promise<Peer & {connections(): number}> {
+  const sockets: Socket[] = [];
+  const server = net.createServer((socket) => {
+    sockets.push(socket);
+    disposables.add(() => void socket.destroy());
+    const messages = new MessageSocket(socket, {
+      onMessage: (message) => {
+        const [operation, exchange] = message as number[];
+        if (admits && operation === OPERATION.offer) messages.send([OPERATION.admitted, exchange]);
+      },
+      onClose: () => undefined,
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  disposables.add(() => void server.close());
+  const client = disposables.use(createPeerClient(), (created) => created.close());
+  const {port} = server.address() as AddressInfo;
+  return {client, address: `127.0.0.1:${port}`, connections: () => sockets.length};
+}
+
+function send(
+  {client, address}: Peer,
+  opts: {repeatable: boolean; signal?: AbortSignal; frame?: RequestFrame; offer?: Offer},
+): Promise<RunResult> {
+  return client.run({
+    address,
+    offer: opts.offer ?? OFFER,
+    frame: opts.frame ?? FRAME,
+    repeatable: opts.repeatable,
+    signal: opts.signal ?? new AbortController().signal,
+  });
+}
+
+function plain({body, ...rest}: RequestFrame): unknown {
+  return {...rest, body: Buffer.from(body).toString()};
+}
+
+async function waitFor(condition: () => boolean): Promise<void> {
+  const endsAtMs = performance.now() + 5_000;
+  while (!condition()) {
+    if (performance.now() > endsAtMs) throw new Error('Not reached in time');
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
--- a/routing/request-path/test/targetClient.test.ts
+++ b/routing/request-path/test/targetClient.test.ts
@@ -160,6 +160,7 @@
     priority: 0,
     targetLeftMs: 1_000,
     deadlineLeftMs: 1_000,
+    acceptLate: false,
     callerService: 'desk',
   };
   return client.run({
