Write log lines in batches

Cause: each line was a write of its own; writes of lines took 6.6% of a processor profile under load. Change: lines wait for 8 KiB or 150 ms. A killed process loses the lines of that time.

--- a/kernel/logger/src/createLogger.ts
+++ b/kernel/logger/src/createLogger.ts
@@ -18,11 +18,22 @@
 /** Lines that wait for a slow reader of standard output. */
 const MAX_WAITING_BYTES = 1_048_576;
 
+/** Lines are written together, because each write costs as much as the line itself. */
+const WRITE_BYTES = 8_192;
+/** Longest time that a line waits for others; a killed process loses the lines of this time. */
+const FLUSH_MS = 150;
+
 /** Creates the root logger of a process. It writes JSON lines. */
 export function createLogger(opts: CreateLoggerOptions = {}): Logger {
   const destination =
     opts.destination === 'stdout'
-      ? pino.destination({fd: 1, sync: false, maxLength: MAX_WAITING_BYTES})
+      ? pino.destination({
+          fd: 1,
+          sync: false,
+          minLength: WRITE_BYTES,
+          periodicFlush: FLUSH_MS,
+          maxLength: MAX_WAITING_BYTES,
+        })
       : pino.destination({fd: 2, sync: true});
   const {maxRequestLinesPerS} = opts;
   return pino(
