--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -24,6 +24,16 @@
   },
 };
 
+/** Leaves out the messages of zod in other languages, which are half of all code. */
+const englishOnly = {
+  name: 'english-only',
+  setup: (bundler) => {
+    bundler.onLoad({filter: /zod[\\/]v4[\\/]locales[\\/]index\.js$/}, () => ({
+      contents: "export {default as en} from './en.js';",
+    }));
+  },
+};
+
 await build({
   entryPoints: [path.join(root, 'platform', 'src', 'main.ts')],
   outfile: path.join(root, 'target', 'medlarlane.cjs'),
@@ -32,6 +42,7 @@
   target: 'node20',
   format: 'cjs',
   minifySyntax: true,
+  minifyWhitespace: true,
   legalComments: 'none',
-  plugins: [workspaceSources],
+  plugins: [workspaceSources, englishOnly],
 });
