--- a/testing/fault-tables/src/scenario.ts
+++ b/testing/fault-tables/src/scenario.ts
@@ -68,8 +68,9 @@
       dispose: () => cluster.dispose(),
     };
   } catch (failure) {
+    const logs = cluster.recentLogs();
     await cluster.dispose();
-    throw failure;
+    throw new Error(`The scenario could not start: ${String(failure)}\n${logs}`, {cause: failure});
   }
 }
 
