Use what a target says that it holds until a restarted daemon can grant keys

Cause: after a restart of all processes the owner's daemon refuses requests (NOT_OWNER) until a leader has renewed its lease and the target's next heartbeat has come, although the former process's grant is in force at the target and each heartbeat names it. Change: the keys of the first heartbeats count as held until this process has given a grant; the target turns away what it no longer holds. Two tests; the first fails without the change.

--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -88,6 +88,8 @@
 const SILENT_AFTER_HEARTBEATS = 3;
 /** Leaves room for a heartbeat that comes late; an end is noticed about this long after it. */
 const OVERDUE_AFTER_HEARTBEATS = 1.3;
+/** What a target said is used until its next heartbeat, which may come a little late. */
+const REPORT_VALID_HEARTBEATS = 1.5;
 /** Former lives that are reported; more than start between two reports that arrive. */
 const REPORTED_LIVES = 8;
 /** Time by which the gate closes before the drain time is over. */
@@ -106,6 +108,9 @@
   private granted: readonly GrantedRange[] = [];
   /** Until then an adopted target is assumed to hold what is assigned to it. */
   private assumedUntilMs = -Infinity;
+  /** What the target said that it holds, until this process has given it a grant. */
+  private reported: readonly KeyStretch[] = [];
+  private reportedUntilMs = -Infinity;
   private leaseUntilMs = -Infinity;
   /** Leases from reports that were sent before do not count; see `disclaim`. */
   private leaseFloorMs = -Infinity;
@@ -207,7 +212,9 @@
   holdsKey(key: number): boolean {
     const nowMs = this.opts.clock.nowMs();
     const held = nowMs < this.grantedUntilMs ? this.granted : [];
-    const ranges = nowMs < this.assumedUntilMs ? this.assigned : held;
+    const assumed = nowMs < this.assumedUntilMs ? this.assigned : [];
+    const reported = nowMs < this.reportedUntilMs ? this.reported : [];
+    const ranges = [...held, ...assumed, ...reported];
     return ranges.some(({fromKey, toKey}) => fromKey <= key && key <= toKey);
   }
 
@@ -225,6 +232,7 @@
     const stateBefore = this.state;
     this.heartbeat = next;
     this.assumedUntilMs = -Infinity;
+    this.assumeReported(next, former);
     this.heardAtMs = this.opts.steadyClock.nowMs();
     this.ended = false;
     if (next.state === 'draining' && this.drainSinceMs === undefined) {
@@ -315,6 +323,19 @@
     return next.bornMs > heartbeat.bornMs;
   }
 
+  /**
+   * A grant of the former process of this daemon may still be in force, and the target knows. It turns
+   * away what it does not hold any more.
+   */
+  private assumeReported({holds}: Heartbeat, former: Heartbeat | undefined): void {
+    const adopted = former === undefined || former.sequence < 0;
+    const grantedNothing = this.grantedUntilMs === -Infinity;
+    const assumes = grantedNothing && (adopted || this.reported.length > 0);
+    this.reported = assumes ? holds : [];
+    const validMs = REPORT_VALID_HEARTBEATS * this.opts.heartbeatMs;
+    this.reportedUntilMs = this.opts.clock.nowMs() + validMs;
+  }
+
   /** One process at a time listens at the target's address, so a new life proves the former's end. */
   private startLife(next: Heartbeat, former: Heartbeat | undefined): void {
     this.opts.logger.info(
@@ -330,6 +351,7 @@
     this.grantedUntilMs = -Infinity;
     this.holdsUntilMs = -Infinity;
     this.assigned = [];
+    this.reported = [];
     this.givenBack = [];
     this.leaving = [];
   }
@@ -390,6 +412,7 @@
       return undefined;
     }
     this.granted = ranges;
+    this.reported = [];
     this.grantedUntilMs = nowMs + holdMs / CLOCK_RATE_MARGIN;
     this.holdsUntilMs = this.opts.steadyClock.nowMs() + holdMs / CLOCK_RATE_MARGIN;
     return {ranges, holdMs};
--- a/targets/key-holds/test/hostedTarget.test.ts
+++ b/targets/key-holds/test/hostedTarget.test.ts
@@ -66,6 +66,29 @@
     assert.equal(grantOf(beat({sequence: 3, bornMs: 2_000}))?.ranges.length, 1);
   });
 
+  it('goes on with the keys that it says it holds while a restarted daemon has no lease', async () => {
+    const {hosted, clock, beat, lease} = startHosted();
+    const holds = [{fromKey: 0, toKey: 99, epoch: 3}];
+    beat({sequence: 7, holds});
+    assert.ok(hosted.holdsKey(10));
+    assert.equal(hosted.holdsKey(100), false);
+    await clock.advance(900);
+    beat({sequence: 8, holds: []});
+    assert.equal(hosted.holdsKey(10), false);
+    lease({leaseMs: 2_000});
+    beat({sequence: 9, holds});
+    await clock.advance(2_100);
+    beat({sequence: 10, holds});
+    assert.equal(hosted.holdsKey(10), false);
+  });
+
+  it('assumes nothing for a life that starts beside a running daemon', () => {
+    const {hosted, beat} = startHosted();
+    beat({sequence: 1, bornMs: 1_000});
+    beat({sequence: 1, bornMs: 2_000, holds: [{fromKey: 0, toKey: 99, epoch: 3}]});
+    assert.equal(hosted.holdsKey(10), false);
+  });
+
   it('never gets back keys that it freed while they still count as its own', () => {
     const {hosted, beat, lease} = startHosted();
     beat({sequence: 1});
