Divide keys in stripes; send handovers only until the target has taken the keys

Change: the first division deals up to 32 stripes a target in turn; a transfer may take a whole range of a target with several. The test of 2,000 busy neighbours on six targets fails with the former division (one target carries the whole crowd) and passes with less than 1.5 times the mean. Heartbeat answers name handovers of kept ranges no more, which bounds their size with more ranges.

--- a/control/site-control/src/planKeys.ts
+++ b/control/site-control/src/planKeys.ts
@@ -20,9 +20,15 @@
   readonly assignments: KeyAssignment[];
 }
 
+/** Stripes of a service in its first division; bounds the size of the directory. */
+const MAX_STRIPES = 512;
+/** Bounds the answer to a heartbeat, which names each range of its target, to about a kilobyte. */
+const MAX_STRIPES_PER_TARGET = 32;
+
 /**
- * Gives the keys that nobody holds to the targets with the fewest keys. Work that a target loses
- * spreads over all others, so that none of them takes more than its part.
+ * Gives the keys that nobody holds to the targets with the fewest keys, in stripes. Busy keys are often
+ * neighbours, so that stripes spread their load before anything is known of it, and spread the work that
+ * a lost target leaves over all others.
  */
 export function planKeys({ranges, targets, mayTakeFrom, isServing}: PlanInput): KeyPlan {
   if (targets.length === 0) return {assignments: []};
@@ -32,14 +38,15 @@
     const owned = keys.get(ownerLife);
     if (owned !== undefined) keys.set(ownerLife, owned + toKey - fromKey + 1);
   }
+  const perTarget = Math.max(
+    1,
+    Math.min(MAX_STRIPES_PER_TARGET, Math.floor(MAX_STRIPES / targets.length)),
+  );
+  const stripeKeys = KEY_COUNT / (targets.length * perTarget);
   const assignments: KeyAssignment[] = [];
-  const share = KEY_COUNT / targets.length;
   for (const range of free) {
-    let {fromKey} = range;
-    while (fromKey <= range.toKey) {
+    for (const {fromKey, toKey} of stripesOf(range, stripeKeys)) {
       const [life, owned] = [...keys].reduce((least, next) => (next[1] < least[1] ? next : least));
-      const room = Math.max(1, Math.ceil(share - owned));
-      const toKey = Math.min(range.toKey, fromKey + room - 1);
       assignments.push({
         fromKey,
         toKey,
@@ -48,8 +55,21 @@
         previousOwnerLife: range.ownerLife,
       });
       keys.set(life, owned + toKey - fromKey + 1);
-      fromKey = toKey + 1;
     }
   }
   return {assignments};
 }
+
+/** Cuts a range into stripes of about the wanted length, all alike. */
+function stripesOf(
+  {fromKey, toKey}: KeyRange,
+  stripeKeys: number,
+): Array<{fromKey: number; toKey: number}> {
+  const length = toKey - fromKey + 1;
+  const count = Math.max(1, Math.round(length / stripeKeys));
+  const startOf = (index: number): number => fromKey + Math.floor((index * length) / count);
+  return Array.from({length: count}, (_, index) => ({
+    fromKey: startOf(index),
+    toKey: startOf(index + 1) - 1,
+  }));
+}
--- a/control/site-control/test/planning.test.ts
+++ b/control/site-control/test/planning.test.ts
@@ -19,6 +19,51 @@
     assert.ok(Math.max(...sizes) - Math.min(...sizes) <= 2);
   });
 
+  it('spreads the load of neighbouring busy keys before anything is known of it', () => {
+    const targets = lives('a', 'b', 'c', 'd', 'e', 'f');
+    const {assignments} = planKeys({
+      ranges: [range(0, KEY_COUNT - 1, '')],
+      targets,
+      mayTakeFrom: () => true,
+      isServing: () => false,
+    });
+    // 2,000 neighbours carry four fifths of the requests.
+    const isBusy = (key: number): boolean => key >= 20_000 && key < 22_000;
+    const loadOf = (life: string): number =>
+      sum(
+        assignments
+          .filter(({ownerLife}) => ownerLife === life)
+          .map(({fromKey, toKey}) => {
+            const keys = Array.from({length: toKey - fromKey + 1}, (_, index) => fromKey + index);
+            const busy = keys.filter(isBusy).length;
+            return (0.8 * busy) / 2_000 + (0.2 * (keys.length - busy)) / (KEY_COUNT - 2_000);
+          }),
+      );
+    const busiest = Math.max(...targets.map(({life}) => loadOf(life)));
+    assert.ok(busiest < 1.5 / targets.length, `${busiest} of the load on one of six targets`);
+  });
+
+  it('divides what a lost target leaves among all others', () => {
+    const {assignments} = planKeys({
+      ranges: [
+        range(0, 29_999, 'lost'),
+        range(30_000, 49_999, 'a'),
+        range(50_000, KEY_COUNT - 1, 'b'),
+      ],
+      targets: lives('a', 'b'),
+      mayTakeFrom: (life) => life === 'lost',
+      isServing: (life) => life !== 'lost',
+    });
+    const taken = (life: string): number =>
+      sum(
+        assignments
+          .filter(({ownerLife}) => ownerLife === life)
+          .map(({fromKey, toKey}) => toKey - fromKey + 1),
+      );
+    assert.equal(taken('a') + taken('b'), 30_000);
+    assert.ok(Math.abs(20_000 + taken('a') - KEY_COUNT / 2) < 1_100);
+  });
+
   it('leaves the keys of a silent target alone until its lease has run out', () => {
     const input = {
       ranges: [range(0, 99, 'lost'), range(100, KEY_COUNT - 1, 'a')],
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -415,7 +415,16 @@
     this.reported = [];
     this.grantedUntilMs = nowMs + holdMs / CLOCK_RATE_MARGIN;
     this.holdsUntilMs = this.opts.steadyClock.nowMs() + holdMs / CLOCK_RATE_MARGIN;
-    return {ranges, holdMs};
+    return {ranges: ranges.map((range) => this.withoutUsedHandover(range)), holdMs};
+  }
+
+  /** A handover counts only when the target takes the keys; later it would make answers too long. */
+  private withoutUsedHandover(range: GrantedRange): GrantedRange {
+    const isHeld = this.heartbeat?.holds.some(
+      ({fromKey, toKey, epoch}) =>
+        epoch === range.epoch && fromKey <= range.fromKey && range.toKey <= toKey,
+    );
+    return isHeld ? {...range, handover: ''} : range;
   }
 
   /** The parts of a range that the target is to keep. */
--- a/targets/key-holds/src/keyLoad.ts
+++ b/targets/key-holds/src/keyLoad.ts
@@ -63,7 +63,7 @@
     let bestError = Infinity;
     for (const range of ranges) {
       for (const fromLow of [true, false]) {
-        const found = this.grow(range, wanted, fromLow);
+        const found = this.grow(range, wanted, {fromLow, mayTakeAll: ranges.length > 1});
         const error = found ? Math.abs(found.load - wanted) : Infinity;
         if (found && error < bestError && found.load <= wanted * MAX_OVERSHOOT) {
           [best, bestError] = [found.stretch, error];
@@ -73,16 +73,16 @@
     return best;
   }
 
-  /** Grows a stretch from one end of a range until it carries the wanted load; never the whole range. */
+  /** Grows a stretch from one end of a range until it carries the wanted load. */
   private grow(
     {fromKey, toKey}: KeyStretch,
     wanted: number,
-    fromLow: boolean,
+    {fromLow, mayTakeAll}: {fromLow: boolean; mayTakeAll: boolean},
   ): {stretch: KeyStretch; load: number} | undefined {
     let load = 0;
     let size = 0;
     const length = toKey - fromKey + 1;
-    while (size < length - 1) {
+    while (size < (mayTakeAll ? length : length - 1)) {
       const key = fromLow ? fromKey + size : toKey - size;
       const next = load + this.counts[key]!;
       // Stops before a key that would take it further from the wanted load.
