Prefer instances in the own availability zone as one of the two candidates

Cause: with one instance of a service in each of three zones, two candidates drawn at random leave the near one out of 4 in 9 choices. Change: one candidate is drawn in the own zone, the other one anywhere; the predicted latency decides as before.

--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -201,7 +201,10 @@
     return range && range.fromKey <= key ? this.byLife.get(range.ownerLife) : undefined;
   }
 
-  /** The instance with the lowest predicted latency of two drawn ones, leaving out `tried` lives. */
+  /**
+   * The instance with the lower predicted latency of one in this availability zone and one anywhere,
+   * leaving out `tried` lives.
+   */
   pickInstance(service: string, tried: ReadonlySet<string>): InstanceView | undefined {
     const nowMs = this.opts.clock.nowMs();
     const isOpen = (entry: InstanceView): boolean => !tried.has(entry.life);
@@ -213,7 +216,9 @@
       : working.some(isOpen)
         ? [working, isOpen]
         : [this.instancesOf(service).filter(({state}) => state === 'silent'), isOpen];
-    const a = this.draw(list, isEligible);
+    const isNear = (entry: InstanceView): boolean =>
+      entry.availabilityZone === this.opts.availabilityZone && isEligible(entry);
+    const a = this.draw(list, isNear) ?? this.draw(list, isEligible);
     const b = this.draw(list, isEligible);
     if (!a || !b || a === b) return a;
     return this.predictedMs(a) <= this.predictedMs(b) ? a : b;
--- /dev/null
+++ b/routing/request-path/test/siteView.test.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {ManualClock} from '@medlarlane/lifecycle';
+import {SiteView} from '@medlarlane/request-path';
+import type {InstanceView} from '@medlarlane/request-path';
+
+const SERVICE = 'vault';
+
+describe("A daemon's view of the instances", () => {
+  it('keeps requests in its availability zone while there is room', () => {
+    const {view} = startView(['near', 'far-1', 'far-2']);
+    const picked = pickMany(view, 300);
+    assert.ok(picked.get('near')! > 270, `${picked.get('near')} of 300 stayed`);
+  });
+
+  it('spreads requests over all zones when the near instances are busy', () => {
+    const {view} = startView(['near', 'far-1', 'far-2']);
+    for (let count = 0; count < 12; count += 1) view.sent('near');
+    const picked = pickMany(view, 300);
+    assert.ok(picked.get('far-1')! > 60 && picked.get('far-2')! > 60);
+    assert.ok((picked.get('near') ?? 0) < 120);
+  });
+
+  it('offers a request to instances that refused a moment ago only when no other is left', () => {
+    const {view} = startView(['near', 'far-1']);
+    view.sent('near');
+    view.ended('near', {kind: 'refused', code: 'OVERLOADED'});
+    assert.equal(view.pickInstance(SERVICE, new Set())?.life, 'far-1');
+    assert.equal(view.pickInstance(SERVICE, new Set(['far-1']))?.life, 'near');
+    assert.equal(view.hasRoom(SERVICE, new Set(['far-1'])), false);
+    assert.equal(view.hasRoom(SERVICE, new Set()), true);
+  });
+
+  it('finds the owner of a key at both ends of its range and none in a gap', () => {
+    const {view} = startView(['near', 'far-1']);
+    view.setRanges(SERVICE, [
+      {fromKey: 0, toKey: 9, ownerLife: 'near'},
+      {fromKey: 10, toKey: 10, ownerLife: 'far-1'},
+      {fromKey: 20, toKey: 65_535, ownerLife: 'near'},
+    ]);
+    const ownerOf = (key: number): string | undefined => view.ownerOf(SERVICE, key)?.life;
+    assert.deepEqual([0, 9, 10, 15, 20, 65_535].map(ownerOf), [
+      'near',
+      'near',
+      'far-1',
+      undefined,
+      'near',
+      'near',
+    ]);
+  });
+});
+
+function startView(lives: readonly string[]): {view: SiteView; clock: ManualClock} {
+  const clock = new ManualClock();
+  let state = 1;
+  const random = (): number => {
+    state = (state * 16_807) % 2_147_483_647;
+    return state / 2_147_483_647;
+  };
+  const view = new SiteView({clock, availabilityZone: 'near', random});
+  const instances = lives.map((life): InstanceView => ({
+    forwardAddress: `${life}:1`,
+    availabilityZone: life.split('-')[0]!,
+    life,
+    service: SERVICE,
+    state: 'ready',
+    slots: 10,
+    coldLeftMs: 0,
+    stopping: false,
+  }));
+  view.updateInstances({full: true, instances, removed: []});
+  return {view, clock};
+}
+
+function pickMany(view: SiteView, count: number): Map<string, number> {
+  const picked = new Map<string, number>();
+  for (let index = 0; index < count; index += 1) {
+    const life = view.pickInstance(SERVICE, new Set())?.life ?? '';
+    picked.set(life, (picked.get(life) ?? 0) + 1);
+  }
+  return picked;
+}
