Keep count of retries when the number of daemons changes

Cause: the budgets of all services were dropped with each change of the number of daemons, which forgot the retries of the last 10 s; a release of several instances could thus exceed the allowed share. Change: the budget takes a new floor. Test: a used-up budget stays used up.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -138,15 +138,16 @@
   const peers = disposables.use(createPeerClient(), (client) => client.close());
   let daemonCount = 1;
   const budgets = new Map<string, RetryBudget>();
+  /** The part of this daemon in the retries that are allowed without traffic. */
+  const retryFloorRps = (): number => {
+    const slackRps = (opts.retrySlack / opts.retryWindowMs) * 1_000;
+    return (slackRps * RETRY_SLACK_USED) / Math.max(1, daemonCount);
+  };
   const retryBudget = (service: string): RetryBudget => {
     let budget = budgets.get(service);
     if (!budget) {
-      const slackRps = (opts.retrySlack / opts.retryWindowMs) * 1_000;
-      budget = new RetryBudget({
-        share: opts.retryShare * RETRY_SHARE_USED,
-        floorRps: (slackRps * RETRY_SLACK_USED) / Math.max(1, daemonCount),
-        clock,
-      });
+      const share = opts.retryShare * RETRY_SHARE_USED;
+      budget = new RetryBudget({share, floorRps: retryFloorRps(), clock});
       budgets.set(service, budget);
     }
     return budget;
@@ -182,7 +183,7 @@
     }
     if (daemonCount !== answer.daemonCount) {
       daemonCount = answer.daemonCount;
-      budgets.clear();
+      for (const budget of budgets.values()) budget.setFloorRps(retryFloorRps());
     }
     view.updateInstances(answer);
     if (answer.poison) poison.merge(answer.poison);
--- a/routing/retry/src/retryBudget.ts
+++ b/routing/retry/src/retryBudget.ts
@@ -19,7 +19,7 @@
 export class RetryBudget {
   private readonly clock: Clock;
   private readonly share: number;
-  private readonly floor: number;
+  private floor: number;
   private readonly requests = new Float64Array(SLOTS);
   private readonly retries = new Float64Array(SLOTS);
   private slot: number;
@@ -27,10 +27,15 @@
   constructor(opts: RetryBudgetOptions = {}) {
     this.clock = opts.clock ?? systemClock;
     this.share = opts.share ?? 0.1;
-    this.floor = ((opts.floorRps ?? 1) * SLOTS * SLOT_MS) / 1_000;
+    this.floor = floorOf(opts.floorRps ?? 1);
     this.slot = this.slotNow();
   }
 
+  /** Changes `floorRps`; retries that were taken stay taken. */
+  setFloorRps(floorRps: number): void {
+    this.floor = floorOf(floorRps);
+  }
+
   /** Retries that are allowed at this moment. */
   get available(): number {
     this.expireSlots();
@@ -65,6 +70,11 @@
   }
 }
 
+/** Retries that are always allowed within the window. */
+function floorOf(floorRps: number): number {
+  return (floorRps * SLOTS * SLOT_MS) / 1_000;
+}
+
 function sum(counts: Float64Array): number {
   let total = 0;
   for (const count of counts) total += count;
--- a/routing/retry/test/retry.test.ts
+++ b/routing/retry/test/retry.test.ts
@@ -72,3 +72,12 @@
   await clock.advance(11_000);
   assert.equal(budget.available, 10);
 });
+
+test('A budget whose floor changes keeps count of the retries that were taken', () => {
+  const budget = new RetryBudget({clock: new ManualClock(), floorRps: 1});
+  while (budget.tryTake()) continue;
+  budget.setFloorRps(0.5);
+  assert.equal(budget.tryTake(), false);
+  budget.setFloorRps(1.2);
+  assert.equal(budget.available, 2);
+});
