--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -1,5 +1,3 @@
-import http from 'node:http';
-import {once} from 'node:events';
 import {MedlarlaneError} from '@medlarlane/errors';
 import {HostedTarget} from '@medlarlane/key-holds';
 import {BackgroundTasks, DisposableStore, systemClock} from '@medlarlane/lifecycle';
@@ -17,13 +15,15 @@
 } from '@medlarlane/request-path';
 import type {CallerWire, GateTarget, TargetWire} from '@medlarlane/request-path';
 import {PoisonTable} from '@medlarlane/poison';
-import {RetryBudget} from '@medlarlane/retry';
 import {createRpcClient} from '@medlarlane/rpc';
 import type {ReportRequest, ReportResponse} from '@medlarlane/site-control';
 import {SiteLink} from '@medlarlane/site-link';
 import {KEY_COUNT} from '@medlarlane/site-state';
+import {RetryBudgets} from './retryBudgets.js';
 import {createDaemonMetrics} from './siteMetrics.js';
 import type {SiteMetrics} from './siteMetrics.js';
+import {startCallerListener} from './startCallerListener.js';
+import type {CallerListener} from './startCallerListener.js';
 
 export interface SiteDaemonOptions {
   readonly availabilityZone: string;
@@ -63,9 +63,6 @@
   stop(graceMs: number): Promise<void>;
 }
 
-/** Part of the allowed retries that daemons use; the rest covers their uneven traffic. */
-const RETRY_SHARE_USED = 0.6;
-const RETRY_SLACK_USED = 0.5;
 /** How often a target whose heartbeat is overdue is looked at. */
 const TARGET_CHECK_MS = 250;
 const CONNECT_TIMEOUT_MS = 200;
@@ -77,16 +74,6 @@
 const STOP_CHECK_MS = 50;
 /** Connections that stay free for the target's other callers. */
 const CONNECTIONS_PER_TARGET = 64;
-/**
- * Callers that are refused come back on new connections. Beyond this number connections are closed
- * with their answers, so that idle ones do not use up the descriptors of the process.
- */
-const MAX_KEPT_CONNECTIONS = 1_000;
-/** Leaves some hundred of the 4,100 descriptors of an instance for other daemons and the target. */
-const MAX_CALLER_CONNECTIONS = 3_000;
-/** Bounds of what callers may send before a configuration is known. */
-const MAX_HEADER_BYTES = 65_536;
-
 /** Starts the daemon beside a target. */
 export async function startSiteDaemon(opts: SiteDaemonOptions): Promise<SiteDaemon> {
   const {clock, logger} = opts;
@@ -94,7 +81,6 @@
   let stopping = false;
   let closed = false;
   let gateClosed = false;
-  let callerConnections = 0;
   const forwardAddress = `${opts.forward.host}:${opts.forward.port}`;
   const view = new SiteView({clock, availabilityZone: opts.availabilityZone});
   const hosted = new HostedTarget({
@@ -136,22 +122,7 @@
   });
   const loopLag = new LoopLag(disposables);
   const peers = disposables.use(createPeerClient(), (client) => client.close());
-  let daemonCount = 1;
-  const budgets = new Map<string, RetryBudget>();
-  /** The part of this daemon in the retries that are allowed without traffic. */
-  const retryFloorRps = (): number => {
-    const slackRps = (opts.retrySlack / opts.retryWindowMs) * 1_000;
-    return (slackRps * RETRY_SLACK_USED) / Math.max(1, daemonCount);
-  };
-  const retryBudget = (service: string): RetryBudget => {
-    let budget = budgets.get(service);
-    if (!budget) {
-      const share = opts.retryShare * RETRY_SHARE_USED;
-      budget = new RetryBudget({share, floorRps: retryFloorRps(), clock});
-      budgets.set(service, budget);
-    }
-    return budget;
-  };
+  const budgets = new RetryBudgets(opts);
   const entry = createEntryHandler({
     view,
     clock,
@@ -162,11 +133,11 @@
     forwardAddress,
     callerService: opts.service,
     poison,
-    retryBudget,
+    retryBudget: (service) => budgets.of(service),
     lagMs: () => loopLag.lagMs,
     phase: () => {
       if (closed) return 'closed';
-      return stopping || callerConnections > MAX_KEPT_CONNECTIONS ? 'closing' : 'open';
+      return stopping || callers.isCrowded ? 'closing' : 'open';
     },
     onAnswer: (outcome) => metrics.answered(outcome),
   });
@@ -179,12 +150,9 @@
         'Configuration in force',
       );
       view.setConfiguration(answer.configuration);
-      applyLimits(callerServer, view);
-    }
-    if (daemonCount !== answer.daemonCount) {
-      daemonCount = answer.daemonCount;
-      for (const budget of budgets.values()) budget.setFloorRps(retryFloorRps());
+      callers.setLimits(view.configuration.limits);
     }
+    budgets.setDaemonCount(answer.daemonCount);
     view.updateInstances(answer);
     if (answer.poison) poison.merge(answer.poison);
     for (const [service, ranges] of answer.ranges) view.setRanges(service, ranges);
@@ -230,23 +198,12 @@
     link.reportNow();
   };
 
-  const callerServer = http.createServer({maxHeaderSize: MAX_HEADER_BYTES, noDelay: true});
-  callerServer.on('request', (request, response) => {
-    void entry.handle(request, response);
-  });
-  callerServer.maxConnections = MAX_CALLER_CONNECTIONS;
-  callerServer.on('connection', (socket) => {
-    callerConnections += 1;
-    socket.once('close', () => (callerConnections -= 1));
-  });
-  callerServer.on('clientError', (failure: NodeJS.ErrnoException, socket) => {
-    logger.info({code: failure.code}, '[entry] Request cannot be read');
-    if (socket.writable)
-      socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+  const callers: CallerListener = await startCallerListener({
+    ...opts.caller,
+    limits: view.configuration.limits,
+    handle: (request, response) => entry.handle(request, response),
+    logger,
   });
-  applyLimits(callerServer, view);
-  callerServer.listen(opts.caller.port, opts.caller.host);
-  await once(callerServer, 'listening');
   const gateListener = await startGateListener({
     ...opts.forward,
     gate,
@@ -286,8 +243,7 @@
         if (elapsedMs >= graceMs) break;
         if (elapsedMs >= TAKE_REQUESTS_MS && !closed) {
           closed = true;
-          callerServer.close();
-          callerServer.closeIdleConnections();
+          callers.stopAccepting();
         }
         // Other daemons need the target until this one really stops, since nobody else reaches it.
         if (closed && entry.inFlight === 0) gateClosed = true;
@@ -295,7 +251,7 @@
         await clock.sleep(STOP_CHECK_MS);
       }
       logger.info({inFlight: entry.inFlight}, 'Daemon closes');
-      callerServer.closeAllConnections();
+      callers.closeAll();
       await gateListener.close();
       await disposables.dispose();
     },
@@ -330,11 +286,3 @@
     },
   };
 }
-
-function applyLimits(server: http.Server, view: SiteView): void {
-  const {headerTimeoutMs, idleTimeoutMs} = view.configuration.limits;
-  server.headersTimeout = headerTimeoutMs;
-  server.keepAliveTimeout = idleTimeoutMs;
-  // A body may take as long as its request's deadline, which the handler watches.
-  server.requestTimeout = 0;
-}
