Know of a stall before the first timer has run

Cause: requests that a process reads right after it was not scheduled for a while come before the overdue measurement of its delay, so that they count as read in time. Ruled out: smoothing, which takes a larger delay at once. Change: the delay is at least the time by which the next measurement is overdue. The test fails without it (0 ms after a stall of 250 ms).

--- a/routing/request-path/src/loopLag.ts
+++ b/routing/request-path/src/loopLag.ts
@@ -15,9 +15,12 @@
     disposables.add(() => clearInterval(timer));
   }
 
-  /** Recent delay, milliseconds. */
+  /**
+   * Recent delay, milliseconds. After a process was not scheduled for a while, what it reads first comes
+   * before the overdue measurement, so that counts as well.
+   */
   get lagMs(): number {
-    return this.smoothedMs;
+    return Math.max(this.smoothedMs, performance.now() - this.dueAtMs);
   }
 
   private sample(): void {
--- /dev/null
+++ b/routing/request-path/test/loopLag.test.ts
@@ -0,0 +1,26 @@
+import assert from 'node:assert/strict';
+import {after, describe, it} from 'node:test';
+import {DisposableStore} from '@medlarlane/lifecycle';
+import {LoopLag} from '@medlarlane/request-path';
+
+const STALL_MS = 250;
+
+describe('The delay of the event loop', () => {
+  const disposables = new DisposableStore();
+  after(() => disposables.dispose());
+
+  it('is known to what is read right after a stall, before any timer has run', () => {
+    const lag = new LoopLag(disposables);
+    const endsAtMs = performance.now() + STALL_MS;
+    while (performance.now() < endsAtMs) continue;
+    assert.ok(lag.lagMs > STALL_MS / 2, `${lag.lagMs} ms`);
+  });
+
+  it('fades after the stall', async () => {
+    const lag = new LoopLag(disposables);
+    const endsAtMs = performance.now() + STALL_MS;
+    while (performance.now() < endsAtMs) continue;
+    await new Promise((resolve) => setTimeout(resolve, 1_500));
+    assert.ok(lag.lagMs < STALL_MS / 2, `${lag.lagMs} ms`);
+  });
+});
