Judge the silence of peers by the time in which this process could read; one timer for all connections

Cause: a daemon that stood still for half a second takes all its peers for silent when its timers run before it reads, and sends repeatable requests a second time. Each busy connection had a timer of its own: with a dozen peers over 200 wake-ups a second. Found by reading. Change: silence grows by at most two check periods a check, and checks come after reading. Test: a process that stood still for 700 ms gave its request up as lost before, and waits for it now.

--- a/protocol/peer-rpc/src/messageSocket.ts
+++ b/protocol/peer-rpc/src/messageSocket.ts
@@ -41,8 +41,6 @@
   private lastStream = WHOLE_MESSAGE;
   private failure: Error | undefined;
   private ending = false;
-  /** When bytes last came, on the monotonic clock, milliseconds. */
-  heardAtMs = -Infinity;
 
   constructor(
     private readonly socket: Socket,
@@ -100,7 +98,6 @@
   }
 
   private read(bytes: Buffer): void {
-    this.heardAtMs = performance.now();
     let input = this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes]);
     try {
       while (input.length >= HEADER_BYTES) {
--- a/routing/request-path/src/createPeerClient.ts
+++ b/routing/request-path/src/createPeerClient.ts
@@ -49,6 +49,22 @@
 export function createPeerClient(): PeerClient {
   const connections = new Map<string, PeerConnection>();
   const all = new Set<PeerConnection>();
+  let timer: NodeJS.Timeout | undefined;
+  let watchedAtMs = 0;
+  /** One timer for all connections, because each wake-up of the process costs processor time. */
+  const watch = (): void => {
+    if (timer) return;
+    watchedAtMs = performance.now();
+    // After a stall of this process, what has arrived meanwhile is read first.
+    timer = setTimeout(() => setImmediate(checkAll), CHECK_MS);
+  };
+  const checkAll = (): void => {
+    timer = undefined;
+    // Time in which this process stood still says nothing about the others.
+    const observedMs = Math.min(performance.now() - watchedAtMs, 2 * CHECK_MS);
+    for (const connection of [...all]) connection.check(observedMs);
+    if ([...all].some(({isBusy}) => isBusy)) watch();
+  };
   const connect = (address: string): PeerConnection => {
     const connection = new PeerConnection(address, {
       onSuspect: () => {
@@ -61,8 +77,12 @@
     return connection;
   };
   return {
-    run: (run) => (connections.get(run.address) ?? connect(run.address)).start(run),
+    run: (run) => {
+      watch();
+      return (connections.get(run.address) ?? connect(run.address)).start(run);
+    },
     close: () => {
+      clearTimeout(timer);
       for (const connection of all) connection.close();
     },
   };
@@ -78,10 +98,9 @@
   private lastExchange = 0;
   private connected = false;
   private suspect = false;
-  /** When the first message after the last sign of life was sent. */
-  private awaitingSinceMs: number | undefined;
+  /** Time without a sign of life while a request waited. */
+  private silentMs = 0;
   private pinged = false;
-  private timer: NodeJS.Timeout | undefined;
 
   constructor(
     address: string,
@@ -102,6 +121,7 @@
     if (signal.aborted) return Promise.resolve({kind: 'refused', code: 'CANCELLED'});
     this.lastExchange += 1;
     const id = this.lastExchange;
+    if (!this.isBusy) this.hear();
     const eager = repeatable && frame.body.length <= MAX_EAGER_BODY_BYTES;
     return new Promise((resolve) => {
       const onAbort = (): void => this.giveUp(id, 'CANCELLED');
@@ -117,30 +137,51 @@
       };
       this.exchanges.set(id, exchange);
       signal.addEventListener('abort', onAbort, {once: true});
-      this.send([OPERATION.offer, id, ...writeOffer(offer), ...(eager ? frameFields(frame) : [])]);
+      this.messages.send([
+        OPERATION.offer,
+        id,
+        ...writeOffer(offer),
+        ...(eager ? frameFields(frame) : []),
+      ]);
     });
   }
 
+  /** Whether a request waits for its result. */
+  get isBusy(): boolean {
+    return this.exchanges.size > 0;
+  }
+
+  /**
+   * To be called regularly while a request waits: finds that the other daemon is silent. `observedMs` is
+   * the time since the last call in which this process was able to read.
+   */
+  check(observedMs: number): void {
+    if (!this.isBusy) return;
+    this.silentMs += observedMs;
+    if (this.silentMs >= PING_AFTER_MS && !this.pinged) {
+      this.pinged = true;
+      this.messages.send([OPERATION.ping, 0]);
+    }
+    if (this.silentMs >= OFFER_TIMEOUT_MS) this.onSilence();
+  }
+
   close(): void {
-    clearTimeout(this.timer);
-    this.timer = undefined;
     this.messages.destroy();
   }
 
-  private send(message: readonly unknown[]): void {
-    this.messages.send(message);
-    this.awaitingSinceMs ??= performance.now();
-    this.timer ??= setTimeout(() => this.check(), CHECK_MS);
+  /** Counts a sign of life. */
+  private hear(): void {
+    this.silentMs = 0;
+    this.pinged = false;
   }
 
   private receive({operation, exchange: id, fields}: PeerMessage): void {
-    this.awaitingSinceMs = undefined;
-    this.pinged = false;
+    this.hear();
     const exchange = this.exchanges.get(id);
     if (!exchange) return;
     if (operation === OPERATION.admitted) {
       exchange.sent = true;
-      this.send([OPERATION.request, id, ...frameFields(exchange.run.frame)]);
+      this.messages.send([OPERATION.request, id, ...frameFields(exchange.run.frame)]);
     } else if (operation === OPERATION.result) {
       exchange.settle(fields[0] as RunResult);
     }
@@ -153,35 +194,16 @@
     exchange.settle({kind: this.mayHaveRun(exchange) ? 'lost' : 'refused', code});
   }
 
-  /** Runs while something is awaited. */
-  private check(): void {
-    this.timer = undefined;
-    if (this.exchanges.size === 0) return;
-    this.timer = setTimeout(() => this.check(), CHECK_MS);
-    if (this.awaitingSinceMs === undefined) {
-      this.awaitingSinceMs = performance.now();
-      return;
-    }
-    const silentMs = performance.now() - this.awaitingSinceMs;
-    if (silentMs >= PING_AFTER_MS && !this.pinged) {
-      this.pinged = true;
-      this.messages.send([OPERATION.ping, 0]);
-    }
-    if (silentMs >= OFFER_TIMEOUT_MS) this.onSilence(silentMs);
-  }
-
-  private onSilence(silentMs: number): void {
+  private onSilence(): void {
     this.suspect = true;
     this.opts.onSuspect();
     for (const [id, exchange] of [...this.exchanges]) {
-      const repeats = exchange.run.repeatable && silentMs >= REPEAT_TIMEOUT_MS;
+      const repeats = exchange.run.repeatable && this.silentMs >= REPEAT_TIMEOUT_MS;
       if (repeats || !this.mayHaveRun(exchange)) this.giveUp(id, 'PEER_FAILED');
     }
   }
 
   private onClose(): void {
-    clearTimeout(this.timer);
-    this.timer = undefined;
     this.opts.onSuspect();
     this.opts.onClose();
     for (const exchange of [...this.exchanges.values()]) {
--- a/routing/request-path/test/peerLink.test.ts
+++ b/routing/request-path/test/peerLink.test.ts
@@ -160,6 +160,18 @@
     assert.equal(peer.connections(), 2);
   });
 
+  it('takes no peer for silent whose answer came while this process stood still', async () => {
+    const peer = await startPeer(disposables, {neverEnds: true});
+    const abort = new AbortController();
+    const running = send(peer, {repeatable: true, signal: abort.signal});
+    await waitFor(() => peer.frames.length === 1);
+    const endsAtMs = performance.now() + 700;
+    while (performance.now() < endsAtMs) continue;
+    const waited = new Promise<'waits'>((resolve) => setTimeout(() => resolve('waits'), 60));
+    assert.equal(await Promise.race([running.then(({kind}) => kind), waited]), 'waits');
+    abort.abort('end of test');
+  });
+
   it('is refused at once where nobody listens', async () => {
     const peer = await startPeer(disposables, {});
     await peer.close();
