Wait longer for keys on their way where a late answer counts

Change: such a request waits for a grant that is due within 600 ms and a third of its time left. Pattern: keys that move while they are asked for (targetGate.test.ts); its second row fails without the change.

--- a/routing/request-path/src/targetGate.ts
+++ b/routing/request-path/src/targetGate.ts
@@ -48,8 +48,10 @@
 
 /** A crash is noticed by the next connection attempt or by the target's next life within this time. */
 const CRASH_NOTICE_MS = 6_000;
-/** A grant that is due later is not waited for. */
+/** A grant that is due later is not waited for when the answer has to come in time. */
 const MAX_GRANT_WAIT_MS = 150;
+/** The same for a late answer; most of a heartbeat period, and a third of the time left at most. */
+const MAX_LATE_GRANT_WAIT_MS = 600;
 /** The time that an answer needs from the target's daemon back to the caller. */
 const RETURN_ALLOWANCE_MS = 5;
 
@@ -138,11 +140,17 @@
   }
 
   /** Keys that are about to arrive are worth a short wait; it saves the caller a refusal. */
-  private async waitForGrant({key, targetLeftMs}: Offer, signal: AbortSignal): Promise<void> {
+  private async waitForGrant(
+    {key, targetLeftMs, deadlineLeftMs, acceptLate}: Offer,
+    signal: AbortSignal,
+  ): Promise<void> {
     const {clock, holdsKey, grantDueInMs} = this.opts;
     if (key === undefined || holdsKey(key)) return;
     const waitMs = grantDueInMs(key);
-    if (waitMs === undefined || waitMs > Math.min(MAX_GRANT_WAIT_MS, targetLeftMs / 3)) return;
+    const maxMs = acceptLate
+      ? Math.min(MAX_LATE_GRANT_WAIT_MS, deadlineLeftMs / 3)
+      : Math.min(MAX_GRANT_WAIT_MS, targetLeftMs / 3);
+    if (waitMs === undefined || waitMs > maxMs) return;
     await clock.sleep(waitMs, {signal}).catch(() => undefined);
   }
 
