--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -60,6 +60,8 @@
   readonly request: http.IncomingMessage;
   readonly requestId: string | undefined;
   readonly startedAtMs: number;
+  /** Delay of the process when it read the request. */
+  readonly lagMs: number;
   readonly abort: AbortController;
   readonly attempts: Attempt[];
   route?: Route;
@@ -134,6 +136,7 @@
     requestId,
     // The request waited unread for about as long as the process is behind.
     startedAtMs: clock.nowMs() - lagMs,
+    lagMs,
     abort,
     attempts: [],
     ...(key === undefined ? {} : {key}),
@@ -166,7 +169,7 @@
   const {view, clock} = opts;
   const {request} = job;
   if (opts.phase() === 'closed') throw new MedlarlaneError('DRAINING', 'This daemon stops');
-  const lagMs = opts.lagMs();
+  const {lagMs} = job;
   if (lagMs > MAX_LAG_MS) {
     throw new MedlarlaneError('OVERLOADED', 'This daemon is behind with its work', {
       details: {retryAfterMs: LAG_RETRY_MS},
@@ -416,6 +419,7 @@
       service: job.service,
       key: job.key,
       configVersion: view.configuration.version,
+      lagMs: Math.round(job.lagMs),
       attempts: job.attempts,
       status: gone ? undefined : status,
       code,
