Give away the keys of an owner at once when a later life runs in its place

Ruled out: processor time, the first guess; lines of daemons that were behind are few. Change: the log says beside which daemon each owner runs. A report of a later life from there proves the end of the former one.

--- a/control/site-control/src/leaseLedger.ts
+++ b/control/site-control/src/leaseLedger.ts
@@ -33,6 +33,10 @@
     this.ended.delete(life);
   }
 
+  hasEnded(life: string): boolean {
+    return this.ended.has(life);
+  }
+
   mayTakeFrom(life: string): boolean {
     if (life === '' || this.ended.has(life)) return true;
     const sinceMs = Math.max(this.startedAtMs, this.renewedAtMs.get(life) ?? -Infinity);
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -171,6 +171,7 @@
       this.wake();
     }
     if (target) this.acceptTarget(term, target);
+    if (target) this.endFormerLives(term, forwardAddress, target);
     // A daemon that has just started has not heard from its target yet; the target goes on.
     if (!target) return;
     const changed = term.directory.put({
@@ -201,6 +202,19 @@
     }
   }
 
+  /**
+   * One target at a time listens beside a daemon, so that a later life proves the end of an owner that
+   * was there before, also when the daemon that knew it has lost its memory with it.
+   */
+  private endFormerLives(term: Term, forwardAddress: string, {life}: ReportedTarget): void {
+    for (const [owner, home] of this.opts.state.ownerHomes) {
+      if (home !== forwardAddress || bornMsOf(owner) >= bornMsOf(life)) continue;
+      if (term.leases.hasEnded(owner)) continue;
+      this.opts.logger.info({owner, life, forwardAddress}, 'Owner ended before this life began');
+      term.leases.end(owner);
+    }
+  }
+
   /** Commits what the target gave back, so that its next owner gets the handover. */
   private async release(term: Term, {released, target}: ReportRequest): Promise<void> {
     if (released.length === 0 || !target) return;
@@ -260,11 +274,21 @@
 
   private async assign(service: string, assignments: KeyAssignment[]): Promise<void> {
     const {replica, logger} = this.opts;
-    const command = encodeCommand({kind: 'assignKeys', service, assignments});
+    const homes = this.homesOf(new Set(assignments.map(({ownerLife}) => ownerLife)));
+    const command = encodeCommand({kind: 'assignKeys', service, assignments, homes});
     const {index, result} = await replica.propose(command);
     logger.info({service, assignments, index, changed: result}, 'Assigned keys');
   }
 
+  private homesOf(lives: ReadonlySet<string>): Record<string, string> {
+    const reports = [...(this.current?.sessions.values() ?? [])].map(({report}) => report);
+    return Object.fromEntries(
+      reports
+        .filter(({target}) => target && lives.has(target.life))
+        .map(({target, forwardAddress}) => [target!.life, forwardAddress]),
+    );
+  }
+
   private hasNews(term: Term, report: ReportRequest): boolean {
     return (
       report.leaderTerm !== term.term ||
@@ -394,6 +418,11 @@
   }
 }
 
+/** A life is named by the id of its target and the time of its start. */
+function bornMsOf(life: string): number {
+  return Number(life.slice(life.lastIndexOf('/') + 1));
+}
+
 function loadOf({life, offeredRps, meanMs}: ReportedTarget): unknown {
   return {life, offeredRps, meanMs};
 }
--- a/control/site-control/test/siteControl.test.ts
+++ b/control/site-control/test/siteControl.test.ts
@@ -1,11 +1,13 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import type {Replica} from '@medlarlane/consensus';
+import type {ConfigurationChange} from '@medlarlane/site-config';
 import {ManualClock} from '@medlarlane/lifecycle';
 import {silentLogger} from '@medlarlane/logger';
 import {SiteControl} from '@medlarlane/site-control';
 import type {ReportedTarget, ReportRequest} from '@medlarlane/site-control';
-import {SiteState} from '@medlarlane/site-state';
+import {encodeCommand, SiteState} from '@medlarlane/site-state';
+import type {SiteCommand} from '@medlarlane/site-state';
 
 describe('The control leader', () => {
   it('keeps an instance in the directory while its daemon restarts', async () => {
@@ -44,6 +46,46 @@
     );
   });
 
+  it('gives away the keys of an owner at once when a later life runs in its place', async () => {
+    const {control, report, state, clock, apply} = startControl();
+    apply({kind: 'changeConfiguration', change: KEYED_SERVICE});
+    apply({
+      kind: 'assignKeys',
+      service: 'wallboard',
+      assignments: [
+        {fromKey: 0, toKey: 65_535, ownerLife: 't/1', handover: '', previousOwnerLife: ''},
+      ],
+      homes: {'t/1': 'a:1'},
+    });
+    control.start();
+    await control.report(report({target: target({targetId: 'u', life: 'u/2'})}));
+    await clock.advance(300);
+    await control.stop();
+    assert.deepEqual(
+      [...new Set(state.rangesOf('wallboard').map(({ownerLife}) => ownerLife))],
+      ['u/2'],
+    );
+    assert.deepEqual([...state.ownerHomes], [['u/2', 'a:1']]);
+  });
+
+  it('waits for the lease of an owner whose place is not taken', async () => {
+    const {control, report, state, clock, apply} = startControl();
+    apply({kind: 'changeConfiguration', change: KEYED_SERVICE});
+    apply({
+      kind: 'assignKeys',
+      service: 'wallboard',
+      assignments: [
+        {fromKey: 0, toKey: 65_535, ownerLife: 't/1', handover: '', previousOwnerLife: ''},
+      ],
+      homes: {'t/1': 'b:1'},
+    });
+    control.start();
+    await control.report(report({target: target({targetId: 'u', life: 'u/2'})}));
+    await clock.advance(300);
+    await control.stop();
+    assert.equal(state.rangesOf('wallboard')[0]?.ownerLife, 't/1');
+  });
+
   it('answers nobody while another leader may have been elected', async () => {
     const {control, report, leader} = startControl();
     leader.leaseValid = false;
@@ -51,7 +93,33 @@
   });
 });
 
+const KEYED_SERVICE: ConfigurationChange = {
+  digest: 'd',
+  version: 1,
+  baseVersion: 0,
+  change: {
+    kind: 'replace',
+    configuration: {
+      version: 1,
+      routes: [],
+      services: [{name: 'wallboard', keyed: true, maxConnections: 8, extras: {}}],
+      limits: {
+        maxHeaderBytes: 1_000,
+        maxBodyBytes: 1_000,
+        headerTimeoutMs: 1_000,
+        idleTimeoutMs: 1_000,
+        extras: {},
+      },
+    },
+  },
+};
+
 function startControl() {
+  let index = 0;
+  const applyPayload = (payload: Uint8Array): {index: number; result: unknown} => {
+    index += 1;
+    return {index, result: state.apply({index, term: 4, kind: 'command', payload})};
+  };
   const leader = {leaseValid: true};
   const replica = {
     replicaId: 'r',
@@ -59,12 +127,15 @@
     isLeader: () => true,
     leaderLeaseValid: () => leader.leaseValid,
     onRoleChange: () => () => undefined,
+    propose: (payload: Uint8Array) => Promise.resolve(applyPayload(payload)),
     status: () => ({members: {voters: ['r'], learners: [], addresses: {r: 'r:1'}}}),
   } as unknown as Replica;
+  const state = new SiteState();
+  const clock = new ManualClock();
   const control = new SiteControl({
     replica,
-    state: new SiteState(),
-    clock: new ManualClock(),
+    state,
+    clock,
     logger: silentLogger,
   });
   const report = (fields: Partial<ReportRequest>): ReportRequest => ({
@@ -79,7 +150,8 @@
     stopping: false,
     ...fields,
   });
-  return {control, report, leader};
+  const apply = (command: SiteCommand): unknown => applyPayload(encodeCommand(command)).result;
+  return {control, report, leader, state, clock, apply};
 }
 
 function target(fields: Partial<ReportedTarget>): ReportedTarget {
--- a/control/site-state/src/siteCommands.ts
+++ b/control/site-state/src/siteCommands.ts
@@ -18,17 +18,20 @@
     kind: z.literal('assignKeys'),
     service: z.string(),
     assignments: z.array(keyAssignmentSchema),
+    /** Where the new owners run: the address of the daemon beside each life. */
+    homes: z.record(z.string(), z.string()).default({}),
   }),
 ]);
 
 export type KeyAssignment = z.infer<typeof keyAssignmentSchema>;
 /** A command of the replicated log. */
-export type SiteCommand = z.infer<typeof siteCommandSchema>;
+export type SiteCommand = z.input<typeof siteCommandSchema>;
+export type DecodedSiteCommand = z.output<typeof siteCommandSchema>;
 
 export function encodeCommand(command: SiteCommand): Uint8Array {
   return encode(command, {ignoreUndefined: true});
 }
 
-export function decodeCommand(payload: Uint8Array): SiteCommand {
+export function decodeCommand(payload: Uint8Array): DecodedSiteCommand {
   return siteCommandSchema.parse(decode(payload));
 }
--- a/control/site-state/src/siteState.ts
+++ b/control/site-state/src/siteState.ts
@@ -12,7 +12,7 @@
 import {KEY_COUNT, keyRangeSchema, replaceStretch} from './keyRanges.js';
 import type {KeyRange} from './keyRanges.js';
 import {decodeCommand} from './siteCommands.js';
-import type {KeyAssignment, SiteCommand} from './siteCommands.js';
+import type {DecodedSiteCommand, KeyAssignment} from './siteCommands.js';
 
 /** The answer to a configuration change; the log order decides it. */
 export type ChangeOutcome =
@@ -27,6 +27,7 @@
   configuration: siteConfigurationSchema,
   accepted: z.array(z.tuple([z.string(), z.int()])),
   keys: z.array(z.tuple([z.string(), z.array(keyRangeSchema)])),
+  homes: z.array(z.tuple([z.string(), z.string()])).default([]),
 });
 
 /** The state that every control replica derives from the log. */
@@ -34,6 +35,7 @@
   configuration: SiteConfiguration = NO_CONFIGURATION;
   private accepted = new Map<string, number>();
   private ranges = new Map<string, readonly KeyRange[]>();
+  private homes = new Map<string, string>();
   private readonly listeners = new Set<() => void>();
 
   /** The ranges of a service. They cover all keys. */
@@ -46,6 +48,11 @@
     return this.ranges.has(service);
   }
 
+  /** Lives that own keys, with the address of the daemon beside each. */
+  get ownerHomes(): ReadonlyMap<string, string> {
+    return this.homes;
+  }
+
   /** Calls the listener after each applied command. */
   onChange(listener: () => void): void {
     this.listeners.add(listener);
@@ -59,26 +66,28 @@
   }
 
   snapshot(): Uint8Array {
-    const {configuration, accepted, ranges} = this;
+    const {configuration, accepted, ranges, homes} = this;
     return encode(
-      {configuration, accepted: [...accepted], keys: [...ranges]},
+      {configuration, accepted: [...accepted], keys: [...ranges], homes: [...homes]},
       {ignoreUndefined: true},
     );
   }
 
   restore(payload: Uint8Array): void {
-    const {configuration, accepted, keys} = snapshotSchema.parse(decode(payload));
+    const {configuration, accepted, keys, homes} = snapshotSchema.parse(decode(payload));
     this.configuration = configuration;
     this.accepted = new Map(accepted);
     this.ranges = new Map(keys);
+    this.homes = new Map(homes);
     for (const listener of this.listeners) listener();
   }
 
-  private applyCommand(command: SiteCommand, index: number): unknown {
+  private applyCommand(command: DecodedSiteCommand, index: number): unknown {
     switch (command.kind) {
       case 'changeConfiguration':
         return this.changeConfiguration(command.change);
       case 'assignKeys':
+        for (const [life, home] of Object.entries(command.homes)) this.homes.set(life, home);
         return this.assignKeys(command.service, command.assignments, index);
     }
   }
@@ -106,6 +115,13 @@
     if (oldest !== undefined) this.accepted.delete(oldest);
   }
 
+  private forgetHomes(): void {
+    const owners = new Set(
+      [...this.ranges.values()].flatMap((ranges) => ranges.map(({ownerLife}) => ownerLife)),
+    );
+    for (const life of this.homes.keys()) if (!owners.has(life)) this.homes.delete(life);
+  }
+
   /** Returns the number of stretches that changed hands. */
   private assignKeys(
     service: string,
@@ -121,6 +137,7 @@
       changed += 1;
     }
     this.ranges.set(service, ranges);
+    this.forgetHomes();
     return changed;
   }
 }
--- a/control/site-state/test/siteState.test.ts
+++ b/control/site-state/test/siteState.test.ts
@@ -59,6 +59,17 @@
     assert.ok(ranges[1]!.epoch > before);
     assert.equal(ranges[0]!.epoch, before);
   });
+
+  it('remembers where owners run for as long as they own keys, also over a snapshot', () => {
+    const site = startSite();
+    const whole = {fromKey: 0, toKey: KEY_COUNT - 1};
+    site.assign({...whole, ownerLife: 'a', previousOwnerLife: ''}, {a: 'host-a:1'});
+    const restored = startSite();
+    restored.state.restore(site.state.snapshot());
+    assert.deepEqual([...restored.state.ownerHomes], [['a', 'host-a:1']]);
+    restored.assign({...whole, ownerLife: 'b', previousOwnerLife: 'a'}, {b: 'host-b:1'});
+    assert.deepEqual([...restored.state.ownerHomes], [['b', 'host-b:1']]);
+  });
 });
 
 function startSite() {
@@ -112,13 +123,21 @@
         },
       },
     }) as ChangeOutcome;
-  const assign = (fields: {
-    fromKey: number;
-    toKey: number;
-    ownerLife: string;
-    previousOwnerLife: string;
-  }): unknown =>
-    apply({kind: 'assignKeys', service: 'wallboard', assignments: [{...fields, handover: ''}]});
+  const assign = (
+    fields: {
+      fromKey: number;
+      toKey: number;
+      ownerLife: string;
+      previousOwnerLife: string;
+    },
+    homes: Record<string, string> = {},
+  ): unknown =>
+    apply({
+      kind: 'assignKeys',
+      service: 'wallboard',
+      assignments: [{...fields, handover: ''}],
+      homes,
+    });
   return {state, change, patch, assign};
 }
 
