Look whether a caller has left before the first request of its connection is offered

In a storm of refused callers, each of which comes back on a new connection, connections wait in the kernel, their requests and their ends with them. Change: the first request of a connection is looked at a turn later, when the end of its caller has been read: no offer of 20.

--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http';
+import type {Socket} from 'node:net';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import type {ErrorCode} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
@@ -189,7 +190,9 @@
   // latency counts from its first attempt.
   const elapsedMs = Math.max(0, route.timeoutMs - leftMs);
   const targetAtMs = job.startedAtMs + Math.max(0, route.targetLatencyMs - elapsedMs);
-  if (lagMs > NOTICE_LAG_MS) await readTurn();
+  // One connection is accepted in a turn of the event loop, so that a new one may have waited for long.
+  const mayHaveWaited = lagMs > NOTICE_LAG_MS || isFirstRequest(request.socket);
+  if (mayHaveWaited) await readTurn();
   if (job.abort.signal.aborted) throw new MedlarlaneError('CANCELLED', undefined, {ran: 'no'});
   const body = await readBody(request, view.configuration.limits.maxBodyBytes);
   const service = view.pickService(route);
@@ -214,6 +217,14 @@
   });
 }
 
+const usedConnections = new WeakSet<Socket>();
+
+function isFirstRequest(connection: Socket): boolean {
+  if (usedConnections.has(connection)) return false;
+  usedConnections.add(connection);
+  return true;
+}
+
 async function attempt(
   opts: EntryOptions,
   job: Job,
--- a/routing/request-path/src/targetGate.ts
+++ b/routing/request-path/src/targetGate.ts
@@ -103,17 +103,17 @@
    * @throws MedlarlaneError with ran `no`.
    */
   async admit(offer: Offer, signal: AbortSignal): Promise<GateAdmission> {
+    const {clock} = this.opts;
+    const offeredAtMs = clock.nowMs();
+    const deadlineAtMs = offeredAtMs + offer.deadlineLeftMs;
     await this.waitForGrant(offer, signal);
     const target = this.requireTarget(offer);
     this.follow(target);
     if (offer.key !== undefined) this.opts.onKeyOffer(offer.key);
-    const {clock} = this.opts;
-    const nowMs = clock.nowMs();
-    const deadlineAtMs = nowMs + offer.deadlineLeftMs;
     const permit = await this.queue.acquire({
       kind: offer.route,
       priority: offer.priority,
-      targetAtMs: nowMs + offer.targetLeftMs,
+      targetAtMs: offeredAtMs + offer.targetLeftMs,
       deadlineAtMs,
       acceptLate: offer.acceptLate,
       signal,
--- a/routing/request-path/test/entry.test.ts
+++ b/routing/request-path/test/entry.test.ts
@@ -157,6 +157,16 @@
     assert.equal(entry.offers.length, 0);
   });
 
+  it('sends nothing for a caller that left before its new connection was accepted', async () => {
+    const entry = await startEntry(disposables, {results: [answered(200)]});
+    const sockets = Array.from({length: 20}, () => net.connect(entry.port, '127.0.0.1'));
+    for (const socket of sockets) {
+      socket.end('GET /schedule/1 HTTP/1.1\r\nHost: walls.example\r\nx-id: r1\r\n\r\n');
+    }
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    assert.equal(entry.offers.length, 0);
+  });
+
   it('counts the time that a request waited unread as used', async () => {
     const entry = await startEntry(disposables, {results: [answered(200)], lagMs: 90});
     await entry.send({'x-left': '500'});
--- a/routing/request-path/test/targetGate.test.ts
+++ b/routing/request-path/test/targetGate.test.ts
@@ -67,6 +67,15 @@
     });
   }
 
+  it('counts the wait for a grant as part of the time left', async () => {
+    const {gate, clock, runs} = startGate(380);
+    const admitted = gate.admit(OFFER, new AbortController().signal);
+    await new Promise((resolve) => setImmediate(resolve));
+    await clock.advance(380);
+    await (await admitted).run(FRAME, new AbortController().signal);
+    assert.ok(runs[0]! <= OFFER.deadlineLeftMs - 380, `${runs[0]} ms left`);
+  });
+
   it('gives a slot back when the target ended before the request was sent', async () => {
     const {gate, steps} = startGate(0);
     const admission = await gate.admit(OFFER, new AbortController().signal);
@@ -80,11 +89,18 @@
 function startGate(dueInMs: number | undefined) {
   const clock = new ManualClock();
   const steps = {ended: false};
+  /** Time that the target was given for each request. */
+  const runs: number[] = [];
   const grantedAtMs = clock.nowMs() + (dueInMs ?? Infinity);
   const gate = new TargetGate({
     clock,
     logger: silentLogger,
-    client: {run: () => Promise.resolve(ANSWERED)} as unknown as TargetClient,
+    client: {
+      run: ({deadlineLeftMs}: {deadlineLeftMs: number}) => {
+        runs.push(deadlineLeftMs);
+        return Promise.resolve(ANSWERED);
+      },
+    } as unknown as TargetClient,
     target: () =>
       steps.ended
         ? new MedlarlaneError('NO_TARGET')
@@ -95,5 +111,5 @@
     onRun: () => undefined,
     onKeyOffer: () => undefined,
   });
-  return {gate, clock, steps};
+  return {gate, clock, steps, runs};
 }
