--- a/control/site-control/test/siteControl.test.ts
+++ b/control/site-control/test/siteControl.test.ts
@@ -49,14 +49,7 @@
   it('gives away the keys of an owner at once when a later life runs in its place', async () => {
     const {control, report, state, clock, apply} = startControl();
     apply({kind: 'changeConfiguration', change: KEYED_SERVICE});
-    apply({
-      kind: 'assignKeys',
-      service: 'wallboard',
-      assignments: [
-        {fromKey: 0, toKey: 65_535, ownerLife: 't/1', handover: '', previousOwnerLife: ''},
-      ],
-      homes: {'t/1': 'a:1'},
-    });
+    apply(allKeysOf({life: 't/1', home: 'a:1'}));
     control.start();
     await control.report(report({target: target({targetId: 'u', life: 'u/2'})}));
     await clock.advance(300);
@@ -71,14 +64,7 @@
   it('waits for the lease of an owner whose place is not taken', async () => {
     const {control, report, state, clock, apply} = startControl();
     apply({kind: 'changeConfiguration', change: KEYED_SERVICE});
-    apply({
-      kind: 'assignKeys',
-      service: 'wallboard',
-      assignments: [
-        {fromKey: 0, toKey: 65_535, ownerLife: 't/1', handover: '', previousOwnerLife: ''},
-      ],
-      homes: {'t/1': 'b:1'},
-    });
+    apply(allKeysOf({life: 't/1', home: 'b:1'}));
     control.start();
     await control.report(report({target: target({targetId: 'u', life: 'u/2'})}));
     await clock.advance(300);
@@ -114,6 +100,16 @@
   },
 };
 
+function allKeysOf({life, home}: {life: string; home: string}): SiteCommand {
+  const all = {fromKey: 0, toKey: 65_535, handover: '', previousOwnerLife: ''};
+  return {
+    kind: 'assignKeys',
+    service: 'wallboard',
+    assignments: [{...all, ownerLife: life}],
+    homes: {[life]: home},
+  };
+}
+
 function startControl() {
   let index = 0;
   const applyPayload = (payload: Uint8Array): {index: number; result: unknown} => {
