--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -121,7 +121,9 @@
     onKeyOffer: (key) => hosted.countOffer(key),
   });
   const loopLag = new LoopLag(disposables);
-  const peers = disposables.use(createPeerClient(), (client) => client.close());
+  const peers = disposables.use(createPeerClient({logger: loggerFor('peers', logger)}), (client) =>
+    client.close(),
+  );
   const budgets = new RetryBudgets(opts);
   const entry = createEntryHandler({
     view,
--- a/routing/request-path/src/createPeerClient.ts
+++ b/routing/request-path/src/createPeerClient.ts
@@ -1,4 +1,5 @@
 import net from 'node:net';
+import type {Logger} from '@medlarlane/logger';
 import {MessageSocket, OPERATION, PROTOCOL_VERSION, readPeerMessage} from '@medlarlane/peer-rpc';
 import type {PeerMessage} from '@medlarlane/peer-rpc';
 import {splitAddress} from '@medlarlane/rpc';
@@ -46,7 +47,9 @@
 }
 
 /** Creates the client for requests to other daemons: one connection to each. */
-export function createPeerClient(): PeerClient {
+export function createPeerClient({logger}: {logger: Logger}): PeerClient {
+  /** Addresses whose last connection was given up. */
+  const lost = new Set<string>();
   const connections = new Map<string, PeerConnection>();
   const all = new Set<PeerConnection>();
   let timer: NodeJS.Timeout | undefined;
@@ -67,8 +70,14 @@
   };
   const connect = (address: string): PeerConnection => {
     const connection = new PeerConnection(address, {
-      onSuspect: () => {
-        if (connections.get(address) === connection) connections.delete(address);
+      onConnect: () => {
+        if (lost.delete(address)) logger.info({address}, 'Reached a peer again');
+      },
+      onLost: (facts) => {
+        if (connections.get(address) !== connection) return;
+        connections.delete(address);
+        if (!lost.has(address)) logger.info({address, ...facts}, 'Lost a peer');
+        lost.add(address);
       },
       onClose: () => all.delete(connection),
     });
@@ -104,14 +113,22 @@
 
   constructor(
     address: string,
-    private readonly opts: {onSuspect: () => void; onClose: () => void},
+    private readonly opts: {
+      readonly onConnect: () => void;
+      /** The connection takes no new requests. */
+      readonly onLost: (facts: {silentMs: number; waiting: number; reason: string}) => void;
+      readonly onClose: () => void;
+    },
   ) {
     const socket = net.connect(splitAddress(address));
     socket.setKeepAlive(true, KEEP_ALIVE_MS);
-    socket.once('connect', () => (this.connected = true));
+    socket.once('connect', () => {
+      this.connected = true;
+      opts.onConnect();
+    });
     this.messages = new MessageSocket(socket, {
       onMessage: (message) => this.receive(readPeerMessage(message)),
-      onClose: () => this.onClose(),
+      onClose: (failure) => this.onClose(failure),
     });
     this.messages.send([OPERATION.hello, PROTOCOL_VERSION]);
   }
@@ -196,15 +213,19 @@
 
   private onSilence(): void {
     this.suspect = true;
-    this.opts.onSuspect();
+    this.lose('silent');
     for (const [id, exchange] of [...this.exchanges]) {
       const repeats = exchange.run.repeatable && this.silentMs >= REPEAT_TIMEOUT_MS;
       if (repeats || !this.mayHaveRun(exchange)) this.giveUp(id, 'PEER_FAILED');
     }
   }
 
-  private onClose(): void {
-    this.opts.onSuspect();
+  private lose(reason: string): void {
+    this.opts.onLost({silentMs: this.silentMs, waiting: this.exchanges.size, reason});
+  }
+
+  private onClose(failure: Error | undefined): void {
+    this.lose(failure?.message ?? 'closed');
     this.opts.onClose();
     for (const exchange of [...this.exchanges.values()]) {
       const kind = this.mayHaveRun(exchange) ? 'lost' : 'refused';
--- a/routing/request-path/test/peerLink.test.ts
+++ b/routing/request-path/test/peerLink.test.ts
@@ -240,7 +240,9 @@
     open = false;
   };
   disposables.add(close);
-  const client = disposables.use(createPeerClient(), (created) => created.close());
+  const client = disposables.use(createPeerClient({logger: silentLogger}), (created) =>
+    created.close(),
+  );
   return {
     client,
     address: listener.address,
@@ -273,7 +275,9 @@
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   disposables.add(() => void server.close());
-  const client = disposables.use(createPeerClient(), (created) => created.close());
+  const client = disposables.use(createPeerClient({logger: silentLogger}), (created) =>
+    created.close(),
+  );
   const {port} = server.address() as AddressInfo;
   return {client, address: `127.0.0.1:${port}`, connections: () => sockets.length};
 }
