Grant keys to targets by calls where the deployment asks for it

Change: CalledGrants in targets/key-holds grants, renews and releases keys by calls to the target. It owns the fence, the hold counted from the latest possible arrival, and the wait for a release; platform/ spells the two calls. - A grant without an answer may come into force later: its keys are only reported as given back when it can have run out. - No release while a renewal of the same keys is under way. - No second call under a token that was refused with 409. - The calls name no life of the target: a new connection is opened only when the life was heard after the last doubt about who listens.

Ruled out: granting without a bound on the life (a restarted target at the same address would take its predecessor's tokens); counting holds from the answer (the call may arrive as late as its time limit).

The whole path runs against the stand-in target in platform/test/calledGrants.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -1,5 +1,6 @@
 import {MedlarlaneError} from '@medlarlane/errors';
-import {HostedTarget} from '@medlarlane/key-holds';
+import {createGrantClient, HostedTarget} from '@medlarlane/key-holds';
+import type {GrantWire} from '@medlarlane/key-holds';
 import {BackgroundTasks, DisposableStore, systemClock} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
 import {loggerFor} from '@medlarlane/logger';
@@ -45,6 +46,8 @@
   readonly retryWindowMs: number;
   readonly callerWire: CallerWire;
   readonly targetWire: TargetWire;
+  /** For a target that is granted keys by calls; else the answers to its heartbeats grant them. */
+  readonly grantWire?: GrantWire;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -66,6 +69,8 @@
 /** How often a target whose heartbeat is overdue is looked at. */
 const TARGET_CHECK_MS = 250;
 const CONNECT_TIMEOUT_MS = 200;
+/** How often calls that grant keys are looked at; they are renewed more than a second ahead. */
+const GRANT_CHECK_MS = 100;
 /**
  * A stopping daemon takes requests until the platform has noticed that it is not ready, which two
  * failed checks a second apart tell it.
@@ -83,7 +88,17 @@
   let gateClosed = false;
   const forwardAddress = `${opts.forward.host}:${opts.forward.port}`;
   const view = new SiteView({clock, availabilityZone: opts.availabilityZone});
-  const hosted = new HostedTarget({
+  const grantCalls =
+    opts.grantWire &&
+    disposables.use(
+      createGrantClient({
+        ...opts.target,
+        wire: opts.grantWire,
+        lifeHeardAtMs: () => hosted.lifeHeardAtMs,
+      }),
+      (client) => client.close(),
+    );
+  const hosted: HostedTarget = new HostedTarget({
     clock,
     steadyClock: systemClock,
     logger: loggerFor('target', logger),
@@ -91,6 +106,7 @@
     drainMs: opts.drainMs,
     maxHoldMs: opts.maxHoldMs,
     keyCount: KEY_COUNT,
+    ...(grantCalls ? {grantCalls} : {}),
   });
   const targetClient = disposables.use(
     createTargetClient({
@@ -230,6 +246,14 @@
       if (hosted.overdue) await checkTarget();
     }
   });
+  if (grantCalls) {
+    tasks.run('grants', async (signal) => {
+      while (!signal.aborted) {
+        await clock.sleep(GRANT_CHECK_MS, {signal});
+        hosted.followPlan();
+      }
+    });
+  }
   return {
     hosted,
     metrics,
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -1,7 +1,10 @@
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
+import {CalledGrants} from './calledGrants.js';
+import type {GrantCalls} from './calledGrants.js';
 import {KeyLoad} from './keyLoad.js';
-import type {KeyStretch} from './keyLoad.js';
+import {overlaps, without} from './keyStretch.js';
+import type {KeyStretch} from './keyStretch.js';
 
 /** What a target says of itself, about once a second. */
 export interface Heartbeat {
@@ -52,6 +55,8 @@
   readonly maxHoldMs: number;
   /** Keys are the integers in [0, keyCount). */
   readonly keyCount: number;
+  /** For a target that is granted keys by calls; else the answers to its heartbeats grant them. */
+  readonly grantCalls?: GrantCalls;
 }
 
 export type HostedState = 'ready' | 'draining' | 'silent' | 'ended';
@@ -84,6 +89,8 @@
 const CLOCK_RATE_MARGIN = 0.97;
 /** A shorter grant would run out before the next heartbeat. */
 const MIN_HOLD_MS = 300;
+/** A grant by a call to the target on the same instance takes about this long. */
+const GRANT_CALL_MS = 30;
 /** Heartbeats that may be missing before the target counts as silent. */
 const SILENT_AFTER_HEARTBEATS = 3;
 /** Leaves room for a heartbeat that comes late; an end is noticed about this long after it. */
@@ -121,6 +128,7 @@
   private formerLives: string[] = [];
   private hasSuccessors = false;
   private keyLoad: KeyLoad | undefined;
+  private readonly calledGrants: CalledGrants | undefined;
   /** Called when something changed that the control leader should learn at once. */
   onChange: () => void = () => undefined;
   /** Called when a life of the target ended without having drained. */
@@ -128,6 +136,20 @@
 
   constructor(private readonly opts: HostedTargetOptions) {
     this.startedAtMs = opts.steadyClock.nowMs();
+    const {grantCalls} = opts;
+    this.calledGrants =
+      grantCalls &&
+      new CalledGrants({
+        ...opts,
+        calls: grantCalls,
+        holdMs: Math.min(HOLD_MS, opts.maxHoldMs),
+        minHoldMs: MIN_HOLD_MS,
+        clockRateMargin: CLOCK_RATE_MARGIN,
+        onGivenBack: (stretch, handover) => {
+          this.takeBack(stretch, handover);
+          this.onChange();
+        },
+      });
   }
 
   get life(): string | undefined {
@@ -168,7 +190,8 @@
   get mayHoldKeys(): boolean {
     const nowMs = this.opts.steadyClock.nowMs();
     const earlierProcess = nowMs < this.startedAtMs + HOLD_MS / CLOCK_RATE_MARGIN;
-    return !this.ended && (earlierProcess || nowMs < this.holdsUntilMs);
+    const called = this.calledGrants?.mayHoldKeys === true || this.givenBack.length > 0;
+    return !this.ended && (earlierProcess || nowMs < this.holdsUntilMs || called);
   }
 
   /** Lives that ended for certain, for the control leader. */
@@ -205,11 +228,13 @@
       .flatMap((range) => this.remaining(range))
       .some(({fromKey, toKey}) => fromKey <= key && key <= toKey);
     if (!planned) return undefined;
+    if (this.calledGrants) return GRANT_CALL_MS;
     return Math.max(0, this.heardAtMs + this.opts.heartbeatMs - nowMs) + HEARTBEAT_SLACK_MS;
   }
 
   /** Whether the target holds the key under a grant that is still in force. */
   holdsKey(key: number): boolean {
+    if (this.calledGrants?.holdsKey(key)) return true;
     const nowMs = this.opts.clock.nowMs();
     const held = nowMs < this.grantedUntilMs ? this.granted : [];
     const assumed = nowMs < this.assumedUntilMs ? this.assigned : [];
@@ -241,7 +266,26 @@
     }
     this.takeFreed(next);
     if (this.state !== stateBefore || next.freed.length > 0) this.onChange();
-    return {accepted: true, grant: this.grant()};
+    this.followPlan();
+    return {accepted: true, grant: this.calledGrants ? undefined : this.grant()};
+  }
+
+  /** When the current life was last heard, on the steady clock; -Infinity when only adopted. */
+  get lifeHeardAtMs(): number {
+    return (this.heartbeat?.sequence ?? -1) >= 0 ? this.heardAtMs : -Infinity;
+  }
+
+  /** Starts the calls that grant or take back keys now; to be called regularly. */
+  followPlan(): void {
+    if (!this.calledGrants || this.ended || this.lifeHeardAtMs === -Infinity) return;
+    const {assigned, leaseUntilMs} = this;
+    const leaves = this.drainSinceMs !== undefined && this.hasSuccessors;
+    this.calledGrants.follow({
+      keep: leaves ? [] : assigned.flatMap((range) => this.remaining(range)),
+      giveUp: leaves ? assigned : this.leaving,
+      urgent: leaves,
+      leaseUntilMs,
+    });
   }
 
   /**
@@ -277,6 +321,7 @@
   markEnded(): void {
     if (!this.heartbeat || this.ended) return;
     this.ended = true;
+    this.calledGrants?.reset();
     this.granted = [];
     this.grantedUntilMs = -Infinity;
     this.holdsUntilMs = -Infinity;
@@ -303,6 +348,7 @@
     this.givenBack = this.givenBack.filter((stretch) =>
       this.assigned.some((range) => overlaps(range, stretch)),
     );
+    this.followPlan();
   }
 
   /**
@@ -347,6 +393,7 @@
     // An answer to a report of the former life renews nothing for this one.
     this.disclaim();
     this.drainSinceMs = undefined;
+    this.calledGrants?.reset();
     this.granted = [];
     this.grantedUntilMs = -Infinity;
     this.holdsUntilMs = -Infinity;
@@ -358,14 +405,17 @@
 
   private takeFreed({freed}: Heartbeat): void {
     for (const {fromKey, toKey, handover} of freed) {
-      this.opts.logger.info({life: this.life, fromKey, toKey}, 'Target gave back keys');
-      const owned = this.assigned.filter((range) => overlaps(range, {fromKey, toKey}));
-      if (owned.length === 0) continue;
       const known = this.givenBack.some((other) => other.handover === handover);
-      if (!known) this.givenBack.push({fromKey, toKey, handover});
+      if (!known) this.takeBack({fromKey, toKey}, handover);
     }
   }
 
+  private takeBack(stretch: KeyStretch, handover: string): void {
+    this.opts.logger.info({life: this.life, ...stretch}, 'Target gave back keys');
+    const owned = this.assigned.some((range) => overlaps(range, stretch));
+    if (owned) this.givenBack.push({...stretch, handover});
+  }
+
   /** Picks the keys for new transfers and forgets those that the leader gave up or has carried out. */
   private takeTransfers(transfers: ReadonlyArray<{transferId: number; share: number}>): void {
     this.leaving = this.leaving.filter(({transferId}) =>
@@ -441,14 +491,3 @@
 function lifeOf({targetId, bornMs}: Heartbeat): string {
   return `${targetId}/${bornMs}`;
 }
-
-/** What remains of a stretch when an overlapping one is taken out. */
-function without(part: KeyStretch, gone: KeyStretch): KeyStretch[] {
-  const left = {fromKey: part.fromKey, toKey: gone.fromKey - 1};
-  const right = {fromKey: gone.toKey + 1, toKey: part.toKey};
-  return [left, right].filter(({fromKey, toKey}) => fromKey <= toKey);
-}
-
-function overlaps(a: KeyStretch, b: KeyStretch): boolean {
-  return a.fromKey <= b.toKey && b.fromKey <= a.toKey;
-}
--- a/targets/key-holds/src/keyLoad.ts
+++ b/targets/key-holds/src/keyLoad.ts
@@ -1,10 +1,5 @@
 import type {Clock} from '@medlarlane/lifecycle';
-
-/** A stretch of keys; both ends belong to it. */
-export interface KeyStretch {
-  readonly fromKey: number;
-  readonly toKey: number;
-}
+import type {KeyStretch} from './keyStretch.js';
 
 export interface KeyLoadOptions {
   readonly clock: Clock;
