Send daemons the key ranges that changed, and gather changes that come together

Cause: each move of keys sent all ranges of its service to every daemon, in an answer encoded for each; on the large site about 500 ranges (50 kB) to 196 daemons on links of 2.7 Mbit/s, after each move. Each change woke all waiting reports.

Change: the epoch of a range is the log index of its assignment, so a daemon names the index up to which it knows the owners and gets what is newer, also from another leader. An answer that was overtaken changes no owners. News is gathered for 20 ms and a quarter of a millisecond for each daemon. The configuration is encoded once for all daemons. A log line of assignments names eight of them and their number. The view does nothing for an answer without news.

Ruled out: revisions of ranges in the leader's memory, which end with its term and send everything again after each election.

A move among 500 ranges is one range in the answer (test).

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -17,9 +17,12 @@
 import type {CallerWire, GateTarget, TargetWire} from '@medlarlane/request-path';
 import {PoisonTable} from '@medlarlane/poison';
 import {createRpcClient} from '@medlarlane/rpc';
+import {decodeConfiguration} from '@medlarlane/site-control';
 import type {ReportRequest, ReportResponse} from '@medlarlane/site-control';
+import type {SiteConfiguration} from '@medlarlane/site-config';
 import {SiteLink} from '@medlarlane/site-link';
-import {KEY_COUNT} from '@medlarlane/site-state';
+import {KEY_COUNT, overlayRanges} from '@medlarlane/site-state';
+import type {KeyRange} from '@medlarlane/site-state';
 import {RetryBudgets} from './retryBudgets.js';
 import {createDaemonMetrics} from './siteMetrics.js';
 import type {SiteMetrics} from './siteMetrics.js';
@@ -160,20 +163,22 @@
     onAnswer: (outcome) => metrics.answered(outcome),
   });
   const rpc = disposables.use(createRpcClient(), (client) => client.close());
+  const takeConfiguration = (next: SiteConfiguration): void => {
+    const before = view.configuration.version;
+    if (next.version <= before) return;
+    logger.info({version: next.version, before}, 'Configuration in force');
+    view.setConfiguration(next);
+    callers.setLimits(next.limits);
+  };
   const takeAnswer = (answer: ReportResponse, sentAtMs: number): void => {
     if (sentAtMs > crashedAtMs) poisonReported = true;
-    if (answer.configuration && answer.configuration.version > view.configuration.version) {
-      logger.info(
-        {version: answer.configuration.version, before: view.configuration.version},
-        'Configuration in force',
-      );
-      view.setConfiguration(answer.configuration);
-      callers.setLimits(view.configuration.limits);
-    }
+    if (answer.configuration) takeConfiguration(decodeConfiguration(answer.configuration));
     budgets.setDaemonCount(answer.daemonCount);
     view.updateInstances(answer);
     if (answer.poison) poison.merge(answer.poison);
-    for (const [service, ranges] of answer.ranges) view.setRanges(service, ranges);
+    for (const [service, changed] of answer.ranges) {
+      view.setRanges(service, overlayRanges(view.rangesOf(service) as KeyRange[], changed));
+    }
     const others = view
       .instancesOf(opts.service)
       .filter(({state, life}) => state === 'ready' && life !== hosted.life);
--- a/control/site-control/src/index.ts
+++ b/control/site-control/src/index.ts
@@ -1,4 +1,4 @@
-export {reportRequestSchema, reportResponseSchema} from './reports.js';
+export {decodeConfiguration, reportRequestSchema, reportResponseSchema} from './reports.js';
 export type {
   DirectoryInstance,
   ReportRequest,
--- a/control/site-control/src/reports.ts
+++ b/control/site-control/src/reports.ts
@@ -1,6 +1,8 @@
+import {decode, encode} from '@msgpack/msgpack';
 import {z} from 'zod';
 import {poisonExportSchema} from '@medlarlane/poison';
 import {siteConfigurationSchema} from '@medlarlane/site-config';
+import type {SiteConfiguration} from '@medlarlane/site-config';
 import {keyRangeSchema} from '@medlarlane/site-state';
 
 /**
@@ -44,6 +46,8 @@
   /** Term of the leader that `directoryRevision` came from. */
   leaderTerm: z.int(),
   directoryRevision: z.int(),
+  /** Log index up to which the daemon knows who owns which keys. */
+  rangesIndex: z.int(),
   /** The answer may wait this long for news. */
   waitMs: z.number(),
   target: reportedTargetSchema.optional(),
@@ -81,20 +85,31 @@
   /** Control addresses of the replicas for later reports. */
   controlAddresses: z.array(z.string()),
   daemonCount: z.int(),
-  configuration: siteConfigurationSchema.optional(),
+  /** The newest configuration, when the daemon has an older one; encoded once for all daemons. */
+  configuration: z.instanceof(Uint8Array).optional(),
   directoryRevision: z.int(),
   /** Whether `instances` is the whole directory. */
   full: z.boolean(),
   instances: z.array(directoryInstanceSchema),
   /** Forward addresses that are no longer in the directory. */
   removed: z.array(z.string()),
-  /** Ranges of keyed services that changed. */
+  rangesIndex: z.int(),
+  /** Ranges that changed after the index that the daemon knows, by service. */
   ranges: z.array(z.tuple([z.string(), z.array(keyRangeSchema)])),
   poison: poisonExportSchema.optional(),
   /** Keys that the daemon's target is to give away. */
   transfers: z.array(transferRequestSchema),
 });
 
+export function encodeConfiguration(configuration: SiteConfiguration): Uint8Array<ArrayBuffer> {
+  return encode(configuration, {ignoreUndefined: true});
+}
+
+/** @throws Error when the bytes are no configuration. */
+export function decodeConfiguration(bytes: Uint8Array): SiteConfiguration {
+  return siteConfigurationSchema.parse(decode(bytes));
+}
+
 export type TargetState = z.infer<typeof targetStateSchema>;
 export type ReportedTarget = z.infer<typeof reportedTargetSchema>;
 export type ReportRequest = z.infer<typeof reportRequestSchema>;
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -12,6 +12,7 @@
 import {planKeys} from './planKeys.js';
 import {planTransfers} from './planTransfers.js';
 import type {Transfer} from './planTransfers.js';
+import {encodeConfiguration} from './reports.js';
 import type {ReportedTarget, ReportRequest, ReportResponse} from './reports.js';
 
 export interface SiteControlOptions {
@@ -33,8 +34,6 @@
   readonly leases: LeaseLedger;
   readonly directory: Directory;
   readonly sessions: Map<string, Session>;
-  /** Revision of the directory at which the ranges of a service last changed. */
-  readonly rangeRevisions: Map<string, number>;
   readonly firstTargetAtMs: Map<string, number>;
   /** Lives whose keys a proposed command gives away; they get no lease until it is applied. */
   readonly taking: Set<string>;
@@ -60,6 +59,11 @@
 const FIRST_ASSIGNMENT_DELAY_MS = 2_000;
 /** A transfer takes up to two heartbeats of the target; after this time it is given up. */
 const TRANSFER_TIMEOUT_MS = 4_000;
+/** News is gathered for this time before it is sent, and longer in a large fleet, where each costs more. */
+const NEWS_DELAY_MS = 20;
+const NEWS_DELAY_PER_DAEMON_MS = 0.25;
+/** Assignments that a log line names; a service has hundreds of ranges. */
+const LOGGED_ASSIGNMENTS = 8;
 /** Loads are measured anew for this time after keys have moved. */
 const REBALANCE_PAUSE_MS = 1_500;
 
@@ -69,6 +73,8 @@
   private readonly tasks: BackgroundTasks;
   private readonly waiters = new Set<() => void>();
   private placing = false;
+  private waking = false;
+  private encoded: {readonly version: number; readonly bytes: Uint8Array<ArrayBuffer>} | undefined;
   private lastTransferId = 0;
 
   constructor(private readonly opts: SiteControlOptions) {
@@ -76,7 +82,7 @@
     this.tasks = new BackgroundTasks({
       onFailure: (taskName, err) => logger.error({err, taskName}, 'Task failed'),
     });
-    state.onChange(() => this.onStateChange());
+    state.onChange(() => this.wake());
     replica.onRoleChange((change) => {
       logger.info({...change}, 'Role changed');
       this.wake();
@@ -141,7 +147,6 @@
         leases: new LeaseLedger(clock),
         directory: new Directory(),
         sessions: new Map(),
-        rangeRevisions: new Map(),
         firstTargetAtMs: new Map(),
         taking: new Set(),
         transfers: new Map(),
@@ -265,7 +270,13 @@
       this.lastTransferId += 1;
       term.transfers.set(this.lastTransferId, {...transfer, service, startedAtMs: nowMs});
       logger.info(
-        {transferId: this.lastTransferId, ...transfer, service, loads: targets.map(loadOf)},
+        {
+          transferId: this.lastTransferId,
+          ...transfer,
+          service,
+          from: loadOf(targets, transfer.fromLife),
+          to: loadOf(targets, transfer.toLife),
+        },
         'Asked for keys',
       );
       this.wake();
@@ -277,7 +288,11 @@
     const homes = this.homesOf(new Set(assignments.map(({ownerLife}) => ownerLife)));
     const command = encodeCommand({kind: 'assignKeys', service, assignments, homes});
     const {index, result} = await replica.propose(command);
-    logger.info({service, assignments, index, changed: result}, 'Assigned keys');
+    const named = assignments.slice(0, LOGGED_ASSIGNMENTS);
+    logger.info(
+      {service, assignments: named, count: assignments.length, index, changed: result},
+      'Assigned keys',
+    );
   }
 
   private homesOf(lives: ReadonlySet<string>): Record<string, string> {
@@ -293,6 +308,7 @@
     return (
       report.leaderTerm !== term.term ||
       report.directoryRevision !== term.directory.revision ||
+      report.rangesIndex < this.opts.state.rangesIndex ||
       report.configVersion !== this.opts.state.configuration.version
     );
   }
@@ -301,11 +317,6 @@
     const {replica, state} = this.opts;
     const known = report.leaderTerm === term.term ? report.directoryRevision : 0;
     const {target} = report;
-    const {configuration} = state;
-    const keyed = configuration.services.filter((service) => service.keyed);
-    const ranges = keyed
-      .filter(({name}) => known === 0 || (term.rangeRevisions.get(name) ?? 0) > known)
-      .map(({name}): [string, ReturnType<SiteState['rangesOf']>] => [name, state.rangesOf(name)]);
     const leased = target && isLeasable(target) && !term.taking.has(target.life);
     if (leased) term.leases.renew(target.life);
     return {
@@ -313,10 +324,13 @@
       leaseMs: leased ? KEY_LEASE_MS : 0,
       controlAddresses: Object.values(replica.status().members.addresses),
       daemonCount: term.sessions.size,
-      ...(configuration.version === report.configVersion ? {} : {configuration}),
+      ...(state.configuration.version === report.configVersion
+        ? {}
+        : {configuration: this.encodedConfiguration()}),
       directoryRevision: term.directory.revision,
       ...term.directory.since(known),
-      ranges: ranges as ReportResponse['ranges'],
+      rangesIndex: state.rangesIndex,
+      ranges: state.rangesSince(report.rangesIndex),
       ...(term.poisonRevision > known ? {poison: term.poison.export()} : {}),
       transfers: [...term.transfers]
         .filter(([, {fromLife}]) => fromLife === target?.life)
@@ -390,19 +404,26 @@
     );
   }
 
-  private onStateChange(): void {
-    const {current} = this;
-    if (current) {
-      current.directory.touch();
-      for (const {name, keyed} of this.opts.state.configuration.services) {
-        if (keyed) current.rangeRevisions.set(name, current.directory.revision);
-      }
+  private encodedConfiguration(): Uint8Array<ArrayBuffer> {
+    const {configuration} = this.opts.state;
+    if (this.encoded?.version !== configuration.version) {
+      this.encoded = {version: configuration.version, bytes: encodeConfiguration(configuration)};
     }
-    this.wake();
+    return this.encoded.bytes;
   }
 
+  /** Answers the waiting reports shortly, so that changes that come together are sent together. */
   private wake(): void {
-    for (const waiter of this.waiters) waiter();
+    if (this.waking) return;
+    this.waking = true;
+    const sessions = this.current?.sessions.size ?? 0;
+    setTimeout(
+      () => {
+        this.waking = false;
+        for (const waiter of this.waiters) waiter();
+      },
+      NEWS_DELAY_MS + NEWS_DELAY_PER_DAEMON_MS * sessions,
+    );
   }
 
   private waitForNews(waitMs: number): Promise<void> {
@@ -423,8 +444,9 @@
   return Number(life.slice(life.lastIndexOf('/') + 1));
 }
 
-function loadOf({life, offeredRps, meanMs}: ReportedTarget): unknown {
-  return {life, offeredRps, meanMs};
+function loadOf(targets: readonly ReportedTarget[], life: string): unknown {
+  const target = targets.find((other) => other.life === life);
+  return target && {offeredRps: target.offeredRps, meanMs: target.meanMs, slots: target.slots};
 }
 
 /** Whether the target may hold keys under the daemon's lease. */
--- a/control/site-control/test/siteControl.test.ts
+++ b/control/site-control/test/siteControl.test.ts
@@ -6,8 +6,8 @@
 import {silentLogger} from '@medlarlane/logger';
 import {SiteControl} from '@medlarlane/site-control';
 import type {ReportedTarget, ReportRequest} from '@medlarlane/site-control';
-import {encodeCommand, SiteState} from '@medlarlane/site-state';
-import type {SiteCommand} from '@medlarlane/site-state';
+import {encodeCommand, overlayRanges, SiteState} from '@medlarlane/site-state';
+import type {KeyAssignment, SiteCommand} from '@medlarlane/site-state';
 
 describe('The control leader', () => {
   it('keeps an instance in the directory while its daemon restarts', async () => {
@@ -72,6 +72,48 @@
     assert.equal(state.rangesOf('wallboard')[0]?.ownerLife, 't/1');
   });
 
+  it('sends the one range that moved, whatever the number of ranges and the term', async () => {
+    const {control, report, state, apply} = startControl();
+    apply({kind: 'assignKeys', service: 'wallboard', assignments: stripes(500)});
+    const first = await control.report(report({}));
+    assert.equal(first.ranges[0]?.[1].length, 500);
+    apply({
+      kind: 'assignKeys',
+      service: 'wallboard',
+      assignments: [
+        {fromKey: 5, toKey: 9, ownerLife: 'new/1', handover: 'h', previousOwnerLife: 't/0'},
+      ],
+    });
+    const {rangesIndex} = first;
+    const moved = await control.report(report({rangesIndex, leaderTerm: 3}));
+    assert.deepEqual(
+      moved.ranges.map(([service, ranges]) => [service, ranges.map(({ownerLife}) => ownerLife)]),
+      [['wallboard', ['new/1']]],
+    );
+    assert.deepEqual(
+      overlayRanges(first.ranges[0]![1], moved.ranges[0]![1]),
+      state.rangesOf('wallboard').filter(({ownerLife}) => ownerLife !== ''),
+    );
+    const same = await control.report(report({rangesIndex: moved.rangesIndex}));
+    assert.deepEqual(same.ranges, []);
+  });
+
+  it('gathers changes that come together into one answer to a waiting daemon', async () => {
+    const {control, report, apply} = startControl();
+    const {leaderTerm, directoryRevision} = await control.report(report({target: target({})}));
+    const known = {leaderTerm, directoryRevision, target: target({})};
+    const waiting = control.report(report({...known, waitMs: 2_000}));
+    await new Promise((resolve) => setImmediate(resolve));
+    for (const life of ['u/1', 'v/1', 'w/1']) {
+      const forwardAddress = `${life}:1`;
+      await control.report(report({forwardAddress, target: target({life})}));
+      apply({kind: 'assignKeys', service: life, assignments: stripes(1)});
+    }
+    const answer = await waiting;
+    assert.equal(answer.instances.length, 3);
+    assert.equal(answer.ranges.length, 3);
+  });
+
   it('answers nobody while another leader may have been elected', async () => {
     const {control, report, leader} = startControl();
     leader.leaseValid = false;
@@ -110,6 +152,17 @@
   };
 }
 
+/** Keys in stripes of ten, of as many owners. */
+function stripes(count: number): KeyAssignment[] {
+  return Array.from({length: count}, (_, index) => ({
+    fromKey: index * 10,
+    toKey: index * 10 + 9,
+    ownerLife: `t/${index}`,
+    handover: '',
+    previousOwnerLife: '',
+  }));
+}
+
 function startControl() {
   let index = 0;
   const applyPayload = (payload: Uint8Array): {index: number; result: unknown} => {
@@ -140,6 +193,7 @@
     configVersion: 0,
     leaderTerm: 0,
     directoryRevision: 0,
+    rangesIndex: 0,
     waitMs: 0,
     endedLives: [],
     released: [],
--- a/control/site-state/src/keyRanges.ts
+++ b/control/site-state/src/keyRanges.ts
@@ -41,6 +41,26 @@
   return mergeEqual(result);
 }
 
+/** Puts ranges that changed in place of what they overlap; both lists are in the order of keys. */
+export function overlayRanges(
+  ranges: readonly KeyRange[],
+  changed: readonly KeyRange[],
+): KeyRange[] {
+  const result: KeyRange[] = [...changed];
+  let next = 0;
+  for (const range of ranges) {
+    let {fromKey} = range;
+    while (next < changed.length && changed[next]!.toKey < fromKey) next += 1;
+    for (let at = next; at < changed.length && changed[at]!.fromKey <= range.toKey; at += 1) {
+      const gone = changed[at]!;
+      if (gone.fromKey > fromKey) result.push({...range, fromKey, toKey: gone.fromKey - 1});
+      fromKey = gone.toKey + 1;
+    }
+    if (fromKey <= range.toKey) result.push({...range, fromKey});
+  }
+  return result.sort((a, b) => a.fromKey - b.fromKey);
+}
+
 /** Joins neighbours that one command gave to one owner. */
 function mergeEqual(ranges: readonly KeyRange[]): KeyRange[] {
   const result: KeyRange[] = [];
--- a/control/site-state/src/siteState.ts
+++ b/control/site-state/src/siteState.ts
@@ -36,6 +36,7 @@
   private accepted = new Map<string, number>();
   private ranges = new Map<string, readonly KeyRange[]>();
   private homes = new Map<string, string>();
+  private newestEpoch = 0;
   private readonly listeners = new Set<() => void>();
 
   /** The ranges of a service. They cover all keys. */
@@ -43,6 +44,22 @@
     return this.ranges.get(service) ?? [unowned()];
   }
 
+  /** Log index of the newest assignment; 0 before the first one. */
+  get rangesIndex(): number {
+    return this.newestEpoch;
+  }
+
+  /** What changed after the log index, by service. The epoch of a range is the index of its assignment. */
+  rangesSince(index: number): Array<[string, KeyRange[]]> {
+    if (index >= this.newestEpoch) return [];
+    return [...this.ranges]
+      .map(([service, ranges]): [string, KeyRange[]] => [
+        service,
+        ranges.filter(({epoch}) => epoch > index),
+      ])
+      .filter(([, ranges]) => ranges.length > 0);
+  }
+
   /** Whether any key of the service ever had an owner. */
   wasAssigned(service: string): boolean {
     return this.ranges.has(service);
@@ -78,6 +95,10 @@
     this.configuration = configuration;
     this.accepted = new Map(accepted);
     this.ranges = new Map(keys);
+    this.newestEpoch = 0;
+    for (const [, ranges] of keys) {
+      for (const {epoch} of ranges) this.newestEpoch = Math.max(this.newestEpoch, epoch);
+    }
     this.homes = new Map(homes);
     for (const listener of this.listeners) listener();
   }
@@ -135,6 +156,7 @@
       if (affected.some((range) => range.ownerLife !== previousOwnerLife)) continue;
       ranges = replaceStretch(ranges, {fromKey, toKey, ownerLife, epoch: index, handover});
       changed += 1;
+      this.newestEpoch = index;
     }
     this.ranges.set(service, ranges);
     this.forgetHomes();
--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -27,6 +27,7 @@
 interface Experience {
   outstanding: number;
   load: GateLoad | undefined;
+  loadAtMs: number;
   /** Requests sent since `load` came. */
   sentSinceLoad: number;
   /** Smoothed share of requests that failed there, 0 to 1. */
@@ -35,6 +36,8 @@
   avoidUntilMs: number;
   /** Its queue was full a moment ago. */
   fullUntilMs: number;
+  /** When a caller that it refused was asked to come back. */
+  retryAfterMs: number | undefined;
 }
 
 /** Weight of a new outcome in the smoothed failure share. */
@@ -51,6 +54,10 @@
 const ASSUME_FULL_MS = 15;
 /** The same after the owner's daemon could not be reached, which each try takes 250 ms to find. */
 const ASSUME_UNREACHABLE_MS = 100;
+/** The load of a target changes with each request; about a round trip of several offers. */
+const FRESH_LOAD_MS = 100;
+/** A target's load is used for as long as one request takes there, and this long at least. */
+const MIN_LOAD_VALID_MS = 100;
 /** Before a target told its load. */
 const INITIAL_MEAN_MS = 50;
 /** Doubles the predicted latency of an instance whose slots are all in use. */
@@ -106,6 +113,8 @@
     removed: readonly string[];
   }): void {
     const nowMs = this.opts.clock.nowMs();
+    const isNews = update.full || update.instances.length > 0 || update.removed.length > 0;
+    if (!isNews && this.unconfirmedUntilMs.size === 0) return;
     if (update.full) this.keepUnconfirmed(nowMs);
     for (const forwardAddress of update.removed) this.instances.delete(forwardAddress);
     for (const instance of update.instances) {
@@ -202,36 +211,54 @@
   }
 
   /**
-   * The instance with the lower predicted latency of one in this availability zone and one anywhere,
-   * leaving out `tried` lives.
+   * An instance outside `tried` that is likely to have a free slot: in this availability zone while one
+   * there is, else anywhere; the better of two drawn ones. `undefined` when all are likely to be full.
    */
-  pickInstance(service: string, tried: ReadonlySet<string>): InstanceView | undefined {
+  pickFree(service: string, tried: ReadonlySet<string>): InstanceView | undefined {
     const nowMs = this.opts.clock.nowMs();
-    const isOpen = (entry: InstanceView): boolean => !tried.has(entry.life);
-    const isPreferred = (entry: InstanceView): boolean =>
-      isOpen(entry) && this.of(entry.life).avoidUntilMs <= nowMs;
-    const working = this.workingByService.get(service) ?? [];
-    const [list, isEligible] = working.some(isPreferred)
-      ? [working, isPreferred]
-      : working.some(isOpen)
-        ? [working, isOpen]
-        : [this.instancesOf(service).filter(({state}) => state === 'silent'), isOpen];
+    const list = this.workingByService.get(service) ?? [];
+    const isFree = ({life, slots}: InstanceView): boolean =>
+      !tried.has(life) && this.of(life).avoidUntilMs <= nowMs && this.busySlots(life) < slots;
     const isNear = (entry: InstanceView): boolean =>
-      entry.availabilityZone === this.opts.availabilityZone && isEligible(entry);
-    const a = this.draw(list, isNear) ?? this.draw(list, isEligible);
-    const b = this.draw(list, isEligible);
-    if (!a || !b || a === b) return a;
-    return this.predictedMs(a) <= this.predictedMs(b) ? a : b;
+      entry.availabilityZone === this.opts.availabilityZone && isFree(entry);
+    return this.drawBetter(list, isNear) ?? this.drawBetter(list, isFree);
   }
 
-  /** Whether an instance outside `tried` takes work and did not refuse any a moment ago. */
-  hasRoom(service: string, tried: ReadonlySet<string>): boolean {
+  /**
+   * The instance outside `excluded` where a request is likely to wait for the shortest time. One that
+   * takes no work or could not be reached a moment ago is used only when nothing else is left.
+   */
+  pickShortestQueue(service: string, excluded: ReadonlySet<string>): InstanceView | undefined {
     const nowMs = this.opts.clock.nowMs();
-    return (this.workingByService.get(service) ?? []).some(
-      ({life}) => !tried.has(life) && this.of(life).avoidUntilMs <= nowMs,
+    const isOpen = (entry: InstanceView): boolean => !excluded.has(entry.life);
+    const working = (this.workingByService.get(service) ?? []).filter(isOpen);
+    const known = working.filter(({life}) => nowMs - this.of(life).loadAtMs < FRESH_LOAD_MS);
+    const shortest = known.reduce<InstanceView | undefined>(
+      (best, next) => (best && this.waitMs(best) <= this.waitMs(next) ? best : next),
+      undefined,
+    );
+    if (shortest) return shortest;
+    const isPreferred = ({life}: InstanceView): boolean => this.of(life).avoidUntilMs <= nowMs;
+    const silent = (): InstanceView[] =>
+      this.instancesOf(service).filter(({state}) => state === 'silent');
+    return (
+      this.drawBetter(working, isPreferred) ??
+      this.drawBetter(working, isOpen) ??
+      this.drawBetter(silent(), isOpen)
     );
   }
 
+  /** The one with the lower predicted latency of two random eligible instances. */
+  private drawBetter(
+    list: readonly InstanceView[],
+    isEligible: (instance: InstanceView) => boolean,
+  ): InstanceView | undefined {
+    const a = this.draw(list, isEligible);
+    if (!a) return undefined;
+    const b = this.draw(list, (entry) => entry !== a && isEligible(entry));
+    return !b || this.predictedMs(a) <= this.predictedMs(b) ? a : b;
+  }
+
   /** The first eligible instance from a random place on. */
   private draw(
     list: readonly InstanceView[],
@@ -267,6 +294,7 @@
     experience.outstanding -= 1;
     if (result.load) {
       experience.load = result.load;
+      experience.loadAtMs = nowMs;
       experience.sentSinceLoad = 0;
     }
     const serverError = result.kind === 'answered' && result.answer.status >= 500;
@@ -278,6 +306,7 @@
     }
     if (result.kind === 'refused' && result.code === 'OVERLOADED') {
       experience.fullUntilMs = nowMs + ASSUME_FULL_MS;
+      experience.retryAfterMs = result.retryAfterMs;
     }
     if (result.kind === 'refused' && result.code === 'PEER_FAILED') {
       experience.fullUntilMs = nowMs + ASSUME_UNREACHABLE_MS;
@@ -290,15 +319,31 @@
     }
   }
 
-  /** Whether an offer there would be refused, as far as the last refusal tells. */
-  isFull(life: string): boolean {
-    return this.of(life).fullUntilMs > this.opts.clock.nowMs();
+  /** The refusal that an offer there would get, as far as the last one tells. */
+  expectedRefusal(life: string): RunResult | undefined {
+    const {fullUntilMs, retryAfterMs} = this.of(life);
+    if (fullUntilMs <= this.opts.clock.nowMs()) return undefined;
+    const details = retryAfterMs === undefined ? {} : {retryAfterMs};
+    return {kind: 'refused', code: 'OVERLOADED', ...details};
+  }
+
+  /** Requests at the instance, as far as this daemon knows. What it heard long ago is outdated. */
+  private busySlots(life: string): number {
+    const {load, loadAtMs, outstanding, sentSinceLoad} = this.of(life);
+    const isCurrent =
+      load && this.opts.clock.nowMs() - loadAtMs < Math.max(MIN_LOAD_VALID_MS, load.meanMs);
+    return isCurrent ? load.inFlight + load.waiting + sentSinceLoad : outstanding;
+  }
+
+  private waitMs({life, slots}: InstanceView): number {
+    const {load} = this.of(life);
+    const ahead = Math.max(0, this.busySlots(life) + 1 - slots);
+    return (ahead * (load?.meanMs ?? INITIAL_MEAN_MS)) / Math.max(1, slots);
   }
 
   private predictedMs({life, slots, availabilityZone}: InstanceView): number {
-    const {load, outstanding, sentSinceLoad, failureShare} = this.of(life);
-    const busy = load ? load.inFlight + load.waiting + sentSinceLoad : outstanding;
-    const utilisation = busy / Math.max(1, slots);
+    const {load, failureShare} = this.of(life);
+    const utilisation = this.busySlots(life) / Math.max(1, slots);
     const cold = (this.coldUntilMs.get(life) ?? 0) > this.opts.clock.nowMs();
     return (
       (load?.meanMs ?? INITIAL_MEAN_MS) *
@@ -315,10 +360,12 @@
       experience = {
         outstanding: 0,
         load: undefined,
+        loadAtMs: -Infinity,
         sentSinceLoad: 0,
         failureShare: 0,
         avoidUntilMs: 0,
         fullUntilMs: 0,
+        retryAfterMs: undefined,
       };
       this.experience.set(life, experience);
     }
--- a/routing/site-link/src/siteLink.ts
+++ b/routing/site-link/src/siteLink.ts
@@ -22,6 +22,8 @@
 export interface KnownSite {
   readonly leaderTerm: number;
   readonly directoryRevision: number;
+  /** Log index up to which the owners of keys are known. */
+  readonly rangesIndex: number;
 }
 
 /**
@@ -40,7 +42,7 @@
 /** Reports to the control leader for as long as the daemon runs. */
 export class SiteLink {
   private readonly tasks: BackgroundTasks;
-  private known: KnownSite = {leaderTerm: 0, directoryRevision: 0};
+  private known: KnownSite = {leaderTerm: 0, directoryRevision: 0, rangesIndex: 0};
   private leaderAddress: string | undefined;
   private controlAddresses: readonly string[] = [];
   private nextCandidate = 0;
@@ -116,11 +118,14 @@
       logger.info({address, leaderTerm: answer.leaderTerm}, 'Reports to a control leader');
     }
     this.connected = true;
+    // An answer that was overtaken names owners that have changed since.
+    const isCurrent = answer.rangesIndex >= this.known.rangesIndex;
     this.known = {
       leaderTerm: answer.leaderTerm,
       directoryRevision: answer.directoryRevision,
+      rangesIndex: Math.max(this.known.rangesIndex, answer.rangesIndex),
     };
-    onAnswer(answer, sentAtMs);
+    onAnswer(isCurrent ? answer : {...answer, ranges: []}, sentAtMs);
   }
 
   /** Answers of two reports may overtake each other. */
