Look for a free slot before a request waits for one

Cause: in a large fleet a daemon hears of each target every few seconds, so that the better of two looks random; a target that was busy let requests wait up to their target latency while others had free slots. At the deadline the answer was 504 even when nothing had been sent. Callers were asked to come back when the queue had drained, milliseconds later, and were refused again.

Change: OfferPlan asks up to three targets that are likely to have a free slot, those of the own availability zone first, with a wait of a twentieth of the time left at most; the last one asked has the shortest known queue and may let the request wait, also for a late answer. At the deadline, what was never sent is answered 503 as not run. A refused caller is asked back after a quarter to a half of the time in which it can still be served in time.

Ruled out: sharing all loads through the leader (bytes grow with the fleet).

Test of the load: 190 daemons, 70 targets of three speeds at 85%, 97% and 50% of their capacity (offerPlan.test).

--- a/protocol/peer-rpc/src/peerMessages.ts
+++ b/protocol/peer-rpc/src/peerMessages.ts
@@ -1,7 +1,7 @@
 import {MedlarlaneError} from '@medlarlane/errors';
 
 /** Raised with each change that an older daemon cannot read. */
-export const PROTOCOL_VERSION = 1;
+export const PROTOCOL_VERSION = 2;
 
 /**
  * First field of each message. The second one is the number of the exchange, chosen by the daemon that
--- a/routing/admission/src/slotQueue.ts
+++ b/routing/admission/src/slotQueue.ts
@@ -18,6 +18,8 @@
   readonly deadlineAtMs: number;
   /** Whether to wait for an answer after `targetAtMs` when there is none in time. */
   readonly acceptLate?: boolean;
+  /** Longest wait for a slot that is worth it, because other targets may be free; none without it. */
+  readonly maxWaitMs?: number;
   readonly signal?: AbortSignal;
 }
 
@@ -44,6 +46,9 @@
 const MIN_LATE_SHARE = 0.08;
 /** A prediction this much before the deadline leaves room for work that takes longer than usual. */
 const LATE_MARGIN = 0.15;
+/** Parts of the time left after which refused callers are asked to come back. */
+const MIN_RETURN_SHARE = 0.25;
+const MAX_RETURN_SHARE = 0.5;
 /** The queue is checked against its deadlines at this period while something waits. */
 const CHECK_MS = 25;
 
@@ -104,9 +109,11 @@
       return Promise.resolve(this.grant(nowMs));
     }
     const ahead = this.waiters.filter((waiter) => !isBefore(request, waiter)).length;
-    const timely = this.meetsTarget(request, nowMs + this.predictedWaitMs(ahead));
-    if (!timely && !this.meetsDeadline(request, nowMs, this.lateAhead(request))) {
-      return Promise.reject(this.overloaded());
+    const waitMs = this.predictedWaitMs(ahead);
+    const timely = this.meetsTarget(request, nowMs + waitMs);
+    const tooLong = waitMs > (request.maxWaitMs ?? Infinity);
+    if (tooLong || (!timely && !this.meetsDeadline(request, nowMs, this.lateAhead(request)))) {
+      return Promise.reject(this.overloaded(request));
     }
     return new Promise((resolve, reject) => {
       const {signal} = request;
@@ -184,21 +191,36 @@
         this.waiters.splice(this.waiters.indexOf(waiter), 1);
         insert(this.lateWaiters, waiter, endsBefore);
       } else {
-        this.remove(waiter, this.overloaded());
+        this.remove(waiter, this.overloaded(waiter));
       }
     }
     ahead = 0;
     for (const waiter of [...this.lateWaiters]) {
       if (this.meetsDeadline(waiter, nowMs, ahead)) ahead += 1;
-      else this.remove(waiter, this.overloaded());
+      else this.remove(waiter, this.overloaded(waiter));
     }
   }
 
-  private overloaded(): MedlarlaneError {
-    const retryAfterMs = Math.round(this.predictedWaitMs(this.waiting));
+  private overloaded(request: SlotRequest): MedlarlaneError {
+    const drainedMs = this.predictedWaitMs(this.waiting);
+    const retryAfterMs = Math.round(Math.max(drainedMs, this.returnAfterMs(request)));
     return new MedlarlaneError('OVERLOADED', undefined, {details: {retryAfterMs}});
   }
 
+  /**
+   * A part of the time in which the caller can still be served in time, or before its deadline. An
+   * overload outlasts the queue, so that a caller that comes back as soon as the queue has drained is
+   * mostly refused again; callers that come back at different moments do not form a new crowd.
+   */
+  private returnAfterMs(request: SlotRequest): number {
+    const nowMs = this.clock.nowMs();
+    const expectedMs = this.expectedMs(request);
+    const timelyMs = request.targetAtMs - nowMs - expectedMs;
+    const usableMs = timelyMs > 0 ? timelyMs : request.deadlineAtMs - nowMs - expectedMs;
+    const share = MIN_RETURN_SHARE + Math.random() * (MAX_RETURN_SHARE - MIN_RETURN_SHARE);
+    return Math.max(0, usableMs) * share;
+  }
+
   private remove(waiter: Waiter, result: SlotPermit | MedlarlaneError): void {
     for (const list of [this.waiters, this.lateWaiters]) {
       const place = list.indexOf(waiter);
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -13,6 +13,7 @@
 import {fingerprintsOf} from './fingerprintsOf.js';
 import type {CallerWire, Offer, RequestFrame, RunResult, TargetAnswer} from './messages.js';
 import type {InstanceView, SiteView} from './siteView.js';
+import {OfferPlan} from './offerPlan.js';
 import {readTurn} from './readTurn.js';
 import {refusedBy} from './startGateListener.js';
 import type {TargetGate} from './targetGate.js';
@@ -73,7 +74,8 @@
 interface OfferTerms {
   readonly targetAtMs: number;
   readonly deadlineAtMs: number;
-  readonly acceptLate: boolean;
+  /** Whether the request is left to this target, which may let it wait and answer it late. */
+  readonly isFinal: boolean;
 }
 
 interface FinalAnswer {
@@ -96,8 +98,8 @@
 /** Given as values, because the default reason is an exception that costs a stack trace. */
 const CALLER_LEFT = 'caller left';
 const DEADLINE_PASSED = 'deadline passed';
-/** Daemons to which one request is offered; each refusal costs a round trip. */
-const MAX_OFFERS = 4;
+/** Part of the time left that a request waits for a slot before another target is asked. */
+const WAIT_SHARE = 0.05;
 /** A caller that is refused while the owner of its key changes finds it settled after about this time. */
 const OWNER_CHANGE_RETRY_MS = 300;
 /** While no configuration is known; a daemon that starts needs about a second. */
@@ -206,15 +208,11 @@
   };
   if (!opts.poison.isEmpty) opts.poison.check(fingerprintsOf(service, frame));
   const leftNowMs = deadlineAtMs - clock.nowMs();
-  return new Promise((resolve, reject) => {
-    const timer = setTimeout(() => {
-      job.abort.abort(DEADLINE_PASSED);
-      reject(new MedlarlaneError('TARGET_TIMEOUT', 'Deadline passed', {ran: 'unknown'}));
-    }, leftNowMs);
-    attempt(opts, job, route, service, frame, {targetAtMs, deadlineAtMs})
-      .then(resolve, reject)
-      .finally(() => clearTimeout(timer));
-  });
+  // Ends all waiting at once; what has not been sent by then is known not to have run.
+  const timer = setTimeout(() => job.abort.abort(DEADLINE_PASSED), leftNowMs);
+  return attempt(opts, job, route, service, frame, {targetAtMs, deadlineAtMs}).finally(() =>
+    clearTimeout(timer),
+  );
 }
 
 const usedConnections = new WeakSet<Socket>();
@@ -234,26 +232,22 @@
   times: {targetAtMs: number; deadlineAtMs: number},
 ): Promise<FinalAnswer> {
   const {view, clock} = opts;
-  const keyed = view.isKeyed(service) && job.key !== undefined;
-  const tried = new Set<string>();
+  const key = view.isKeyed(service) ? job.key : undefined;
+  const plan = new OfferPlan(view, service, key);
   let arrivals = 0;
   let last: RunResult | undefined;
-  for (let offers = 0; offers < MAX_OFFERS; offers += 1) {
-    if (times.deadlineAtMs - clock.nowMs() < MIN_ATTEMPT_MS || job.abort.signal.aborted) break;
-    const instance =
-      keyed && job.key !== undefined
-        ? view.ownerOf(service, job.key)
-        : view.pickInstance(service, tried);
-    if (!instance || (keyed && tried.has(instance.life))) break;
-    if (keyed && view.isFull(instance.life)) {
-      last = preferred(last, {kind: 'refused', code: 'OVERLOADED'});
+  while (times.deadlineAtMs - clock.nowMs() >= MIN_ATTEMPT_MS && !job.abort.signal.aborted) {
+    const next = plan.next();
+    if (!next) break;
+    const expected = key === undefined ? undefined : view.expectedRefusal(next.instance.life);
+    if (expected) {
+      last = preferred(last, expected);
       break;
     }
     if (arrivals > 0 && !opts.retryBudget(service).tryTake()) break;
-    tried.add(instance.life);
-    // A late answer is better than none, but only where no other target is likely to have room.
-    const acceptLate = keyed || offers === MAX_OFFERS - 1 || !view.hasRoom(service, tried);
-    const result = await offer(opts, job, route, service, frame, instance, {...times, acceptLate});
+    const terms = {...times, isFinal: next.isFinal};
+    const result = await offer(opts, job, route, service, frame, next.instance, terms);
+    plan.took(next, result);
     last = preferred(last, result);
     if (result.kind === 'answered') {
       const retriable =
@@ -282,19 +276,22 @@
   service: string,
   frame: RequestFrame,
   instance: InstanceView,
-  {targetAtMs, deadlineAtMs, acceptLate}: OfferTerms,
+  {targetAtMs, deadlineAtMs, isFinal}: OfferTerms,
 ): Promise<RunResult> {
   const {view, clock, gate, peers} = opts;
   const startedAtMs = clock.nowMs();
+  const targetLeftMs = Math.round(targetAtMs - startedAtMs);
+  const deadlineLeftMs = Math.round(deadlineAtMs - startedAtMs);
   const message: Offer = {
     requestId: job.requestId ?? '',
     service,
     life: instance.life,
     route: route.name,
     priority: route.priority,
-    targetLeftMs: Math.round(targetAtMs - startedAtMs),
-    deadlineLeftMs: Math.round(deadlineAtMs - startedAtMs),
-    acceptLate,
+    targetLeftMs,
+    deadlineLeftMs,
+    acceptLate: isFinal,
+    maxWaitMs: isFinal ? deadlineLeftMs : Math.max(0, targetLeftMs * WAIT_SHARE),
     ...(job.key === undefined || !view.isKeyed(service) ? {} : {key: job.key}),
     callerService: opts.callerService,
   };
@@ -341,9 +338,12 @@
   result: RunResult | undefined,
 ): FinalAnswer {
   if (result?.kind === 'answered') return fromTarget(result.answer);
-  if (result?.kind === 'lost')
-    return refusal(opts, job, new MedlarlaneError(result.code, undefined, {ran: 'unknown'}));
-  const code = result?.code ?? 'NO_OWNER';
+  const expired = job.abort.signal.reason === DEADLINE_PASSED;
+  if (result?.kind === 'lost') {
+    const lostBy = expired ? 'TARGET_TIMEOUT' : result.code;
+    return refusal(opts, job, new MedlarlaneError(lostBy, undefined, {ran: 'unknown'}));
+  }
+  const code = expired ? 'DEADLINE_EXCEEDED' : (result?.code ?? 'NO_OWNER');
   const ownerChanges = code === 'NO_OWNER' || code === 'NOT_OWNER' || code === 'NO_TARGET';
   const known = result?.kind === 'refused' ? result.retryAfterMs : undefined;
   const retryAfterMs =
--- a/routing/request-path/src/index.ts
+++ b/routing/request-path/src/index.ts
@@ -19,3 +19,5 @@
   TargetWire,
   CallerWire,
 } from './messages.js';
+export {OfferPlan} from './offerPlan.js';
+export type {NextOffer} from './offerPlan.js';
--- a/routing/request-path/src/messages.ts
+++ b/routing/request-path/src/messages.ts
@@ -15,6 +15,8 @@
   readonly deadlineLeftMs: number;
   /** Whether to wait for an answer after its target latency when there is none in time. */
   readonly acceptLate: boolean;
+  /** Longest wait for a slot; the sender would rather ask another target than wait longer. */
+  readonly maxWaitMs: number;
   /** Set for services whose targets own keys. */
   readonly key?: number;
   /** Service beside which the request began. */
@@ -22,7 +24,7 @@
 }
 
 /** Number of fields that an offer has on the wire. */
-export const OFFER_FIELDS = 10;
+export const OFFER_FIELDS = 11;
 
 /** An offer by position, which is cheaper to write and read than one with names. */
 export function writeOffer(offer: Offer): unknown[] {
@@ -37,6 +39,7 @@
     offer.acceptLate,
     offer.key ?? null,
     offer.callerService,
+    offer.maxWaitMs,
   ];
 }
 
@@ -46,9 +49,10 @@
  */
 export function readOffer(fields: readonly unknown[], opts: {waitedMs: number}): Offer {
   const [requestId, service, life, route, priority, targetLeftMs, deadlineLeftMs] = fields;
-  const [acceptLate, key, caller] = fields.slice(7);
+  const [acceptLate, key, caller, maxWaitMs] = fields.slice(7);
   const texts = [requestId, service, life, route, caller];
-  const numbers = [priority, targetLeftMs, deadlineLeftMs, ...(key === null ? [] : [key])];
+  const times = [targetLeftMs, deadlineLeftMs, maxWaitMs];
+  const numbers = [priority, ...times, ...(key === null ? [] : [key])];
   if (!texts.every(isText) || !numbers.every(Number.isFinite)) {
     throw new MedlarlaneError('REQUEST_INVALID', 'Offer with fields of other types');
   }
@@ -61,6 +65,7 @@
     targetLeftMs: (targetLeftMs as number) - opts.waitedMs,
     deadlineLeftMs: (deadlineLeftMs as number) - opts.waitedMs,
     acceptLate: acceptLate === true,
+    maxWaitMs: maxWaitMs as number,
     ...(key === null ? {} : {key: key as number}),
     callerService: caller as string,
   };
--- a/routing/request-path/src/targetGate.ts
+++ b/routing/request-path/src/targetGate.ts
@@ -116,6 +116,7 @@
       targetAtMs: offeredAtMs + offer.targetLeftMs,
       deadlineAtMs,
       acceptLate: offer.acceptLate,
+      maxWaitMs: offer.maxWaitMs,
       signal,
     });
     return {
--- a/routing/request-path/test/entry.test.ts
+++ b/routing/request-path/test/entry.test.ts
@@ -147,6 +147,12 @@
     assert.ok(performance.now() - startedAtMs < 400);
   });
 
+  it('promises at the deadline that a request did not run that was never sent', async () => {
+    const entry = await startEntry(disposables, {results: [], neverSent: true});
+    const {status} = await entry.send({'x-left': '60'});
+    assert.equal(status, 503);
+  });
+
   it('sends nothing for a caller that left while the process was behind', async () => {
     const entry = await startEntry(disposables, {results: [answered(200)], lagMs: 50});
     const socket = net.connect(entry.port, '127.0.0.1');
@@ -204,6 +210,8 @@
     keyed?: boolean;
     budget?: RetryBudget;
     lagMs?: number;
+    /** Whether offers without a result wait for a slot until their caller gives up. */
+    neverSent?: boolean;
   },
 ) {
   const view = new SiteView({clock: systemClock, availabilityZone: 'a'});
@@ -262,7 +270,7 @@
         offers.push(offer);
         if (result) return result;
         await once(signal, 'abort');
-        return {kind: 'lost', code: 'CANCELLED'};
+        return {kind: opts.neverSent ? 'refused' : 'lost', code: 'CANCELLED'};
       },
       close: () => undefined,
     },
--- /dev/null
+++ b/routing/request-path/test/offerPlan.test.ts
@@ -0,0 +1,179 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {SlotQueue} from '@medlarlane/admission';
+import type {SlotPermit} from '@medlarlane/admission';
+import {toMedlarlaneError} from '@medlarlane/errors';
+import {OfferPlan, SiteView} from '@medlarlane/request-path';
+import type {GateLoad, RunResult} from '@medlarlane/request-path';
+
+const SERVICE = 'desk';
+const ZONES = ['a', 'b', 'c', 'd', 'e'];
+const SLOTS = 11;
+const WORK_MS = 800;
+const TARGET_LATENCY_MS = 2_600;
+/** Part of the target latency that an offer waits where other targets may be free. */
+const QUICK_WAIT_MS = TARGET_LATENCY_MS * 0.05;
+
+describe('The order of offers in a large fleet', () => {
+  it('keeps targets of different speeds evenly used, though each daemon hears of them rarely', async () => {
+    const fleet = startFleet({daemons: 190, targets: 70});
+    const capacityRps = fleet.capacityRps;
+    const outcome = await fleet.play({rps: capacityRps * 0.85, seconds: 12});
+    const perSpeed = outcome.served.map((count, index) => count / fleet.speeds[index]!);
+    const mean = perSpeed.reduce((sum, n) => sum + n, 0) / perSpeed.length;
+    const busiest = Math.max(...perSpeed) / mean;
+    assert.ok(busiest < 1.4, `the busiest target gets ${busiest} of its part`);
+    assert.ok(outcome.late + outcome.refused < outcome.asked * 0.01, JSON.stringify(outcome.late));
+  });
+
+  it('refuses little when the load is just below what all slots can carry', async () => {
+    const fleet = startFleet({daemons: 190, targets: 70});
+    const {asked, refused, late} = await fleet.play({rps: fleet.capacityRps * 0.97, seconds: 12});
+    assert.ok(refused < asked * 0.03, `${refused} of ${asked} refused`);
+    assert.ok(late < asked * 0.05, `${late} of ${asked} late`);
+  });
+
+  it('stays in its availability zone while a slot is free there', async () => {
+    const fleet = startFleet({daemons: 190, targets: 70});
+    const {asked, crossed} = await fleet.play({rps: fleet.capacityRps * 0.5, seconds: 8});
+    assert.ok(crossed < asked * 0.1, `${crossed} of ${asked} left their zone`);
+  });
+});
+
+interface Arrival {
+  readonly atMs: number;
+  readonly daemon: number;
+}
+
+/** Daemons that know only what their own offers taught them, and targets with queues, on one clock. */
+function startFleet({daemons, targets}: {daemons: number; targets: number}) {
+  let nowMs = 0;
+  const clock = {
+    nowMs: () => nowMs,
+    wallMs: () => nowMs,
+    sleep: () => Promise.reject(new Error('Not used')),
+  };
+  const random = seededRandom();
+  const speeds = Array.from({length: targets}, (_, index) => [0.6, 1, 1.4][index % 3]!);
+  const queues = speeds.map(() => new SlotQueue({slots: SLOTS, clock}));
+  const instances = speeds.map((_, index) => ({
+    forwardAddress: `t${index}`,
+    availabilityZone: ZONES[index % ZONES.length]!,
+    life: String(index),
+    service: SERVICE,
+    state: 'ready' as const,
+    slots: SLOTS,
+    coldLeftMs: 0,
+    stopping: false,
+  }));
+  const views = Array.from({length: daemons}, (_, index) => {
+    const view = new SiteView({
+      clock,
+      availabilityZone: ZONES[index % ZONES.length]!,
+      random,
+    });
+    view.updateInstances({full: true, instances, removed: []});
+    return view;
+  });
+  const ends: Array<{atMs: number; end: () => void}> = [];
+  const outcome = {asked: 0, refused: 0, late: 0, crossed: 0, served: speeds.map(() => 0)};
+  const loadOf = (index: number): GateLoad => {
+    const {inFlight, waiting, meanMs} = queues[index]!;
+    return {inFlight, waiting, slots: SLOTS, meanMs};
+  };
+
+  const offer = async (
+    index: number,
+    arrivedAtMs: number,
+    isFinal: boolean,
+  ): Promise<RunResult> => {
+    const queue = queues[index]!;
+    let permit: SlotPermit;
+    try {
+      permit = await queue.acquire({
+        kind: 'booking',
+        priority: 1,
+        targetAtMs: arrivedAtMs + TARGET_LATENCY_MS,
+        deadlineAtMs: arrivedAtMs + 6_000,
+        acceptLate: isFinal,
+        maxWaitMs: isFinal ? 6_000 : QUICK_WAIT_MS,
+      });
+    } catch (thrown) {
+      const code = toMedlarlaneError(thrown).code;
+      return {kind: 'refused', code, load: loadOf(index)};
+    }
+    const workMs = (WORK_MS / speeds[index]!) * (0.7 + 0.6 * random());
+    return new Promise((resolve) => {
+      ends.push({
+        atMs: nowMs + workMs,
+        end: () => {
+          permit.release(workMs);
+          queue.learn('booking', workMs);
+          const answer = {status: 200, headers: [], body: new Uint8Array()};
+          resolve({kind: 'answered', answer, load: loadOf(index)});
+        },
+      });
+    });
+  };
+
+  const request = async ({atMs, daemon}: Arrival): Promise<void> => {
+    const view = views[daemon]!;
+    const plan = new OfferPlan(view, SERVICE, undefined);
+    outcome.asked += 1;
+    for (let next = plan.next(); next; next = plan.next()) {
+      const {life, availabilityZone} = next.instance;
+      view.sent(life);
+      const result = await offer(Number(life), atMs, next.isFinal);
+      view.ended(life, result);
+      plan.took(next, result);
+      if (result.kind !== 'answered') continue;
+      outcome.served[Number(life)]! += 1;
+      if (nowMs - atMs > TARGET_LATENCY_MS) outcome.late += 1;
+      if (availabilityZone !== ZONES[daemon % ZONES.length]) outcome.crossed += 1;
+      return;
+    }
+    outcome.refused += 1;
+  };
+
+  const play = async ({rps, seconds}: {rps: number; seconds: number}) => {
+    const count = Math.floor(rps * seconds);
+    const running: Array<Promise<void>> = [];
+    for (let index = 0; index < count; index += 1) {
+      const atMs = (index * 1_000) / rps;
+      await runUntil(atMs);
+      running.push(request({atMs, daemon: Math.floor(random() * daemons)}));
+      await settle();
+    }
+    await runUntil(Infinity);
+    await Promise.all(running);
+    return outcome;
+  };
+  const runUntil = async (atMs: number): Promise<void> => {
+    for (;;) {
+      const first = ends.reduce((least, next, index) => {
+        return least < 0 || next.atMs < ends[least]!.atMs ? index : least;
+      }, -1);
+      if (first < 0 || ends[first]!.atMs > atMs) break;
+      const [{atMs: endAtMs, end}] = ends.splice(first, 1) as [{atMs: number; end: () => void}];
+      nowMs = endAtMs;
+      end();
+      await settle();
+    }
+    if (atMs !== Infinity) nowMs = atMs;
+  };
+  const capacityRps = speeds.reduce((sum, speed) => sum + (SLOTS * speed * 1_000) / WORK_MS, 0);
+  return {speeds, capacityRps, play};
+}
+
+function seededRandom(): () => number {
+  let state = 7;
+  return () => {
+    state = (state * 16_807) % 2_147_483_647;
+    return state / 2_147_483_647;
+  };
+}
+
+/** Lets the promises of one request run as far as they get; they chain up to four offers. */
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 40; turn += 1) await Promise.resolve();
+}
--- a/routing/request-path/test/peerLink.test.ts
+++ b/routing/request-path/test/peerLink.test.ts
@@ -25,6 +25,7 @@
   targetLeftMs: 400,
   deadlineLeftMs: 900,
   acceptLate: false,
+  maxWaitMs: 1_000,
   key: 7,
   callerService: 'log',
 };
--- a/routing/request-path/test/siteView.test.ts
+++ b/routing/request-path/test/siteView.test.ts
@@ -25,10 +25,9 @@
     const {view} = startView(['near', 'far-1']);
     view.sent('near');
     view.ended('near', {kind: 'refused', code: 'OVERLOADED'});
-    assert.equal(view.pickInstance(SERVICE, new Set())?.life, 'far-1');
-    assert.equal(view.pickInstance(SERVICE, new Set(['far-1']))?.life, 'near');
-    assert.equal(view.hasRoom(SERVICE, new Set(['far-1'])), false);
-    assert.equal(view.hasRoom(SERVICE, new Set()), true);
+    assert.equal(view.pickFree(SERVICE, new Set())?.life, 'far-1');
+    assert.equal(view.pickFree(SERVICE, new Set(['far-1'])), undefined);
+    assert.equal(view.pickShortestQueue(SERVICE, new Set(['far-1']))?.life, 'near');
   });
 
   it('finds the owner of a key at both ends of its range and none in a gap', () => {
@@ -75,7 +74,9 @@
 function pickMany(view: SiteView, count: number): Map<string, number> {
   const picked = new Map<string, number>();
   for (let index = 0; index < count; index += 1) {
-    const life = view.pickInstance(SERVICE, new Set())?.life ?? '';
+    const none = new Set<string>();
+    const life =
+      (view.pickFree(SERVICE, none) ?? view.pickShortestQueue(SERVICE, none))?.life ?? '';
     picked.set(life, (picked.get(life) ?? 0) + 1);
   }
   return picked;
--- a/routing/request-path/test/targetClient.test.ts
+++ b/routing/request-path/test/targetClient.test.ts
@@ -161,6 +161,7 @@
     targetLeftMs: 1_000,
     deadlineLeftMs: 1_000,
     acceptLate: false,
+    maxWaitMs: 1_000,
     callerService: 'desk',
   };
   return client.run({
--- a/routing/request-path/test/targetGate.test.ts
+++ b/routing/request-path/test/targetGate.test.ts
@@ -16,6 +16,7 @@
   targetLeftMs: 300,
   deadlineLeftMs: 1_200,
   acceptLate: true,
+  maxWaitMs: 1_000,
   key: 7,
   callerService: 'desk',
 };
