Spread a crowd on a few keys over all targets of a large fleet at once

Cause: a transfer below 4% of the giver's load ended the plan.

Change: the least transfer is a part of a target's capacity. Where the answer is in time after it, a request waits for a key that is on its way for up to a heartbeat.

Tests: two hot targets among a hundred (planning.test), a key that is due in 880 ms (targetGate.test).

--- a/control/site-control/src/planTransfers.ts
+++ b/control/site-control/src/planTransfers.ts
@@ -20,8 +20,8 @@
 const COMFORTABLE_UTILISATION = 0.6;
 /** Targets whose utilisation differs by less are taken for even. */
 const MIN_DIFFERENCE = 0.15;
-/** A smaller share is not worth the pause that its keys have. */
-const MIN_SHARE = 0.04;
+/** A smaller part of a target's capacity is not worth the pause that its keys have. */
+const MIN_MOVED_CAPACITY = 0.04;
 /** A target never gives away more than this share in one step, since its counts are estimates. */
 const MAX_SHARE = 0.7;
 
@@ -61,7 +61,8 @@
       const movedRps = Math.min(leftRps, roomRps);
       const share = movedRps / giver.offeredRps;
       leftRps -= movedRps;
-      if (share < MIN_SHARE) break;
+      // Not a part of the giver's load: among many targets the room of each is small beside a crowd.
+      if (movedRps < capacityRps(giver) * MIN_MOVED_CAPACITY) break;
       transfers.push({fromLife: giver.life, toLife: receiver.life, share});
     }
   }
--- a/control/site-control/test/planning.test.ts
+++ b/control/site-control/test/planning.test.ts
@@ -158,6 +158,27 @@
   }
 });
 
+describe('The balance of keys in a large fleet', () => {
+  it('spreads a crowd on two of a hundred targets over all others in one plan', () => {
+    const others = Array.from({length: 98}, (_, index) => slow(`t${index}`, 8));
+    const transfers = planTransfers([slow('hot-1', 230), slow('hot-2', 220), ...others]);
+    const movedRps = sum(transfers.map(({fromLife, share}) => share * hotRps(fromLife)));
+    assert.ok(movedRps > 450 * 0.65, `${movedRps} of 450 requests a second moved`);
+    assert.ok(new Set(transfers.map(({toLife}) => toLife)).size > 60);
+    const perReceiver = Math.max(...transfers.map(({fromLife, share}) => share * hotRps(fromLife)));
+    assert.ok(perReceiver < 10, `${perReceiver} requests a second go to one receiver`);
+  });
+
+  /** Eleven slots and 620 ms: 18 requests a second. */
+  function slow(life: string, offeredRps: number): LoadedTarget {
+    return {life, slots: 11, meanMs: 620, offeredRps, ownsKeys: true};
+  }
+
+  function hotRps(life: string): number {
+    return life === 'hot-1' ? 230 : 220;
+  }
+});
+
 function at(life: string, offeredRps: number): LoadedTarget {
   return {life, slots: 10, meanMs: 100, offeredRps, ownsKeys: true};
 }
--- a/routing/request-path/src/targetGate.ts
+++ b/routing/request-path/src/targetGate.ts
@@ -52,6 +52,8 @@
 const MAX_GRANT_WAIT_MS = 150;
 /** The same for a late answer; most of a heartbeat period, and a third of the time left at most. */
 const MAX_LATE_GRANT_WAIT_MS = 600;
+/** Where the answer is still in time after it; a heartbeat period and its delay. */
+const MAX_TIMELY_GRANT_WAIT_MS = 1_000;
 /** The time that an answer needs from the target's daemon back to the caller. */
 const RETURN_ALLOWANCE_MS = 5;
 
@@ -148,8 +150,9 @@
     const {clock, holdsKey, grantDueInMs} = this.opts;
     if (key === undefined || holdsKey(key)) return;
     const waitMs = grantDueInMs(key);
+    const lateMs = Math.min(MAX_LATE_GRANT_WAIT_MS, deadlineLeftMs / 3);
     const maxMs = acceptLate
-      ? Math.min(MAX_LATE_GRANT_WAIT_MS, deadlineLeftMs / 3)
+      ? Math.max(lateMs, Math.min(MAX_TIMELY_GRANT_WAIT_MS, targetLeftMs / 2))
       : Math.min(MAX_GRANT_WAIT_MS, targetLeftMs / 3);
     if (waitMs === undefined || waitMs > maxMs) return;
     await clock.sleep(waitMs, {signal}).catch(() => undefined);
--- a/routing/request-path/test/targetGate.test.ts
+++ b/routing/request-path/test/targetGate.test.ts
@@ -36,6 +36,12 @@
   const ROWS: readonly Row[] = [
     {name: 'waits for a grant that is due at once', dueInMs: 90, offer: {}, outcome: 'admitted'},
     {name: 'waits longer where a late answer counts', dueInMs: 380, offer: {}, outcome: 'admitted'},
+    {
+      name: 'waits for most of a heartbeat where the answer is in time after it',
+      dueInMs: 880,
+      offer: {targetLeftMs: 2_000, deadlineLeftMs: 2_100},
+      outcome: 'admitted',
+    },
     {
       name: 'refuses at once what another target may answer in time',
       dueInMs: 380,
