Write out answers before a stopping daemon closes; bound answers without end

Cause: a planned stop counted a request as done when its answer was handed to the socket, and closed connections to peers at once, so that answers that the kernel had not taken yet were cut off. An answer without end could fill 64 MB for each connection to a target.

Change: a request is in flight until its answer was written; the listener for peers ends its connections and lets what is on its way be written for 300 ms. All answers that are being read share 64 MB; more than 16 interim answers to one request end it.

Tests: a 24 MB answer at a peer that stops when it is known (fails with the code before); heads, header lines, bodies, chunked bodies, empty lines and interim answers without end (bounds that the code before kept on this machine, since its time limit came first).

--- a/protocol/peer-rpc/src/messageSocket.ts
+++ b/protocol/peer-rpc/src/messageSocket.ts
@@ -54,7 +54,7 @@
   }
 
   send(message: unknown): void {
-    if (this.socket.destroyed) return;
+    if (this.socket.destroyed || this.ending) return;
     const bytes = this.encoder.encodeSharedRef(message);
     if (bytes.length <= PIECE_BYTES) {
       this.writePiece(WHOLE_MESSAGE, bytes, bytes.length);
--- a/routing/request-path/src/createTargetClient.ts
+++ b/routing/request-path/src/createTargetClient.ts
@@ -34,7 +34,11 @@
  */
 const MAX_IDLE_MS = 800;
 /** Larger answers are cut; a target that sends more is faulty. */
-const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
+/** All answers that are being read; a process may use 250 MB on the smallest instances. */
+const MAX_UNREAD_BYTES = 64 * 1024 * 1024;
+/** Interim answers (1xx) to one request; a target that sends more is faulty. */
+const MAX_INTERIM_ANSWERS = 16;
 const OK_STATUS = 200;
 const FIRST_FAILURE_STATUS = 300;
 /** The target stops by itself at the deadline that it was told; its answer then is still worth passing on. */
@@ -48,8 +52,9 @@
     timeout: MAX_IDLE_MS,
     maxSockets: opts.maxConnections,
   });
+  const answers = new AnswerBytes();
   return {
-    run: (run) => exchange(agent, opts, run),
+    run: (run) => exchange(agent, answers, opts, run),
     listens: (timeoutMs) => tryConnect(agent, opts, timeoutMs),
     close: () => agent.destroy(),
   };
@@ -71,12 +76,29 @@
   }
 }
 
+/** Bounds the memory of answers that are being read, also where targets send bytes without end. */
+class AnswerBytes {
+  private unreadBytes = 0;
+
+  /** Counts the body of an answer until it ends. `onExcess` is called when there is no room for it. */
+  watch(response: http.IncomingMessage, onExcess: () => void): void {
+    let readBytes = 0;
+    response.on('data', (chunk: Buffer) => {
+      readBytes += chunk.length;
+      this.unreadBytes += chunk.length;
+      if (this.unreadBytes > MAX_UNREAD_BYTES) onExcess();
+    });
+    response.once('close', () => (this.unreadBytes -= readBytes));
+  }
+}
+
 function destroySocket(this: Socket): void {
   this.destroy();
 }
 
 function exchange(
   agent: http.Agent,
+  answers: AnswerBytes,
   {host, port, wire, onRefused}: TargetClientOptions,
   run: Parameters<TargetClient['run']>[0],
 ): Promise<RunResult> {
@@ -128,19 +150,23 @@
         connected ? {kind: 'lost', code: 'TARGET_FAILED'} : {kind: 'refused', code: 'NO_TARGET'},
       );
     });
+    const fail = (): void => giveUp({kind: 'lost', code: 'TARGET_FAILED'});
+    let interimAnswers = 0;
+    request.on('information', () => {
+      interimAnswers += 1;
+      if (interimAnswers > MAX_INTERIM_ANSWERS) fail();
+    });
     request.on('response', (response) => {
+      answers.watch(response, fail);
       const whole = isFramed(response.headers)
         ? readWhole(response, MAX_ANSWER_BYTES)
         : readUntilClose(response);
-      whole.then(
-        (body) => {
-          const result = judge(wire, offer, response, body);
-          settle(result);
-          // The connection may be back in the pool; what follows on it cannot be trusted.
-          if (result.kind === 'lost') connection?.destroy();
-        },
-        () => giveUp({kind: 'lost', code: 'TARGET_FAILED'}),
-      );
+      whole.then((body) => {
+        const result = judge(wire, offer, response, body);
+        settle(result);
+        // The connection may be back in the pool; what follows on it cannot be trusted.
+        if (result.kind === 'lost') connection?.destroy();
+      }, fail);
     });
     if (signal.aborted) onAbort();
     else request.end(frame.body);
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -162,6 +162,16 @@
     durationMs,
     attempts: job.attempts.length,
   });
+  if (!gone) await written(response);
+}
+
+/** Resolves when the answer has left this process; until then a planned stop waits for it. */
+function written(response: http.ServerResponse): Promise<void> {
+  if (response.writableFinished || response.destroyed) return Promise.resolve();
+  return new Promise((resolve) => {
+    response.once('finish', resolve);
+    response.once('close', resolve);
+  });
 }
 
 async function answerFor(
--- a/routing/request-path/src/startGateListener.ts
+++ b/routing/request-path/src/startGateListener.ts
@@ -29,6 +29,8 @@
 const CALLER_LEFT = 'caller left';
 /** Beyond this delay a caller may have left while its offer waited; the news is read a turn later. */
 const NOTICE_LAG_MS = 15;
+/** Time in which results that are on their way are still written when the listener closes. */
+const FLUSH_MS = 300;
 /** Finds daemons that are gone while they send nothing. */
 const KEEP_ALIVE_MS = 10_000;
 
@@ -45,12 +47,11 @@
  * turn elsewhere, knowing that nothing ran.
  */
 export async function startGateListener(opts: GateListenerOptions): Promise<GateListener> {
-  const sockets = new Set<Socket>();
+  const connections = new Map<Socket, GateConnection>();
   const server = net.createServer((socket) => {
-    sockets.add(socket);
+    connections.set(socket, new GateConnection(socket, opts));
     socket.setKeepAlive(true, KEEP_ALIVE_MS);
-    socket.once('close', () => sockets.delete(socket));
-    new GateConnection(socket, opts);
+    socket.once('close', () => connections.delete(socket));
   });
   server.listen(opts.port, opts.host);
   await once(server, 'listening');
@@ -59,8 +60,12 @@
     address: `${address}:${port}`,
     close: async () => {
       server.close();
-      for (const socket of sockets) socket.destroy();
+      for (const connection of connections.values()) connection.finish();
+      const timer = setTimeout(() => {
+        for (const socket of connections.keys()) socket.destroy();
+      }, FLUSH_MS);
       await once(server, 'close');
+      clearTimeout(timer);
     },
   };
 }
@@ -94,6 +99,11 @@
     });
   }
 
+  /** Closes once all results have been written. */
+  finish(): void {
+    this.messages.end();
+  }
+
   private get peer(): string | undefined {
     return this.socket.remoteAddress;
   }
--- a/routing/request-path/test/peerLink.test.ts
+++ b/routing/request-path/test/peerLink.test.ts
@@ -173,6 +173,13 @@
     abort.abort('end of test');
   });
 
+  it('has its whole answer when the daemon stops as soon as it is known', async () => {
+    const body = Buffer.alloc(24_000_000, 5);
+    const peer = await startPeer(disposables, {lastAnswer: body});
+    const result = await send(peer, {repeatable: false});
+    assert.ok(result.kind === 'answered' && body.equals(Buffer.from(result.answer.body)));
+  });
+
   it('is refused at once where nobody listens', async () => {
     const peer = await startPeer(disposables, {});
     await peer.close();
@@ -200,6 +207,8 @@
   opts: {
     admit?: () => MedlarlaneError | undefined;
     neverEnds?: boolean;
+    /** Body of an answer at which the listener closes. */
+    lastAnswer?: Buffer;
     lagMs?: number;
     port?: number;
   },
@@ -217,6 +226,11 @@
         cancel: () => undefined,
         run: (frame: RequestFrame, signal: AbortSignal): Promise<RunResult> => {
           frames.push(frame);
+          if (opts.lastAnswer) {
+            setImmediate(() => void close());
+            const answer = {status: 200, headers: [], body: opts.lastAnswer};
+            return Promise.resolve({kind: 'answered', answer});
+          }
           if (!opts.neverEnds) return Promise.resolve(ANSWERED);
           return new Promise((resolve) => {
             signal.addEventListener('abort', () => {
--- a/routing/request-path/test/targetClient.test.ts
+++ b/routing/request-path/test/targetClient.test.ts
@@ -114,6 +114,83 @@
     assert.equal(connections.size, 2);
   });
 
+  interface EndlessRow {
+    readonly name: string;
+    readonly head: (id: string) => string;
+    readonly rest: Buffer;
+  }
+  const ENDLESS_ROWS: readonly EndlessRow[] = [
+    {
+      name: 'a body without length',
+      head: (id) => head(id, 'Connection: close'),
+      rest: Buffer.alloc(65_536, 'x'),
+    },
+    {
+      name: 'a chunked body',
+      head: (id) => head(id, 'Transfer-Encoding: chunked'),
+      rest: Buffer.from(`ffff\r\n${'x'.repeat(0xffff)}\r\n`),
+    },
+    {
+      name: 'a head',
+      head: () => 'HTTP/1.1 200 OK\r\n',
+      rest: Buffer.from(`x-more: ${'x'.repeat(2_000)}\r\n`),
+    },
+    {
+      name: 'a header line',
+      head: () => 'HTTP/1.1 200 OK\r\nx-more: ',
+      rest: Buffer.alloc(65_536, 'x'),
+    },
+    {name: 'empty lines', head: () => '', rest: Buffer.from('\r\n'.repeat(8_000))},
+    {
+      name: 'interim answers',
+      head: () => '',
+      rest: Buffer.from('HTTP/1.1 102 Processing\r\n\r\n'.repeat(200)),
+    },
+  ];
+  for (const {name, head: start, rest} of ENDLESS_ROWS) {
+    it(`gives up ${name} without end, keeps its memory small and serves others`, async () => {
+      let open = 0;
+      const client = await startTarget(disposables, (socket, id) => {
+        if (id !== 'endless') {
+          socket.write(head(id, 'Content-Length: 2') + 'ok');
+          return;
+        }
+        open += 1;
+        socket.once('close', () => (open -= 1));
+        socket.write(start(id));
+        const more = (): void => {
+          while (!socket.destroyed && socket.write(rest)) continue;
+        };
+        socket.on('drain', more);
+        more();
+      });
+      const before = process.memoryUsage().rss;
+      const endless = run(client, 'endless');
+      assert.equal(describeResult(await run(client, 'r1')), 'answered 200 ok');
+      assert.match(describeResult(await endless), /^lost TARGET_(FAILED|TIMEOUT)$/);
+      const grownBytes = process.memoryUsage().rss - before;
+      assert.ok(grownBytes < 200 * 1024 * 1024, `${grownBytes} bytes more`);
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      assert.equal(open, 0);
+    });
+  }
+
+  it('bounds the memory of all endless answers together', async () => {
+    const client = await startTarget(disposables, (socket, id) => {
+      socket.write(head(id, 'Connection: close'));
+      const more = (): void => {
+        while (!socket.destroyed && socket.write(Buffer.alloc(65_536, 'x'))) continue;
+      };
+      socket.on('drain', more);
+      more();
+    });
+    const before = process.memoryUsage().rss;
+    const results = await Promise.all(['a', 'b', 'c', 'd'].map((id) => run(client, id)));
+    assert.ok(results.every(({kind}) => kind === 'lost'));
+    const grownBytes = process.memoryUsage().rss - before;
+    assert.ok(grownBytes < 200 * 1024 * 1024, `${grownBytes} bytes more`);
+  });
+
   it('says that a refused connection ran nothing', async () => {
     const server = net.createServer().listen(0, '127.0.0.1');
     await once(server, 'listening');
