Keep a new connection to a daemon that accepts and does not read yet

Change: a connection on which the peer never spoke is kept for 1.5 s; offers on it are still given up as not run after 250 ms. Callers that are refused because this daemon is behind with its work are asked back after 0.3 to 1 s in place of 0.3 s for all.

Tests: peerLink. "takes a new connection when the old one is silent" now lets the peer speak once first; one that never spoke has a test of its own, which bounds the connections from both sides.

--- a/routing/request-path/src/createPeerClient.ts
+++ b/routing/request-path/src/createPeerClient.ts
@@ -31,6 +31,11 @@
  * it and another target has to do the work again.
  */
 const REPEAT_TIMEOUT_MS = 500;
+/**
+ * A daemon that has just started accepts a connection long before it reads from it. Another connection
+ * would only add to its work, so that a new one is kept for this time though it is silent.
+ */
+const NEW_CONNECTION_MS = 1_500;
 /** A connection that was silent for this time is asked for a sign of life. */
 const PING_AFTER_MS = 100;
 const CHECK_MS = 50;
@@ -108,6 +113,7 @@
   private connected = false;
   /** Whether the other daemon ever sent anything on this connection. */
   private heard = false;
+  private readonly openedAtMs = performance.now();
   private suspect = false;
   /** Time without a sign of life while a request waited. */
   private silentMs = 0;
@@ -216,8 +222,11 @@
   }
 
   private onSilence(): void {
-    this.suspect = true;
-    this.lose('silent');
+    const mayStillOpen = !this.heard && performance.now() - this.openedAtMs < NEW_CONNECTION_MS;
+    if (!mayStillOpen) {
+      this.suspect = true;
+      this.lose('silent');
+    }
     for (const [id, exchange] of [...this.exchanges]) {
       const repeats = exchange.run.repeatable && this.silentMs >= REPEAT_TIMEOUT_MS;
       if (repeats || !this.mayHaveRun(exchange)) this.giveUp(id, 'PEER_FAILED');
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -92,8 +92,12 @@
 const MAX_LAG_MS = 100;
 /** Beyond this delay a caller may have left while its request waited; its close is read a turn later. */
 const NOTICE_LAG_MS = 15;
-/** An overloaded daemon catches up within about this time once it refuses. */
-const LAG_RETRY_MS = 300;
+/**
+ * An overloaded daemon catches up within about this time once it refuses. Spread, because those that
+ * are refused together would come back together.
+ */
+const MIN_LAG_RETRY_MS = 300;
+const LAG_RETRY_SPREAD_MS = 700;
 const NO_BODY = Buffer.alloc(0);
 /** Given as values, because the default reason is an exception that costs a stack trace. */
 const CALLER_LEFT = 'caller left';
@@ -187,7 +191,7 @@
   const {lagMs} = job;
   if (lagMs > MAX_LAG_MS) {
     throw new MedlarlaneError('OVERLOADED', 'This daemon is behind with its work', {
-      details: {retryAfterMs: LAG_RETRY_MS},
+      details: {retryAfterMs: MIN_LAG_RETRY_MS + Math.random() * LAG_RETRY_SPREAD_MS},
     });
   }
   if (!view.hasConfiguration) {
--- a/routing/request-path/test/peerLink.test.ts
+++ b/routing/request-path/test/peerLink.test.ts
@@ -162,12 +162,26 @@
   });
 
   it('takes a new connection when the old one is silent', async () => {
-    const peer = await startSilentPeer(disposables, {admits: false});
+    const peer = await startSilentPeer(disposables, {admits: false, refusesFirst: true});
+    await send(peer, {repeatable: false});
     await send(peer, {repeatable: false});
     await send(peer, {repeatable: false});
     assert.equal(peer.connections(), 2);
   });
 
+  it('adds no connection to a peer that accepted one and has not read it yet', async () => {
+    const peer = await startSilentPeer(disposables, {admits: false});
+    const startedAtMs = performance.now();
+    let refused = 0;
+    while (performance.now() - startedAtMs < 900) {
+      if ((await send(peer, {repeatable: false})).kind === 'refused') refused += 1;
+    }
+    assert.ok(refused >= 2);
+    assert.equal(peer.connections(), 1);
+    while (performance.now() - startedAtMs < 2_300) await send(peer, {repeatable: false});
+    assert.equal(peer.connections(), 2);
+  });
+
   it('takes no peer for silent whose answer came while this process stood still', async () => {
     const peer = await startPeer(disposables, {neverEnds: true});
     const abort = new AbortController();
