Start the programs from compiled bytecode; expect a refusal with its reason

A request for a key whose owner could not be reached a moment ago was refused as if the owner were full, with the time to come back of another instance.

Change: the build compiles the bundle once under the flags of the deploy file; the launcher uses the bytecode when Node.js accepts it. The view keeps the last refusal of an owner whole.

--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -36,8 +36,8 @@
   avoidUntilMs: number;
   /** Its queue was full a moment ago. */
   fullUntilMs: number;
-  /** When a caller that it refused was asked to come back. */
-  retryAfterMs: number | undefined;
+  /** Its last refusal, which the next request would get too while `fullUntilMs` lasts. */
+  refusal: RunResult | undefined;
 }
 
 /** Weight of a new outcome in the smoothed failure share. */
@@ -306,10 +306,11 @@
     }
     if (result.kind === 'refused' && result.code === 'OVERLOADED') {
       experience.fullUntilMs = nowMs + ASSUME_FULL_MS;
-      experience.retryAfterMs = result.retryAfterMs;
+      experience.refusal = result;
     }
     if (result.kind === 'refused' && result.code === 'PEER_FAILED') {
       experience.fullUntilMs = nowMs + ASSUME_UNREACHABLE_MS;
+      experience.refusal = result;
     }
     if (result.kind === 'refused') {
       const unreachable = result.code === 'PEER_FAILED' || result.code === 'NO_TARGET';
@@ -321,10 +322,8 @@
 
   /** The refusal that an offer there would get, as far as the last one tells. */
   expectedRefusal(life: string): RunResult | undefined {
-    const {fullUntilMs, retryAfterMs} = this.of(life);
-    if (fullUntilMs <= this.opts.clock.nowMs()) return undefined;
-    const details = retryAfterMs === undefined ? {} : {retryAfterMs};
-    return {kind: 'refused', code: 'OVERLOADED', ...details};
+    const {fullUntilMs, refusal} = this.of(life);
+    return fullUntilMs > this.opts.clock.nowMs() ? refusal : undefined;
   }
 
   /** Requests at the instance, as far as this daemon knows. What it heard long ago is outdated. */
@@ -365,7 +364,7 @@
         failureShare: 0,
         avoidUntilMs: 0,
         fullUntilMs: 0,
-        retryAfterMs: undefined,
+        refusal: undefined,
       };
       this.experience.set(life, experience);
     }
--- a/routing/request-path/test/siteView.test.ts
+++ b/routing/request-path/test/siteView.test.ts
@@ -30,6 +30,23 @@
     assert.equal(view.pickShortestQueue(SERVICE, new Set(['far-1']))?.life, 'near');
   });
 
+  it('expects the refusal of a moment ago again, with its reason and the time to come back', () => {
+    const {view, clock} = startView(['near']);
+    assert.equal(view.expectedRefusal('near'), undefined);
+    view.sent('near');
+    view.ended('near', {kind: 'refused', code: 'OVERLOADED', retryAfterMs: 400});
+    assert.deepEqual(view.expectedRefusal('near'), {
+      kind: 'refused',
+      code: 'OVERLOADED',
+      retryAfterMs: 400,
+    });
+    view.sent('near');
+    view.ended('near', {kind: 'refused', code: 'PEER_FAILED'});
+    assert.deepEqual(view.expectedRefusal('near'), {kind: 'refused', code: 'PEER_FAILED'});
+    void clock.advance(200);
+    assert.equal(view.expectedRefusal('near'), undefined);
+  });
+
   it('finds the owner of a key at both ends of its range and none in a gap', () => {
     const {view} = startView(['near', 'far-1']);
     view.setRanges(SERVICE, [
--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -2,9 +2,11 @@
  * Bundles the programs for the users' platform into one file each under target/. A bundle starts in a
  * fraction of the time that loading the packages one by one takes.
  */
-import {existsSync} from 'node:fs';
+import {spawnSync} from 'node:child_process';
+import {existsSync, readFileSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import {build} from 'esbuild';
+import {parse} from 'smol-toml';
 
 const root = path.resolve(import.meta.dirname, '..');
 const DOMAINS = ['kernel', 'protocol', 'control', 'routing', 'targets', 'apps'];
@@ -36,7 +38,7 @@
 
 await build({
   entryPoints: [path.join(root, 'platform', 'src', 'main.ts')],
-  outfile: path.join(root, 'target', 'medlarlane.cjs'),
+  outfile: path.join(root, 'target', 'programs.cjs'),
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -46,3 +48,29 @@
   legalComments: 'none',
   plugins: [workspaceSources, englishOnly],
 });
+
+/**
+ * Starts the programs from bytecode that the build has compiled. A cache that another version of
+ * Node.js or other flags have made is not used, and the source is compiled as usual.
+ */
+const LAUNCHER = `'use strict';
+const fs = require('node:fs');
+const path = require('node:path');
+const vm = require('node:vm');
+const file = path.join(__dirname, 'programs.cjs');
+const cacheFile = path.join(__dirname, 'programs.cache');
+const source = '(function (require, module, exports, __filename, __dirname) {' +
+  fs.readFileSync(file, 'utf8') + '\\n})';
+const isBuild = process.argv[2] === 'compile-cache';
+let cachedData;
+if (!isBuild && fs.existsSync(cacheFile)) cachedData = fs.readFileSync(cacheFile);
+const script = new vm.Script(source, {filename: file, cachedData});
+if (isBuild) process.once('exit', () => fs.writeFileSync(cacheFile, script.createCachedData()));
+script.runInThisContext()(require, module, exports, file, __dirname);
+`;
+const launcherFile = path.join(root, 'target', 'medlarlane.cjs');
+writeFileSync(launcherFile, LAUNCHER);
+// The cache holds for the flags under which the programs run.
+const {roles} = parse(readFileSync(path.join(root, 'deploy', 'system.toml'), 'utf8'));
+const flags = roles.daemon.run.split(' ').filter((word) => word.startsWith('--'));
+spawnSync(process.execPath, [...flags, launcherFile, 'compile-cache'], {stdio: 'ignore'});
