Leave the own availability zone when the instance there fails or is slow

Cause: found by reading. With a free slot near, the choice ignored failures and speed, so that a failing instance kept the requests of its zone.

Change: a near instance is left when its predicted latency is more than twice that of a free one elsewhere, which has the usual factor for its zone on top. One of which nothing is known counts as equally fast.

--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -66,6 +66,8 @@
 const FAILURE_WEIGHT = 6;
 /** Prefers the own availability zone while the load there is similar. */
 const OTHER_ZONE_FACTOR = 1.25;
+/** An instance of the own zone with a free slot is left for another one only beyond this factor. */
+const NEAR_FACTOR = 2;
 /** A target that was started a moment ago works at about half its speed. */
 const COLD_FACTOR = 2;
 
@@ -211,8 +213,8 @@
   }
 
   /**
-   * An instance outside `tried` that is likely to have a free slot: in this availability zone while one
-   * there is, else anywhere; the better of two drawn ones. `undefined` when all are likely to be full.
+   * An instance outside `tried` that is likely to have a free slot: in this availability zone unless it
+   * is much slower there or fails; the better of two drawn ones. `undefined` when all are likely full.
    */
   pickFree(service: string, tried: ReadonlySet<string>): InstanceView | undefined {
     const nowMs = this.opts.clock.nowMs();
@@ -221,7 +223,12 @@
       !tried.has(life) && this.of(life).avoidUntilMs <= nowMs && this.busySlots(life) < slots;
     const isNear = (entry: InstanceView): boolean =>
       entry.availabilityZone === this.opts.availabilityZone && isFree(entry);
-    return this.drawBetter(list, isNear) ?? this.drawBetter(list, isFree);
+    const near = this.drawBetter(list, isNear);
+    const any = this.drawBetter(list, isFree);
+    if (!near || !any) return near ?? any;
+    // An instance of which nothing is known is taken to be as fast as the near one.
+    const anyMs = this.predictedMs(any, this.of(near.life).load?.meanMs);
+    return this.predictedMs(near) <= anyMs * NEAR_FACTOR ? near : any;
   }
 
   /**
@@ -340,12 +347,15 @@
     return (ahead * (load?.meanMs ?? INITIAL_MEAN_MS)) / Math.max(1, slots);
   }
 
-  private predictedMs({life, slots, availabilityZone}: InstanceView): number {
+  private predictedMs(
+    {life, slots, availabilityZone}: InstanceView,
+    unknownMs = INITIAL_MEAN_MS,
+  ): number {
     const {load, failureShare} = this.of(life);
     const utilisation = this.busySlots(life) / Math.max(1, slots);
     const cold = (this.coldUntilMs.get(life) ?? 0) > this.opts.clock.nowMs();
     return (
-      (load?.meanMs ?? INITIAL_MEAN_MS) *
+      (load?.meanMs ?? unknownMs) *
       (1 + UTILISATION_WEIGHT * utilisation * utilisation) *
       (1 + FAILURE_WEIGHT * failureShare) *
       (availabilityZone === this.opts.availabilityZone ? 1 : OTHER_ZONE_FACTOR) *
--- a/routing/request-path/test/siteView.test.ts
+++ b/routing/request-path/test/siteView.test.ts
@@ -21,6 +21,30 @@
     assert.ok((picked.get('near') ?? 0) < 120);
   });
 
+  it('leaves its availability zone when the instance there fails or is much slower', () => {
+    const {view} = startView(['near', 'far-1', 'far-2']);
+    const answerOf = (life: string, status: number, meanMs: number): void => {
+      view.sent(life);
+      const answer = {status, headers: [], body: new Uint8Array()};
+      const load = {inFlight: 0, waiting: 0, slots: 10, meanMs};
+      view.ended(life, {kind: 'answered', answer, load});
+    };
+    for (const life of ['near', 'far-1', 'far-2']) answerOf(life, 200, 100);
+    assert.ok(pickMany(view, 100).get('near')! > 90);
+    for (let count = 0; count < 8; count += 1) answerOf('near', 500, 100);
+    assert.equal(pickMany(view, 100).get('near') ?? 0, 0);
+    const slow = startView(['near', 'far-1']).view;
+    for (const [life, meanMs] of [
+      ['near', 400],
+      ['far-1', 100],
+    ] as const) {
+      slow.sent(life);
+      const load = {inFlight: 0, waiting: 0, slots: 10, meanMs};
+      slow.ended(life, {kind: 'refused', code: 'CANCELLED', load});
+    }
+    assert.equal(pickMany(slow, 100).get('near') ?? 0, 0);
+  });
+
   it('offers a request to instances that refused a moment ago only when no other is left', () => {
     const {view} = startView(['near', 'far-1']);
     view.sent('near');
