Split the keys that are on their way from the hosted target

HostedTarget kept what was given back and what transfers take away beside the life, the lease and the grants. DepartingKeys owns both lists; no behaviour changes. The comment on the phase of an entry stands at its field.

--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -31,9 +31,9 @@
   readonly callerService: string;
   readonly poison: PoisonTable;
   readonly retryBudget: (service: string) => RetryBudget;
-  /** `closing` connections are not kept, `closed` daemons take no request any more. */
   /** How late this process gets to its work, milliseconds. */
   readonly lagMs: () => number;
+  /** `closing` connections are not kept, `closed` daemons take no request any more. */
   readonly phase: () => 'open' | 'closing' | 'closed';
   readonly onAnswer?: (outcome: EntryOutcome) => void;
 }
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -3,7 +3,9 @@
 import {CalledGrants} from './calledGrants.js';
 import type {GrantCalls} from './calledGrants.js';
 import {KeyLoad} from './keyLoad.js';
-import {overlaps, without} from './keyStretch.js';
+import {DepartingKeys} from './departingKeys.js';
+import type {ReleasedStretch} from './departingKeys.js';
+import {overlaps} from './keyStretch.js';
 import type {KeyStretch} from './keyStretch.js';
 
 /** What a target says of itself, about once a second. */
@@ -66,18 +68,6 @@
   readonly ownerLife: string;
 }
 
-/** A stretch that a transfer takes away. */
-interface LeavingStretch extends KeyStretch {
-  readonly transferId: number;
-}
-
-interface ReleasedStretch extends KeyStretch {
-  readonly life: string;
-  readonly handover: string;
-  /** 0 when the keys were given back without a transfer. */
-  readonly transferId: number;
-}
-
 /** A heartbeat takes about this long to be answered and applied. */
 const HEARTBEAT_SLACK_MS = 15;
 /**
@@ -122,9 +112,7 @@
   /** Leases from reports that were sent before do not count; see `disclaim`. */
   private leaseFloorMs = -Infinity;
   private assigned: readonly AssignedRange[] = [];
-  /** Given back by the target and not yet reassigned; never granted again under the old epoch. */
-  private givenBack: Array<{fromKey: number; toKey: number; handover: string}> = [];
-  private leaving: LeavingStretch[] = [];
+  private readonly departing = new DepartingKeys();
   private formerLives: string[] = [];
   private hasSuccessors = false;
   private keyLoad: KeyLoad | undefined;
@@ -190,7 +178,7 @@
   get mayHoldKeys(): boolean {
     const nowMs = this.opts.steadyClock.nowMs();
     const earlierProcess = nowMs < this.startedAtMs + HOLD_MS / CLOCK_RATE_MARGIN;
-    const called = this.calledGrants?.mayHoldKeys === true || this.givenBack.length > 0;
+    const called = this.calledGrants?.mayHoldKeys === true || this.departing.hasGivenBack;
     return !this.ended && (earlierProcess || nowMs < this.holdsUntilMs || called);
   }
 
@@ -200,12 +188,10 @@
   }
 
   /** What the target gave back and still counts as its own at the control leader. */
-  get released(): readonly ReleasedStretch[] {
+  get released(): ReadonlyArray<ReleasedStretch & {life: string}> {
     const {life} = this;
     if (life === undefined) return [];
-    return this.givenBack.flatMap(({fromKey, toKey, handover}) =>
-      this.splitByTransfer({fromKey, toKey}).map((part) => ({life, handover, ...part})),
-    );
+    return this.departing.released.map((stretch) => ({life, ...stretch}));
   }
 
   /** Requests per second for the keys that the target is to keep, whether admitted or not. */
@@ -282,7 +268,7 @@
     const leaves = this.drainSinceMs !== undefined && this.hasSuccessors;
     this.calledGrants.follow({
       keep: leaves ? [] : assigned.flatMap((range) => this.remaining(range)),
-      giveUp: leaves ? assigned : this.leaving,
+      giveUp: leaves ? assigned : this.departing.leaving,
       urgent: leaves,
       leaseUntilMs,
     });
@@ -343,11 +329,9 @@
     if (leased) this.leaseUntilMs = Math.max(this.leaseUntilMs, answer.sentAtMs + answer.leaseMs);
     else if (answer.leaseMs === 0) this.leaseUntilMs = -Infinity;
     this.assigned = answer.ranges.filter(({ownerLife}) => ownerLife === this.life);
-    this.takeTransfers(answer.transfers);
+    this.departing.takeTransfers(answer.transfers, (transfer) => this.pickForTransfer(transfer));
     this.hasSuccessors = answer.hasSuccessors;
-    this.givenBack = this.givenBack.filter((stretch) =>
-      this.assigned.some((range) => overlaps(range, stretch)),
-    );
+    this.departing.keepAssigned(this.assigned);
     this.followPlan();
   }
 
@@ -399,56 +383,33 @@
     this.holdsUntilMs = -Infinity;
     this.assigned = [];
     this.reported = [];
-    this.givenBack = [];
-    this.leaving = [];
+    this.departing.reset();
   }
 
   private takeFreed({freed}: Heartbeat): void {
     for (const {fromKey, toKey, handover} of freed) {
-      const known = this.givenBack.some((other) => other.handover === handover);
-      if (!known) this.takeBack({fromKey, toKey}, handover);
+      if (!this.departing.hasHandover(handover)) this.takeBack({fromKey, toKey}, handover);
     }
   }
 
   private takeBack(stretch: KeyStretch, handover: string): void {
     this.opts.logger.info({life: this.life, ...stretch}, 'Target gave back keys');
     const owned = this.assigned.some((range) => overlaps(range, stretch));
-    if (owned) this.givenBack.push({...stretch, handover});
-  }
-
-  /** Picks the keys for new transfers and forgets those that the leader gave up or has carried out. */
-  private takeTransfers(transfers: ReadonlyArray<{transferId: number; share: number}>): void {
-    this.leaving = this.leaving.filter(({transferId}) =>
-      transfers.some((transfer) => transfer.transferId === transferId),
-    );
-    for (const {transferId, share} of transfers) {
-      if (this.leaving.some((stretch) => stretch.transferId === transferId)) continue;
-      const kept = this.assigned.flatMap((range) => this.remaining(range));
-      const stretch = this.keyLoad?.pickStretch(kept, share);
-      this.opts.logger.info(
-        {life: this.life, transferId, share, ...stretch},
-        'Picked keys to give',
-      );
-      // An empty stretch marks the transfer as looked at.
-      this.leaving.push({transferId, ...(stretch ?? {fromKey: 0, toKey: -1})});
-    }
+    if (owned) this.departing.takeBack(stretch, handover);
   }
 
-  private splitByTransfer(freed: KeyStretch): Array<KeyStretch & {transferId: number}> {
-    const parts: Array<KeyStretch & {transferId: number}> = [];
-    let rest = [freed];
-    for (const stretch of this.leaving) {
-      rest = rest.flatMap((part) => {
-        if (!overlaps(part, stretch)) return [part];
-        parts.push({
-          fromKey: Math.max(part.fromKey, stretch.fromKey),
-          toKey: Math.min(part.toKey, stretch.toKey),
-          transferId: stretch.transferId,
-        });
-        return without(part, stretch);
-      });
-    }
-    return [...parts, ...rest.map((part) => ({...part, transferId: 0}))];
+  /** The stretch whose requests come closest to the wanted share of all. */
+  private pickForTransfer({
+    transferId,
+    share,
+  }: {
+    transferId: number;
+    share: number;
+  }): KeyStretch | undefined {
+    const kept = this.assigned.flatMap((range) => this.remaining(range));
+    const stretch = this.keyLoad?.pickStretch(kept, share);
+    this.opts.logger.info({life: this.life, transferId, share, ...stretch}, 'Picked keys to give');
+    return stretch;
   }
 
   private grant(): KeyGrant | undefined {
@@ -480,11 +441,7 @@
   /** The parts of a range that the target is to keep. */
   private remaining(range: AssignedRange): GrantedRange[] {
     const {epoch, handover} = range;
-    let parts = [{fromKey: range.fromKey, toKey: range.toKey}];
-    for (const gone of [...this.givenBack, ...this.leaving]) {
-      parts = parts.flatMap((part) => (overlaps(part, gone) ? without(part, gone) : [part]));
-    }
-    return parts.map((part) => ({...part, epoch, handover}));
+    return this.departing.remaining(range).map((part) => ({...part, epoch, handover}));
   }
 }
 
