--- a/apps/site/src/keepSiteControl.ts
+++ b/apps/site/src/keepSiteControl.ts
@@ -1,6 +1,4 @@
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
-import type {Clock} from '@medlarlane/lifecycle';
-import type {Logger} from '@medlarlane/logger';
 import type {OperatorDesk} from './operatorDesk.js';
 import type {SiteControlProcess, SiteControlProcessOptions} from './startSiteControl.js';
 
@@ -14,8 +12,6 @@
 
 export interface KeepSiteControlOptions extends Omit<SiteControlProcessOptions, 'onLogFailure'> {
   readonly start: (opts: SiteControlProcessOptions) => Promise<SiteControlProcess>;
-  readonly clock: Clock;
-  readonly logger: Logger;
 }
 
 /** A disk that refuses writes does so for seconds; each start reads the whole log. */
--- a/control/site-state/src/keyRanges.ts
+++ b/control/site-state/src/keyRanges.ts
@@ -20,25 +20,7 @@
 
 /** Gives the stretch of `next` to its owner in a list of ranges that cover all keys. */
 export function replaceStretch(ranges: readonly KeyRange[], next: KeyRange): KeyRange[] {
-  const result: KeyRange[] = [];
-  let placed = false;
-  const place = (): void => {
-    if (!placed) result.push(next);
-    placed = true;
-  };
-  for (const range of ranges) {
-    if (range.toKey < next.fromKey) {
-      result.push(range);
-      continue;
-    }
-    if (range.fromKey < next.fromKey) result.push({...range, toKey: next.fromKey - 1});
-    place();
-    if (range.toKey > next.toKey) {
-      result.push({...range, fromKey: Math.max(range.fromKey, next.toKey + 1)});
-    }
-  }
-  place();
-  return mergeEqual(result);
+  return mergeEqual(overlayRanges(ranges, [next]));
 }
 
 /** Puts ranges that changed in place of what they overlap; both lists are in the order of keys. */
--- a/routing/admission/src/slotQueue.ts
+++ b/routing/admission/src/slotQueue.ts
@@ -252,7 +252,7 @@
     this.startSumMs += startedAtMs;
     let held = true;
     return {
-      waitedMs: this.clock.nowMs() - enqueuedAtMs,
+      waitedMs: startedAtMs - enqueuedAtMs,
       release: (workMs) => {
         if (!held) return;
         held = false;
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -108,6 +108,13 @@
 const OWNER_CHANGE_RETRY_MS = 300;
 /** A daemon that stops or cannot be reached mostly restarts, which takes a second or two. */
 const RESTART_RETRY_MS = 1_000;
+const RETRY_AFTER_MS: Partial<Record<ErrorCode, number>> = {
+  NO_OWNER: OWNER_CHANGE_RETRY_MS,
+  NOT_OWNER: OWNER_CHANGE_RETRY_MS,
+  NO_TARGET: OWNER_CHANGE_RETRY_MS,
+  PEER_FAILED: RESTART_RETRY_MS,
+  DRAINING: RESTART_RETRY_MS,
+};
 /** While no configuration is known; a daemon that starts needs about a second. */
 const NO_CONFIGURATION_RETRY_MS = 500;
 /** An attempt that starts with less time left has no chance to be answered. */
@@ -360,15 +367,8 @@
     return refusal(opts, job, new MedlarlaneError(lostBy, undefined, {ran: 'unknown'}));
   }
   const code = expired ? 'DEADLINE_EXCEEDED' : (result?.code ?? 'NO_OWNER');
-  const ownerChanges = code === 'NO_OWNER' || code === 'NOT_OWNER' || code === 'NO_TARGET';
   const known = result?.kind === 'refused' ? result.retryAfterMs : undefined;
-  const isUnreachable = code === 'PEER_FAILED' || code === 'DRAINING';
-  const usualMs = ownerChanges
-    ? OWNER_CHANGE_RETRY_MS
-    : isUnreachable
-      ? RESTART_RETRY_MS
-      : opts.view.retryAfterMs(service);
-  const retryAfterMs = known ?? usualMs;
+  const retryAfterMs = known ?? RETRY_AFTER_MS[code] ?? opts.view.retryAfterMs(service);
   return refusal(
     opts,
     job,
--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -3,7 +3,7 @@
  * fraction of the time that loading the packages one by one takes.
  */
 import {spawnSync} from 'node:child_process';
-import {existsSync, readFileSync, writeFileSync} from 'node:fs';
+import {existsSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import {build} from 'esbuild';
 import {parse} from 'smol-toml';
@@ -36,6 +36,10 @@
   },
 };
 
+// V8 tells a source from another by its length only, so that no cache of an earlier build may stay.
+const cacheFile = path.join(root, 'target', 'programs.cache');
+rmSync(cacheFile, {force: true});
+
 await build({
   entryPoints: [path.join(root, 'platform', 'src', 'main.ts')],
   outfile: path.join(root, 'target', 'programs.cjs'),
@@ -74,3 +78,4 @@
 const {roles} = parse(readFileSync(path.join(root, 'deploy', 'system.toml'), 'utf8'));
 const flags = roles.daemon.run.split(' ').filter((word) => word.startsWith('--'));
 spawnSync(process.execPath, [...flags, launcherFile, 'compile-cache'], {stdio: 'ignore'});
+if (!existsSync(cacheFile)) console.warn('No bytecode was written; the programs compile at start');
--- a/targets/key-holds/src/departingKeys.ts
+++ b/targets/key-holds/src/departingKeys.ts
@@ -1,4 +1,4 @@
-import {overlaps, without} from './keyStretch.js';
+import {intersection, overlaps, without} from './keyStretch.js';
 import type {KeyStretch} from './keyStretch.js';
 
 /** Keys that a life gave back and that still count as its own at the control leader. */
@@ -93,12 +93,9 @@
     let rest = [freed];
     for (const stretch of this.leavingStretches) {
       rest = rest.flatMap((part) => {
-        if (!overlaps(part, stretch)) return [part];
-        parts.push({
-          fromKey: Math.max(part.fromKey, stretch.fromKey),
-          toKey: Math.min(part.toKey, stretch.toKey),
-          transferId: stretch.transferId,
-        });
+        const common = intersection(part, stretch);
+        if (!common) return [part];
+        parts.push({...common, transferId: stretch.transferId});
         return without(part, stretch);
       });
     }
