--- a/apps/site/src/siteMetrics.ts
+++ b/apps/site/src/siteMetrics.ts
@@ -13,6 +13,8 @@
 export interface DaemonMetricSources {
   readonly load: () => TargetLoad;
   readonly configVersion: () => number;
+  /** Requests per second that the target accepts; `undefined` if it names no limit. */
+  readonly rateLimitRps: () => number | undefined;
   /** Time since the last response of a control leader. */
   readonly controlSilentMs: () => number;
 }
@@ -52,6 +54,12 @@
   gauge(registry, 'in_flight', 'Requests at the target.', () => sources.load().inFlight);
   gauge(registry, 'waiting', 'Requests that wait for a slot.', () => sources.load().waiting);
   gauge(registry, 'slots', 'Slots of the target.', () => sources.load().slots);
+  gauge(
+    registry,
+    'rate_limit_rps',
+    'Requests per second that the target accepts; NaN if it names no limit.',
+    () => sources.rateLimitRps() ?? NaN,
+  );
   gauge(
     registry,
     'config_version',
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -124,12 +124,14 @@
       headerCodec: opts.targetHeaderCodec,
       maxConnections: MAX_TARGET_CONNECTIONS,
       onConnectionRefused: () => void checkTarget(),
+      onNotice: (incarnation, notice) => hostedTarget.recordNotice(incarnation, notice),
     }),
     (client) => client.close(),
   );
   const metrics = createDaemonMetrics({
     load: () => admissionController.load,
     configVersion: () => view.configuration.version,
+    rateLimitRps: () => hostedTarget.rateLimitRps,
     controlSilentMs: () => controlReporter.sinceLastResponseMs,
   });
   const poison = new PoisonTable({reporterId: forwardAddress, clock});
--- a/routing/request-path/src/createTargetClient.ts
+++ b/routing/request-path/src/createTargetClient.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
+import type {TargetNotice} from '@medlarlane/key-holds';
 import {readMessageBody} from '@medlarlane/rpc';
 import {endToEndHeaders} from './endToEndHeaders.js';
 import type {Offer, RequestFrame, RunResult, TargetHeaderCodec} from './messages.js';
@@ -12,6 +13,8 @@
   readonly maxConnections: number;
   /** Called when a connection was refused, which usually means that the target no longer listens. */
   readonly onConnectionRefused?: () => void;
+  /** Called with what the incarnation states about itself, for each response to a request. */
+  readonly onNotice?: (incarnation: string, notice: TargetNotice) => void;
 }
 
 export interface TargetClient {
@@ -102,7 +105,7 @@
 function sendRequest(
   agent: http.Agent,
   memoryLimiter: ResponseMemoryLimiter,
-  {host, port, headerCodec, onConnectionRefused}: TargetClientOptions,
+  {host, port, headerCodec, onConnectionRefused, onNotice}: TargetClientOptions,
   run: Parameters<TargetClient['run']>[0],
 ): Promise<RunResult> {
   const {offer, targetId, frame, deadlineLeftMs, signal} = run;
@@ -160,6 +163,8 @@
       if (interimResponses > MAX_INTERIM_RESPONSES) fail();
     });
     request.on('response', (response) => {
+      const notice = readNotice(headerCodec, offer, response);
+      if (notice) onNotice?.(offer.life, notice);
       memoryLimiter.track(response, fail);
       const bodyPromise = hasExplicitLength(response.headers)
         ? readMessageBody(response, MAX_RESPONSE_BYTES)
@@ -203,6 +208,19 @@
   return body;
 }
 
+/** Status of a response whose sender is not the addressed instance or does not own the key. */
+const MISDIRECTED_STATUS = 421;
+
+/** Returns the notice in a response that is known to come from the target. */
+function readNotice(
+  headerCodec: TargetHeaderCodec,
+  offer: Offer,
+  {headers, statusCode}: http.IncomingMessage,
+): TargetNotice | undefined {
+  const {requestId, notice} = headerCodec.readResponse(headers);
+  return requestId === offer.requestId && statusCode !== MISDIRECTED_STATUS ? notice : undefined;
+}
+
 function classifyResponse(
   headerCodec: TargetHeaderCodec,
   offer: Offer,
@@ -213,7 +231,7 @@
   const status = response.statusCode ?? 0;
   // A target that rejects a request early does not know its ID yet.
   if (notExecuted && (requestId === offer.requestId || requestId === undefined)) {
-    return {kind: 'rejected', code: status === 421 ? 'NOT_OWNER' : 'OVERLOADED'};
+    return {kind: 'rejected', code: status === MISDIRECTED_STATUS ? 'NOT_OWNER' : 'OVERLOADED'};
   }
   const succeeded = status >= OK_STATUS && status < FIRST_FAILURE_STATUS;
   if (requestId !== offer.requestId || status < OK_STATUS || (succeeded && !sealed)) {
--- a/routing/request-path/src/messages.ts
+++ b/routing/request-path/src/messages.ts
@@ -1,4 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
+import type {TargetNotice} from '@medlarlane/key-holds';
 import {MedlarlaneError} from '@medlarlane/errors';
 import type {ErrorCode} from '@medlarlane/errors';
 
@@ -138,6 +139,7 @@
     notExecuted: boolean;
     /** Whether the response carries the signature of the target. */
     sealed: boolean;
+    notice: TargetNotice;
   };
 }
 
--- a/routing/request-path/test/targetClient.test.ts
+++ b/routing/request-path/test/targetClient.test.ts
@@ -13,6 +13,10 @@
     requestId: headers['x-id'] as string | undefined,
     notExecuted: headers['x-not-run'] !== undefined,
     sealed: headers['x-seal'] !== undefined,
+    notice: {
+      rateLimitRps: headers['x-limit'] === undefined ? undefined : Number(headers['x-limit']),
+      isLeaving: headers['x-leaving'] !== undefined,
+    },
   }),
 };
 
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -7,6 +7,7 @@
 import type {ReleasedKeyRange} from './departingKeys.js';
 import {overlaps} from './keyRange.js';
 import type {KeyRange} from './keyRange.js';
+import type {TargetNotice} from './targetNotice.js';
 
 /** State that a target reports about once a second. */
 export interface Heartbeat {
@@ -92,6 +93,7 @@
 const REPORT_VALID_HEARTBEATS = 1.5;
 /** Number of ended incarnations to report; more than can start between two reports that arrive. */
 const MAX_REPORTED_INCARNATIONS = 8;
+const NO_NOTICE: TargetNotice = {rateLimitRps: undefined, isLeaving: false};
 /** The target stops accepting requests this long before the drain timeout. */
 const DRAIN_LEAD_TIME_MS = 250;
 
@@ -118,6 +120,8 @@
   private readonly outgoingKeys = new OutgoingKeys();
   private endedIncarnationIds: string[] = [];
   private hasSuccessors = false;
+  private notice: TargetNotice = NO_NOTICE;
+  private noticeChangedAtMs = -Infinity;
   private keyLoad: KeyLoad | undefined;
   private readonly pushedGrants: PushedGrants | undefined;
   /** Called after a change that is to be reported to the control leader immediately. */
@@ -269,6 +273,30 @@
     return {accepted: true, grant: this.pushedGrants ? undefined : this.createGrant()};
   }
 
+  /** Requests per second that the target accepts in total; `undefined` if it names no limit. */
+  get rateLimitRps(): number | undefined {
+    return this.notice.rateLimitRps;
+  }
+
+  /** Records what an incarnation of the target stated about itself in a response. */
+  recordNotice(incarnation: string, notice: TargetNotice): void {
+    const {rateLimitRps, isLeaving} = this.notice;
+    if (incarnation !== this.incarnation) return;
+    if (notice.rateLimitRps === rateLimitRps && notice.isLeaving === isLeaving) return;
+    const nowMs = this.opts.clock.nowMs();
+    this.opts.logger.info(
+      {
+        life: incarnation,
+        ...notice,
+        before: this.notice,
+        beforeAgeMs: Math.round(nowMs - this.noticeChangedAtMs),
+      },
+      'Target changed its notice',
+    );
+    this.notice = notice;
+    this.noticeChangedAtMs = nowMs;
+  }
+
   /**
    * When the last heartbeat of the current incarnation arrived, on the steady clock; -Infinity when the
    * target was restored and has sent none yet.
@@ -411,6 +439,8 @@
     // A response to a report of the previous incarnation must not renew the lease for this one.
     this.invalidateLease();
     this.drainStartedAtMs = undefined;
+    this.notice = NO_NOTICE;
+    this.noticeChangedAtMs = -Infinity;
     this.pushedGrants?.reset();
     this.granted = [];
     this.grantedUntilMs = -Infinity;
