Admit requests to a target within the rate limit that it names

Evidence: the notice reached the daemon beside the target within 45 ms and never changed, while the rate of its target did not change.

The daemon beside a target sends everything that reaches it, so a token bucket at its queue holds the limit: requests that were queued before the limit was named take a token when they are sent, a request that was not sent gives its token back. Refused callers are asked to return one by one at the permitted rate.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -143,6 +143,7 @@
     client: targetClient,
     target: () => resolveCurrentTarget(hostedTarget, isAdmissionClosed),
     holdsKey: (key) => hostedTarget.holdsKey(key),
+    rateLimitRps: () => hostedTarget.rateLimitRps,
     grantDueInMs: (key) => hostedTarget.grantDueInMs(key),
     poison,
     onResult: (result, durationMs) => metrics.recordTargetRun(result, durationMs),
--- a/routing/admission/src/index.ts
+++ b/routing/admission/src/index.ts
@@ -4,5 +4,7 @@
 export type {AdmissionOutcome, Completion, AdaptiveLimitOptions} from './adaptiveLimit.js';
 export {AGEING_RATE, QUEUE_ORDERS} from './queueOrder.js';
 export type {QueuedRequest, QueueOrder} from './queueOrder.js';
+export {RateLimiter} from './rateLimiter.js';
+export type {RateLimiterOptions} from './rateLimiter.js';
 export {SlotQueue} from './slotQueue.js';
 export type {SlotPermit, SlotQueueOptions, SlotRequest} from './slotQueue.js';
--- a/routing/admission/src/slotQueue.ts
+++ b/routing/admission/src/slotQueue.ts
@@ -1,9 +1,12 @@
 import {MedlarlaneError} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
+import {RateLimiter} from './rateLimiter.js';
 
 export interface SlotQueueOptions {
   /** Number of requests the target runs concurrently. */
   readonly slots: number;
+  /** Requests per second that the target accepts; `undefined` while it names no limit. */
+  readonly rateLimitRps?: () => number | undefined;
   readonly clock: Clock;
 }
 
@@ -28,6 +31,8 @@
   readonly waitedMs: number;
   /** Releases the slot. `workMs` updates the mean duration; it is omitted if the target did no work. */
   release(workMs?: number): void;
+  /** Releases the slot of a request that was not sent, which does not count towards the rate limit. */
+  cancel(): void;
 }
 
 interface Waiter extends SlotRequest {
@@ -62,6 +67,9 @@
 export class SlotQueue {
   private readonly slots: number;
   private readonly clock: Clock;
+  private readonly rateLimiter: RateLimiter;
+  /** Latest time for which a refused caller was asked to return under the rate limit. */
+  private lastReturnAtMs = -Infinity;
   /** Requests that can meet their latency target, by priority and then by latency target. */
   private waiters: Waiter[] = [];
   /** Requests that cannot meet their latency target, by priority and then by deadline. */
@@ -80,6 +88,10 @@
   constructor(opts: SlotQueueOptions) {
     this.slots = Math.max(1, opts.slots);
     this.clock = opts.clock;
+    this.rateLimiter = new RateLimiter({
+      clock: opts.clock,
+      rateLimitRps: opts.rateLimitRps ?? (() => undefined),
+    });
   }
 
   get inFlight(): number {
@@ -112,7 +124,11 @@
     const nowMs = this.clock.nowMs();
     if (request.deadlineAtMs <= nowMs) return Promise.reject(expired());
     if (this.sampleCount === 0) this.smoothedDurationMs = this.initialDurationMs(request, nowMs);
-    if (this.inFlightCount < this.slots && this.waiters.length === 0) {
+    if (
+      this.inFlightCount < this.slots &&
+      this.waiters.length === 0 &&
+      this.rateLimiter.tryTake()
+    ) {
       this.recordTimelyRequest(nowMs);
       return Promise.resolve(this.grant(nowMs));
     }
@@ -155,8 +171,14 @@
     for (const waiter of [...this.waiters, ...this.lateWaiters]) this.remove(waiter, refusal);
   }
 
+  /** Requests per second that the slots and the rate limit permit. */
+  private get capacityRps(): number {
+    return Math.min((this.slots * MS_PER_S) / this.meanMs, this.rateLimiter.rateRps);
+  }
+
   private predictedWaitMs(ahead: number): number {
-    return ((ahead + 1) * this.meanMs) / this.slots;
+    const slotWaitMs = ((ahead + 1) * this.meanMs) / this.slots;
+    return Math.max(slotWaitMs, this.rateLimiter.timeUntilMs(ahead + 1));
   }
 
   private canMeetLatencyTarget(request: SlotRequest, startAtMs: number): boolean {
@@ -166,7 +188,7 @@
   /** Whether a late response is acceptable and likely in time behind `ahead` other late requests. */
   private canMeetDeadline(request: SlotRequest, nowMs: number, ahead: number): boolean {
     if (!request.acceptLate) return false;
-    const freeFraction = 1 - (this.timelyRpsAt(nowMs) * this.meanMs) / (this.slots * MS_PER_S);
+    const freeFraction = 1 - this.timelyRpsAt(nowMs) / this.capacityRps;
     if (freeFraction < MIN_FREE_FRACTION) return false;
     const waitMs =
       this.predictedWaitMs(this.waiters.length) + this.predictedWaitMs(ahead) / freeFraction;
@@ -214,10 +236,28 @@
 
   private overloaded(request: SlotRequest): MedlarlaneError {
     const queueDrainMs = this.predictedWaitMs(this.waiting);
-    const retryAfterMs = Math.round(Math.max(queueDrainMs, this.retryDelayMs(request)));
+    const retryAfterMs = Math.round(
+      this.reserveReturnMs(request, queueDrainMs) ??
+        Math.max(queueDrainMs, this.retryDelayMs(request)),
+    );
     return new MedlarlaneError('OVERLOADED', undefined, {details: {retryAfterMs}});
   }
 
+  /**
+   * Time after which a caller refused under the rate limit should return: callers return one by one at the
+   * permitted rate, after the queue and the callers refused before. `undefined` without a limit, or if
+   * the request could not complete by its deadline then.
+   */
+  private reserveReturnMs(request: SlotRequest, queueDrainMs: number): number | undefined {
+    const {rateRps} = this.rateLimiter;
+    if (rateRps === Infinity) return undefined;
+    const nowMs = this.clock.nowMs();
+    const returnAtMs = Math.max(nowMs + queueDrainMs, this.lastReturnAtMs + MS_PER_S / rateRps);
+    if (returnAtMs + this.expectedMs(request) > request.deadlineAtMs) return undefined;
+    this.lastReturnAtMs = returnAtMs;
+    return returnAtMs - nowMs;
+  }
+
   /**
    * Random fraction of the time in which a retry can still meet the latency target, or else the
    * deadline. An overload outlasts the queue, so a caller that retries as soon as the queue has drained
@@ -244,7 +284,7 @@
   private dispatch(): void {
     while (this.inFlightCount < this.slots) {
       const waiter = this.waiters[0] ?? this.lateWaiters[0];
-      if (!waiter) return;
+      if (!waiter || !this.rateLimiter.tryTake()) return;
       this.remove(waiter, this.grant(waiter.enqueuedAtMs));
     }
   }
@@ -254,16 +294,19 @@
     const startedAtMs = this.clock.nowMs();
     this.startTimeSumMs += startedAtMs;
     let isHeld = true;
+    const release = (opts: {workMs?: number | undefined; isUnsent?: boolean}): void => {
+      if (!isHeld) return;
+      isHeld = false;
+      this.inFlightCount -= 1;
+      this.startTimeSumMs -= startedAtMs;
+      if (opts.isUnsent) this.rateLimiter.refund();
+      if (opts.workMs !== undefined) this.updateMean(opts.workMs);
+      this.dispatch();
+    };
     return {
       waitedMs: startedAtMs - enqueuedAtMs,
-      release: (workMs) => {
-        if (!isHeld) return;
-        isHeld = false;
-        this.inFlightCount -= 1;
-        this.startTimeSumMs -= startedAtMs;
-        if (workMs !== undefined) this.updateMean(workMs);
-        this.dispatch();
-      },
+      release: (workMs) => release({workMs}),
+      cancel: () => release({isUnsent: true}),
     };
   }
 
@@ -290,11 +333,16 @@
 
   private armTimer(): void {
     if (this.timer || this.waiting === 0) return;
-    this.timer = setTimeout(() => {
-      this.timer = undefined;
-      this.reviewWaiters();
-      this.armTimer();
-    }, CHECK_INTERVAL_MS);
+    const untilPermittedMs = Math.ceil(this.rateLimiter.timeUntilMs(1));
+    this.timer = setTimeout(
+      () => {
+        this.timer = undefined;
+        this.dispatch();
+        this.reviewWaiters();
+        this.armTimer();
+      },
+      Math.min(CHECK_INTERVAL_MS, untilPermittedMs || CHECK_INTERVAL_MS),
+    );
   }
 }
 
--- a/routing/request-path/src/admissionController.ts
+++ b/routing/request-path/src/admissionController.ts
@@ -24,6 +24,8 @@
   readonly target: () => CurrentTarget | MedlarlaneError;
   /** Whether the target currently holds an unexpired grant for the key. */
   readonly holdsKey: (key: number) => boolean;
+  /** Requests per second that the target accepts; `undefined` while it names no limit. */
+  readonly rateLimitRps: () => number | undefined;
   /** Expected time until the key is granted to the target; `undefined` if no grant is planned. */
   readonly grantDueInMs: (key: number) => number | undefined;
   readonly poison: PoisonTable;
@@ -70,7 +72,14 @@
 
   get load(): TargetLoad {
     const {inFlight, waiting, slotCount, meanMs} = this.queue;
-    return {inFlight, waiting, slots: slotCount, meanMs: Math.round(meanMs)};
+    const rateLimitRps = this.opts.rateLimitRps();
+    return {
+      inFlight,
+      waiting,
+      slots: slotCount,
+      meanMs: Math.round(meanMs),
+      ...(rateLimitRps === undefined ? {} : {rateLimitRps}),
+    };
   }
 
   get inFlight(): number {
@@ -128,7 +137,7 @@
     });
     return {
       run: (frame, runSignal) => this.run(offer, target, frame, permit, deadlineAtMs, runSignal),
-      cancel: () => permit.release(),
+      cancel: () => permit.cancel(),
     };
   }
 
@@ -169,7 +178,8 @@
     if (this.incarnation === life) return;
     this.incarnation = life;
     this.queue.refuseQueued(new MedlarlaneError('NO_TARGET'));
-    this.queue = new SlotQueue({slots, clock: this.opts.clock});
+    const {clock, rateLimitRps} = this.opts;
+    this.queue = new SlotQueue({slots, clock, rateLimitRps});
   }
 
   private async run(
@@ -203,7 +213,8 @@
     }
     const workMs = clock.nowMs() - startedAtMs;
     const didWork = result.kind === 'answered' || result.kind === 'lost';
-    permit.release(didWork ? workMs : undefined);
+    if (result.kind === 'refused') permit.cancel();
+    else permit.release(didWork ? workMs : undefined);
     if (result.kind === 'answered') queue.recordDuration(offer.route, workMs);
     this.trackForCrash(offer, target, frame, result, startedAtMs);
     this.opts.onResult(result, workMs);
@@ -238,7 +249,7 @@
     result: RunResult,
     workMs: number,
   ): void {
-    const {inFlight, waiting, slots} = this.load;
+    const {inFlight, waiting, slots, rateLimitRps} = this.load;
     this.opts.logger.info(
       {
         requestId,
@@ -250,6 +261,7 @@
         inFlight,
         waiting,
         slots,
+        rateLimitRps,
         outcome: result.kind,
         status: result.kind === 'answered' ? result.answer.status : undefined,
         code: result.kind === 'answered' ? undefined : result.code,
--- a/routing/request-path/src/messages.ts
+++ b/routing/request-path/src/messages.ts
@@ -107,6 +107,8 @@
   readonly waiting: number;
   readonly slots: number;
   readonly meanMs: number;
+  /** Requests per second that the target accepts; absent if it names no limit. */
+  readonly rateLimitRps?: number;
 }
 
 /**
--- a/routing/request-path/test/admissionController.test.ts
+++ b/routing/request-path/test/admissionController.test.ts
@@ -118,6 +118,7 @@
         ? new MedlarlaneError('NO_TARGET')
         : {targetId: 'a', life: 'a/1', service: 'wallboard', slots: 2},
     holdsKey: () => clock.nowMs() >= grantedAtMs,
+    rateLimitRps: () => undefined,
     grantDueInMs: () => dueInMs,
     poison: new PoisonTable({reporterId: 'd', clock}),
     onResult: () => undefined,
