Take the rate limit of a target as its capacity in choice, placement and restarts

The limit travels in each result between daemons and in the reports to the leader. Entry daemons compare targets by the slots that the limit keeps busy; the leader moves keys away from a target whose limit is a second old, and none to it. The directory returns the limit to a daemon that was restarted. A limit that changes by less than a tenth does not change the directory, which all daemons are sent.

Tests without network: planTransfers, SiteView, HostedTarget.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -330,7 +330,7 @@
   hostedTarget: HostedTarget,
   admissionController: AdmissionController,
 ): Pick<ReportRequest, 'target'> {
-  const {lastHeartbeat: heartbeat, incarnation, state, mayHoldKeys} = hostedTarget;
+  const {lastHeartbeat: heartbeat, incarnation, state, mayHoldKeys, rateLimit} = hostedTarget;
   if (!heartbeat || incarnation === undefined || state === undefined) return {};
   // The leader may reassign the keys of a target that holds none and accepts no new ones.
   if (!mayHoldKeys && state !== 'ready') hostedTarget.invalidateLease();
@@ -345,6 +345,7 @@
       mayHoldKeys,
       offeredRps: Math.round(hostedTarget.offeredRps),
       meanMs: admissionController.load.meanMs,
+      ...(rateLimit ? {rateLimit} : {}),
     },
   };
 }
--- a/control/site-control/src/instanceDirectory.ts
+++ b/control/site-control/src/instanceDirectory.ts
@@ -13,6 +13,7 @@
 
 /** Number of removals kept. A reader that is further behind gets the whole directory. */
 const MAX_KEPT_REMOVALS = 256;
+const MAX_SIMILAR_LIMIT_DIFFERENCE = 0.1;
 
 /** Directory of the instances that reported to the leader. Each change increments the revision. */
 export class InstanceDirectory {
@@ -73,6 +74,13 @@
     a.service === b.service &&
     a.slots === b.slots &&
     a.stopping === b.stopping &&
-    a.availabilityZone === b.availabilityZone
+    a.availabilityZone === b.availabilityZone &&
+    isSimilarLimit(a.rateLimitRps, b.rateLimitRps)
   );
 }
+
+/** Ignores small changes of a limit, which all daemons would be told. */
+function isSimilarLimit(aRps: number | undefined, bRps: number | undefined): boolean {
+  if (aRps === undefined || bRps === undefined) return aRps === bRps;
+  return Math.abs(aRps - bRps) <= MAX_SIMILAR_LIMIT_DIFFERENCE * Math.max(aRps, bRps);
+}
--- a/control/site-control/src/planTransfers.ts
+++ b/control/site-control/src/planTransfers.ts
@@ -7,6 +7,8 @@
   /** Smoothed mean duration of a request at the target. */
   readonly meanMs: number;
   readonly ownsKeys: boolean;
+  /** Requests per second that the target accepts, and for how long; absent if it names no limit. */
+  readonly rateLimit?: {readonly rps: number; readonly ageMs: number} | undefined;
 }
 
 /** A request to move keys from `fromLife` to `toLife` that carry `share` of the requests to `fromLife`. */
@@ -22,6 +24,10 @@
 const MIN_UTILISATION_DIFFERENCE = 0.15;
 /** Moving a smaller part of a target's capacity is not worth the pause in serving the moved keys. */
 const MIN_MOVED_CAPACITY_FRACTION = 0.04;
+/** Keys are not moved for a limit that may be over by the time they have moved. */
+const MIN_RATE_LIMIT_AGE_MS = 1_000;
+/** A limit of 0 counts as this capacity, so that utilisations stay finite. */
+const MIN_CAPACITY_RPS = 0.1;
 /** Largest fraction of a target's load that one plan moves, because the measured loads are estimates. */
 const MAX_MOVED_FRACTION = 0.7;
 
@@ -31,8 +37,6 @@
  */
 export function planTransfers(targets: readonly LoadedTarget[]): Transfer[] {
   if (targets.length < 2) return [];
-  const capacityRps = (target: LoadedTarget): number =>
-    (target.slots * 1_000) / Math.max(1, target.meanMs);
   const totalCapacityRps = targets.reduce((sum, target) => sum + capacityRps(target), 0);
   const totalRps = targets.reduce((sum, {offeredRps}) => sum + offeredRps, 0);
   const meanUtilisation = totalRps / totalCapacityRps;
@@ -46,6 +50,7 @@
   const targetWithoutKeys = destinations.find(({target}) => !target.ownsKeys);
   const sources = targets
     .filter((target) => {
+      if (target.rateLimit && target.rateLimit.ageMs < MIN_RATE_LIMIT_AGE_MS) return false;
       // A target without keys serves no requests, so it gets its part even when the others have spare capacity.
       if (targetWithoutKeys) return target.ownsKeys && excessRps(target) > 0;
       const utilisation = target.offeredRps / capacityRps(target);
@@ -70,3 +75,9 @@
   }
   return transfers;
 }
+
+/** Requests per second that the slots of a target and its rate limit permit. */
+function capacityRps({slots, meanMs, rateLimit}: LoadedTarget): number {
+  const slotsRps = (slots * 1_000) / Math.max(1, meanMs);
+  return Math.max(MIN_CAPACITY_RPS, Math.min(slotsRps, rateLimit?.rps ?? Infinity));
+}
--- a/control/site-control/src/reports.ts
+++ b/control/site-control/src/reports.ts
@@ -26,6 +26,8 @@
   offeredRps: z.number(),
   /** Smoothed mean duration of a request at the target. */
   meanMs: z.number(),
+  /** The rate limit that the target names, and how long ago it first named one; absent without a limit. */
+  rateLimit: z.object({rps: z.number(), ageMs: z.number()}).optional(),
 });
 
 const releasedRangeSchema = z.object({
@@ -70,6 +72,8 @@
   slots: z.int(),
   coldLeftMs: z.number(),
   stopping: z.boolean(),
+  /** Requests per second that the target accepts; absent if it names no limit. */
+  rateLimitRps: z.number().optional(),
 });
 
 const transferRequestSchema = z.object({
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -192,6 +192,7 @@
       slots: target.slots,
       coldLeftMs: target.coldLeftMs,
       stopping: report.stopping,
+      ...(target.rateLimit ? {rateLimitRps: target.rateLimit.rps} : {}),
     });
     if (!changed) return;
     logger.info(
@@ -200,6 +201,7 @@
         life: target.life,
         state: target.state,
         before: previousReport?.target?.state,
+        rateLimitRps: target.rateLimit?.rps,
       },
       'Directory entry changed',
     );
@@ -476,7 +478,9 @@
 
 function loadOf(targets: readonly ReportedTarget[], incarnation: string): unknown {
   const target = targets.find((other) => other.life === incarnation);
-  return target && {offeredRps: target.offeredRps, meanMs: target.meanMs, slots: target.slots};
+  if (!target) return undefined;
+  const {offeredRps, meanMs, slots, rateLimit} = target;
+  return {offeredRps, meanMs, slots, rateLimit};
 }
 
 /** Whether the target may hold keys and so needs a lease. */
--- a/control/site-control/test/planning.test.ts
+++ b/control/site-control/test/planning.test.ts
@@ -149,6 +149,40 @@
     targets: [loadedTarget('a', 40), {...loadedTarget('new', 0), ownsKeys: false}],
     expected: [['a', 'new', 20]],
   },
+  // Guards against incident target-limit-ignored: a target got more keys after it had named a limit.
+  {
+    name: 'takes the rate limit of a target as its capacity',
+    targets: [
+      {...loadedTarget('limited', 60), rateLimit: {rps: 30, ageMs: 2_000}},
+      loadedTarget('b', 50),
+    ],
+    expected: [['limited', 'b', 35]],
+  },
+  {
+    name: 'does not move keys away for a limit that was just named',
+    targets: [
+      {...loadedTarget('limited', 60), rateLimit: {rps: 30, ageMs: 300}},
+      loadedTarget('b', 50),
+    ],
+    expected: [],
+  },
+  {
+    name: 'does not move keys to a target that was just limited',
+    targets: [
+      loadedTarget('busy', 95),
+      {...loadedTarget('limited', 20), rateLimit: {rps: 10, ageMs: 300}},
+      loadedTarget('c', 40),
+    ],
+    expected: [['busy', 'c', 21]],
+  },
+  {
+    name: 'moves most keys away from a target that accepts no requests',
+    targets: [
+      {...loadedTarget('limited', 40), rateLimit: {rps: 0, ageMs: 2_000}},
+      loadedTarget('b', 10),
+    ],
+    expected: [['limited', 'b', 28]],
+  },
 ];
 
 describe('planTransfers', () => {
--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -13,6 +13,8 @@
   readonly slots: number;
   readonly coldLeftMs: number;
   readonly stopping: boolean;
+  /** Requests per second that the target accepts; absent if it names no limit. */
+  readonly rateLimitRps?: number | undefined;
 }
 
 /** A key range and the incarnation of its owner. The ranges of a service are sorted by key. */
@@ -40,6 +42,9 @@
   refusal: RunResult | undefined;
 }
 
+const MS_PER_S = 1_000;
+/** Lower bound of the usable slots of a target, so that a limit of 0 leaves finite waits. */
+const MIN_USABLE_SLOTS = 0.01;
 /** Weight of a new outcome in the smoothed failure ratio. */
 const FAILURE_SMOOTHING = 0.1;
 /** Time for which an instance that is unreachable or has no target is avoided. */
@@ -50,6 +55,8 @@
  */
 const KEEP_UNCONFIRMED_MS = 20_000;
 const AVOID_OVERLOADED_MS = 30;
+/** The same at most, if the target's rate limit permits requests less often. */
+const MAX_AVOID_OVERLOADED_MS = 500;
 /**
  * After an overload refusal, no request is offered to the owner of a key for this time. Its daemon would
  * otherwise spend its CPU time on refusals.
@@ -225,10 +232,10 @@
   pickFreeInstance(service: string, tried: ReadonlySet<string>): InstanceView | undefined {
     const nowMs = this.opts.clock.nowMs();
     const list = this.availableByService.get(service) ?? [];
-    const isFree = ({life, slots}: InstanceView): boolean =>
-      !tried.has(life) &&
-      this.statsOf(life).avoidUntilMs <= nowMs &&
-      this.estimateOccupancy(life) < slots;
+    const isFree = (entry: InstanceView): boolean =>
+      !tried.has(entry.life) &&
+      this.statsOf(entry.life).avoidUntilMs <= nowMs &&
+      this.estimateOccupancy(entry.life) < this.usableSlots(entry);
     const isLocalAndFree = (entry: InstanceView): boolean =>
       entry.availabilityZone === this.opts.availabilityZone && isFree(entry);
     const local = this.drawBetterOfTwo(list, isLocalAndFree);
@@ -291,9 +298,9 @@
 
   /** Shortest time after which an instance of the service may have a free slot again. */
   estimateRetryAfterMs(service: string): number {
-    const waits = this.instancesOf(service).map(({life}) => {
-      const {load} = this.statsOf(life);
-      return load ? (load.meanMs * (load.waiting + 1)) / Math.max(1, load.slots) : INITIAL_MEAN_MS;
+    const waits = this.instancesOf(service).map((entry) => {
+      const {load} = this.statsOf(entry.life);
+      return load ? (load.meanMs * (load.waiting + 1)) / this.usableSlots(entry) : INITIAL_MEAN_MS;
     });
     return waits.length === 0 ? INITIAL_MEAN_MS : Math.min(...waits);
   }
@@ -332,7 +339,12 @@
     if (result.kind === 'refused') {
       const isUnreachable = result.code === 'PEER_FAILED' || result.code === 'NO_TARGET';
       if (!isCancelled) {
-        stats.avoidUntilMs = nowMs + (isUnreachable ? AVOID_UNREACHABLE_MS : AVOID_OVERLOADED_MS);
+        const untilPermittedMs = MS_PER_S / (stats.load?.rateLimitRps ?? Infinity);
+        const avoidOverloadedMs = Math.min(
+          Math.max(AVOID_OVERLOADED_MS, untilPermittedMs),
+          MAX_AVOID_OVERLOADED_MS,
+        );
+        stats.avoidUntilMs = nowMs + (isUnreachable ? AVOID_UNREACHABLE_MS : avoidOverloadedMs);
       }
     }
   }
@@ -351,18 +363,26 @@
     return isCurrent ? load.inFlight + load.waiting + sentSinceLoad : outstanding;
   }
 
-  private waitMs({life, slots}: InstanceView): number {
+  /** Slots that the target can use: those that its rate limit keeps busy, by Little's law. */
+  private usableSlots({life, slots, rateLimitRps}: InstanceView): number {
     const {load} = this.statsOf(life);
-    const ahead = Math.max(0, this.estimateOccupancy(life) + 1 - slots);
-    return (ahead * (load?.meanMs ?? INITIAL_MEAN_MS)) / Math.max(1, slots);
+    const limitRps = load ? load.rateLimitRps : rateLimitRps;
+    if (limitRps === undefined) return Math.max(1, slots);
+    const busySlots = (limitRps * (load?.meanMs ?? INITIAL_MEAN_MS)) / MS_PER_S;
+    return Math.max(MIN_USABLE_SLOTS, Math.min(slots, busySlots));
   }
 
-  private predictedMs(
-    {life, slots, availabilityZone}: InstanceView,
-    defaultMeanMs = INITIAL_MEAN_MS,
-  ): number {
+  private waitMs(entry: InstanceView): number {
+    const {load} = this.statsOf(entry.life);
+    const slots = this.usableSlots(entry);
+    const ahead = Math.max(0, this.estimateOccupancy(entry.life) + 1 - slots);
+    return (ahead * (load?.meanMs ?? INITIAL_MEAN_MS)) / slots;
+  }
+
+  private predictedMs(entry: InstanceView, defaultMeanMs = INITIAL_MEAN_MS): number {
+    const {life, availabilityZone} = entry;
     const {load, failureRatio} = this.statsOf(life);
-    const utilisation = this.estimateOccupancy(life) / Math.max(1, slots);
+    const utilisation = this.estimateOccupancy(life) / this.usableSlots(entry);
     const isCold = (this.coldUntilMs.get(life) ?? 0) > this.opts.clock.nowMs();
     return (
       (load?.meanMs ?? defaultMeanMs) *
--- a/routing/request-path/test/siteView.test.ts
+++ b/routing/request-path/test/siteView.test.ts
@@ -71,6 +71,43 @@
     assert.equal(view.recentRefusal('near'), undefined);
   });
 
+  // Guards against incident target-limit-ignored: a limit must not turn into refusals while other
+  // targets have room. Pattern: half of the targets name a limit far below what their slots allow.
+  it('sends a target that names a rate limit only its part of the requests', () => {
+    const {view} = startView(['near', 'far-1', 'far-2']);
+    const load = {inFlight: 0, waiting: 0, slots: 10, meanMs: 100};
+    const limitedLoad = {...load, rateLimitRps: 10};
+    const answer = {status: 200, headers: [], body: new Uint8Array()};
+    for (const life of ['near', 'far-1', 'far-2']) {
+      view.recordSent(life);
+      const isLimited = life === 'near';
+      view.recordResult(life, {kind: 'answered', answer, load: isLimited ? limitedLoad : load});
+    }
+    assert.equal(view.pickFreeInstance(SERVICE, new Set())?.life, 'near');
+    view.recordSent('near');
+    const picked = pickMany(view, 100);
+    assert.equal(picked.get('near') ?? 0, 0);
+  });
+
+  it('avoids a limited target that refused until its limit permits a further request', () => {
+    const {view, clock} = startView(['near', 'far-1']);
+    const load = {inFlight: 0, waiting: 0, slots: 10, meanMs: 100, rateLimitRps: 5};
+    view.recordSent('near');
+    view.recordResult('near', {kind: 'refused', code: 'OVERLOADED', load});
+    void clock.advance(150);
+    assert.equal(view.pickFreeInstance(SERVICE, new Set(['far-1'])), undefined);
+    void clock.advance(100);
+    assert.equal(view.pickFreeInstance(SERVICE, new Set(['far-1']))?.life, 'near');
+  });
+
+  it('knows the rate limit of a target from the directory before its first response', () => {
+    const {view} = startView(['near', 'far-1']);
+    const limited = {...view.instancesOf(SERVICE)[0]!, rateLimitRps: 4};
+    view.updateInstances({full: false, instances: [limited], removed: []});
+    view.recordSent('near');
+    assert.equal(view.pickFreeInstance(SERVICE, new Set())?.life, 'far-1');
+  });
+
   it('finds the owner of a key at both ends of its range and none in a gap', () => {
     const {view} = startView(['near', 'far-1']);
     view.setRanges(SERVICE, [
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -122,6 +122,7 @@
   private hasSuccessors = false;
   private notice: TargetNotice = NO_NOTICE;
   private noticeChangedAtMs = -Infinity;
+  private limitedSinceMs: number | undefined;
   private keyLoad: KeyLoad | undefined;
   private readonly pushedGrants: PushedGrants | undefined;
   /** Called after a change that is to be reported to the control leader immediately. */
@@ -278,6 +279,13 @@
     return this.notice.rateLimitRps;
   }
 
+  /** The rate limit for a report, with the time since the target first named one. */
+  get rateLimit(): {rps: number; ageMs: number} | undefined {
+    const {limitedSinceMs, rateLimitRps: rps} = this;
+    if (limitedSinceMs === undefined || rps === undefined) return undefined;
+    return {rps, ageMs: Math.round(this.opts.clock.nowMs() - limitedSinceMs)};
+  }
+
   /** Records what an incarnation of the target stated about itself in a response. */
   recordNotice(incarnation: string, notice: TargetNotice): void {
     const {rateLimitRps, isLeaving} = this.notice;
@@ -295,6 +303,11 @@
     );
     this.notice = notice;
     this.noticeChangedAtMs = nowMs;
+    const wasLimited = this.limitedSinceMs !== undefined;
+    const isLimited = notice.rateLimitRps !== undefined;
+    if (wasLimited === isLimited) return;
+    this.limitedSinceMs = isLimited ? nowMs : undefined;
+    this.onChange();
   }
 
   /**
@@ -328,6 +341,7 @@
     service: string;
     state: HostedTargetState;
     slots: number;
+    rateLimitRps?: number | undefined;
   }): void {
     const startedAtMs = Number(entry.life.slice(entry.targetId.length + 1));
     if (this.heartbeat || entry.state !== 'ready' || !Number.isFinite(startedAtMs)) return;
@@ -342,6 +356,10 @@
       ...noHeartbeat,
     };
     this.heartbeatAtMs = this.opts.steadyClock.nowMs();
+    const {rateLimitRps} = entry;
+    if (rateLimitRps !== undefined) {
+      this.recordNotice(entry.life, {rateLimitRps, isLeaving: false});
+    }
     this.assumedUntilMs = this.opts.clock.nowMs() + MAX_GRANT_MS;
     this.opts.logger.info({life: entry.life}, 'Restored target of the previous daemon process');
   }
@@ -441,6 +459,7 @@
     this.drainStartedAtMs = undefined;
     this.notice = NO_NOTICE;
     this.noticeChangedAtMs = -Infinity;
+    this.limitedSinceMs = undefined;
     this.pushedGrants?.reset();
     this.granted = [];
     this.grantedUntilMs = -Infinity;
--- a/targets/key-holds/test/hostedTarget.test.ts
+++ b/targets/key-holds/test/hostedTarget.test.ts
@@ -44,6 +44,38 @@
     assert.equal(hosted.incarnation, 'i-1/2000');
   });
 
+  // Guards against incident target-limit-ignored: what a target states in its responses was not read.
+  it('keeps the rate limit of its incarnation until a response names none', () => {
+    const {hosted, sendHeartbeat} = startHosted();
+    sendHeartbeat({sequence: 1, startedAtMs: 1_000});
+    hosted.recordNotice('i-1/1000', {rateLimitRps: 30.1, isLeaving: false});
+    sendHeartbeat({sequence: 2, startedAtMs: 1_000});
+    assert.equal(hosted.rateLimitRps, 30.1);
+    hosted.recordNotice('i-1/1000', {rateLimitRps: undefined, isLeaving: false});
+    assert.equal(hosted.rateLimitRps, undefined);
+    hosted.recordNotice('i-1/1000', {rateLimitRps: 12, isLeaving: false});
+    sendHeartbeat({sequence: 1, startedAtMs: 2_000});
+    assert.equal(hosted.rateLimitRps, undefined);
+    hosted.recordNotice('i-1/1000', {rateLimitRps: 12, isLeaving: false});
+    assert.equal(hosted.rateLimitRps, undefined);
+  });
+
+  it('reports for how long it has named rate limits, however these change', async () => {
+    const {hosted, clock, sendHeartbeat} = startHosted();
+    sendHeartbeat({sequence: 1, startedAtMs: 1_000});
+    hosted.recordNotice('i-1/1000', {rateLimitRps: 30, isLeaving: false});
+    await clock.advance(700);
+    hosted.recordNotice('i-1/1000', {rateLimitRps: 20, isLeaving: false});
+    assert.deepEqual(hosted.rateLimit, {rps: 20, ageMs: 700});
+  });
+
+  it('knows the rate limit after a restart of its daemon', () => {
+    const {hosted} = startHosted();
+    const entry = {targetId: 'i-1', service: 'vault', slots: 8};
+    hosted.restore({...entry, life: 'i-1/1000', state: 'ready', rateLimitRps: 12.5});
+    assert.equal(hosted.rateLimitRps, 12.5);
+  });
+
   it('reports its previous incarnation as ended and holds no keys in a new one', () => {
     const {hosted, sendHeartbeat, renewLease} = startHosted();
     sendHeartbeat({sequence: 1, startedAtMs: 1_000});
