Drain a target that states in its responses that it is leaving

All announcements, by heartbeat, removal or response, now start the drain in one place, and the first one counts.

--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -62,6 +62,9 @@
   readonly grantApi?: GrantApi;
 }
 
+/** How the daemon learned that its target drains. */
+type DrainSource = 'heartbeat' | 'removal' | 'response' | 'directory';
+
 export type HostedTargetState = 'ready' | 'draining' | 'silent' | 'ended';
 
 /** A range that the control leader assigned to the current incarnation. */
@@ -264,10 +267,7 @@
     this.updateReportedHolds(next, previous);
     this.heartbeatAtMs = this.opts.steadyClock.nowMs();
     this.ended = false;
-    if (next.state === 'draining' && this.drainStartedAtMs === undefined) {
-      this.drainStartedAtMs = this.opts.clock.nowMs();
-      this.opts.logger.info({life: incarnationOf(next)}, 'Target started draining');
-    }
+    if (next.state === 'draining') this.beginDrain('heartbeat');
     this.addFreed(next);
     if (this.state !== stateBefore || next.freed.length > 0) this.onChange();
     this.applyGrantPlan();
@@ -303,11 +303,11 @@
     );
     this.notice = notice;
     this.noticeChangedAtMs = nowMs;
+    const startsDrain = notice.isLeaving && this.beginDrain('response');
     const wasLimited = this.limitedSinceMs !== undefined;
     const isLimited = notice.rateLimitRps !== undefined;
-    if (wasLimited === isLimited) return;
-    this.limitedSinceMs = isLimited ? nowMs : undefined;
-    this.onChange();
+    if (wasLimited !== isLimited) this.limitedSinceMs = isLimited ? nowMs : undefined;
+    if (startsDrain || wasLimited !== isLimited) this.onChange();
   }
 
   /**
@@ -366,10 +366,19 @@
 
   /** Starts a drain that the target requested. It continues to serve its keys until `drainMs`. */
   startDraining(targetId: string): void {
-    if (this.heartbeat?.targetId !== targetId || this.drainStartedAtMs !== undefined) return;
-    this.drainStartedAtMs = this.opts.clock.nowMs();
-    this.opts.logger.info({life: this.incarnation}, 'Target requested a drain');
-    this.onChange();
+    if (this.heartbeat?.targetId !== targetId) return;
+    if (this.beginDrain('removal')) this.onChange();
+  }
+
+  /**
+   * Starts the drain of the current incarnation, however the target announced it; it never returns to
+   * service. `agoMs` is the time since the announcement. Returns whether it was not draining yet.
+   */
+  private beginDrain(source: DrainSource, agoMs = 0): boolean {
+    if (this.drainStartedAtMs !== undefined) return false;
+    this.drainStartedAtMs = this.opts.clock.nowMs() - agoMs;
+    this.opts.logger.info({life: this.incarnation, source, agoMs}, 'Target started draining');
+    return true;
   }
 
   /** Records that no process listens at the target's address any more. */
--- a/targets/key-holds/test/hostedTarget.test.ts
+++ b/targets/key-holds/test/hostedTarget.test.ts
@@ -76,6 +76,30 @@
     assert.equal(hosted.rateLimitRps, 12.5);
   });
 
+  // Guards against incident target-limit-ignored: only heartbeats were read for a target that leaves.
+  it('drains from the first announcement on, whether in a response, a heartbeat or a removal', async () => {
+    const announcements: Array<(fixture: ReturnType<typeof startHosted>) => void> = [
+      ({hosted}) => hosted.recordNotice('i-1/1000', {rateLimitRps: undefined, isLeaving: true}),
+      ({sendHeartbeat}) => void sendHeartbeat({sequence: 2, state: 'draining'}),
+      ({hosted}) => hosted.startDraining('i-1'),
+    ];
+    for (const announce of announcements) {
+      const fixture = startHosted();
+      const {hosted, clock, sendHeartbeat} = fixture;
+      sendHeartbeat({sequence: 1});
+      announce(fixture);
+      assert.deepEqual([hosted.state, hosted.acceptsRequests], ['draining', true]);
+      await clock.advance(1_000);
+      for (const announceAgain of announcements) announceAgain(fixture);
+      hosted.recordNotice('i-1/1000', {rateLimitRps: undefined, isLeaving: false});
+      sendHeartbeat({sequence: 3, state: 'ready'});
+      await clock.advance(800);
+      assert.deepEqual([hosted.state, hosted.acceptsRequests], ['draining', false]);
+      sendHeartbeat({sequence: 1, startedAtMs: 5_000});
+      assert.deepEqual([hosted.state, hosted.acceptsRequests], ['ready', true]);
+    }
+  });
+
   it('reports its previous incarnation as ended and holds no keys in a new one', () => {
     const {hosted, sendHeartbeat, renewLease} = startHosted();
     sendHeartbeat({sequence: 1, startedAtMs: 1_000});
