Keep a target draining after its daemon was restarted

The leader keeps an incarnation draining that a daemon reports as ready, and the directory tells the restarted daemon. What remains: a new leader whose term began after the restart does not know of the drain.

--- a/control/site-control/src/instanceDirectory.ts
+++ b/control/site-control/src/instanceDirectory.ts
@@ -25,6 +25,10 @@
     return [...this.entries.values()].map(({instance}) => instance);
   }
 
+  get(forwardAddress: string): DirectoryInstance | undefined {
+    return this.entries.get(forwardAddress)?.instance;
+  }
+
   /** Adds or replaces an instance. Returns whether the entry changed. */
   put(instance: DirectoryInstance): boolean {
     const existing = this.entries.get(instance.forwardAddress);
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -105,8 +105,9 @@
   }
 
   /** @throws MedlarlaneError `NOT_LEADER`. */
-  async report(report: ReportRequest): Promise<ReportResponse> {
+  async report(receivedReport: ReportRequest): Promise<ReportResponse> {
     const term = this.requireTerm();
+    const report = withKnownDrain(term.directory, receivedReport);
     this.acceptReport(term, report);
     await this.commitReleases(term, report);
     if (!this.hasUpdates(term, report) && report.waitMs > 0) {
@@ -471,6 +472,18 @@
   }
 }
 
+/**
+ * Keeps a target `draining` that its daemon reports as `ready` after a restart: an incarnation never
+ * returns to service, and the new process may not have been told yet that it drains.
+ */
+function withKnownDrain(directory: InstanceDirectory, report: ReportRequest): ReportRequest {
+  const {target, forwardAddress} = report;
+  const known = directory.get(forwardAddress);
+  const isDraining = known?.state === 'draining' && known.life === target?.life;
+  if (!isDraining || target?.state !== 'ready') return report;
+  return {...report, target: {...target, state: 'draining'}};
+}
+
 /** Parses the start time of an incarnation, which has the form `targetId/startTimeMs`. */
 function startTimeMsOf(incarnation: string): number {
   return Number(incarnation.slice(incarnation.lastIndexOf('/') + 1));
--- a/control/site-control/test/siteControl.test.ts
+++ b/control/site-control/test/siteControl.test.ts
@@ -31,6 +31,23 @@
     assert.equal(await leaseOf({state: 'ended', mayHoldKeys: true}), false);
   });
 
+  // Guards against incident target-limit-ignored: a target that had announced that it leaves was in use
+  // again after its daemon was restarted.
+  it('keeps a target draining that a restarted daemon reports as ready', async () => {
+    const {control, report} = startControl();
+    await control.report(report({target: target({state: 'draining'})}));
+    const response = await control.report(report({target: target({state: 'ready'})}));
+    assert.deepEqual(
+      response.instances.map(({state}) => state),
+      ['draining'],
+    );
+    const next = await control.report(report({target: target({life: 't/2', state: 'ready'})}));
+    assert.deepEqual(
+      next.instances.map(({state}) => state),
+      ['ready'],
+    );
+  });
+
   it('sends only the changes since the last response of the same term', async () => {
     const {control, report} = startControl();
     const first = await control.report(report({target: target({})}));
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -67,6 +67,16 @@
 
 export type HostedTargetState = 'ready' | 'draining' | 'silent' | 'ended';
 
+/** The directory entry of a daemon's own target. */
+export interface RestoredTarget {
+  readonly targetId: string;
+  readonly life: string;
+  readonly service: string;
+  readonly state: HostedTargetState;
+  readonly slots: number;
+  readonly rateLimitRps?: number | undefined;
+}
+
 /** A range that the control leader assigned to the current incarnation. */
 export interface AssignedRange extends GrantedRange {
   readonly ownerLife: string;
@@ -332,19 +342,21 @@
   }
 
   /**
-   * Restores the target that the previous process of this daemon had, until the first heartbeat arrives.
-   * The target keeps serving its keys while its daemon restarts, and rejects requests for other keys.
+   * Restores what the previous process of this daemon knew of its target: the target itself, until the
+   * first heartbeat arrives, and that it was draining. The target keeps serving its keys while its daemon
+   * restarts, and rejects requests for other keys.
    */
-  restore(entry: {
-    targetId: string;
-    life: string;
-    service: string;
-    state: HostedTargetState;
-    slots: number;
-    rateLimitRps?: number | undefined;
-  }): void {
+  restore(entry: RestoredTarget): void {
+    this.restoreTarget(entry);
+    const isDraining = entry.state === 'draining' && entry.life === this.incarnation;
+    // The start of the drain is unknown, so its timeout counts as passed.
+    if (isDraining && this.beginDrain('directory', this.opts.drainMs)) this.onChange();
+  }
+
+  private restoreTarget(entry: RestoredTarget): void {
     const startedAtMs = Number(entry.life.slice(entry.targetId.length + 1));
-    if (this.heartbeat || entry.state !== 'ready' || !Number.isFinite(startedAtMs)) return;
+    const isServing = entry.state === 'ready' || entry.state === 'draining';
+    if (this.heartbeat || !isServing || !Number.isFinite(startedAtMs)) return;
     const {targetId, service, slots} = entry;
     const noHeartbeat = {coldLeftMs: 0, sequence: -1, holds: [], freed: []};
     this.heartbeat = {
--- a/targets/key-holds/test/hostedTarget.test.ts
+++ b/targets/key-holds/test/hostedTarget.test.ts
@@ -100,6 +100,22 @@
     }
   });
 
+  it('accepts nothing after a restart of its daemon if it was draining before', () => {
+    const entry = {targetId: 'i-1', service: 'vault', slots: 8, state: 'draining'} as const;
+    const restarted = startHosted();
+    restarted.hosted.restore({...entry, life: 'i-1/1000'});
+    restarted.sendHeartbeat({sequence: 9, startedAtMs: 1_000});
+    assert.equal(restarted.hosted.acceptsRequests, false);
+    const heartbeatFirst = startHosted();
+    heartbeatFirst.sendHeartbeat({sequence: 9, startedAtMs: 1_000});
+    heartbeatFirst.hosted.restore({...entry, life: 'i-1/1000'});
+    assert.equal(heartbeatFirst.hosted.acceptsRequests, false);
+    const nextIncarnation = startHosted();
+    nextIncarnation.sendHeartbeat({sequence: 1, startedAtMs: 2_000});
+    nextIncarnation.hosted.restore({...entry, life: 'i-1/1000'});
+    assert.equal(nextIncarnation.hosted.acceptsRequests, true);
+  });
+
   it('reports its previous incarnation as ended and holds no keys in a new one', () => {
     const {hosted, sendHeartbeat, renewLease} = startHosted();
     sendHeartbeat({sequence: 1, startedAtMs: 1_000});
