Answer what a stopping daemon accepts late within its grace period

It accepts callers until its own target is idle, since running requests may call.

A request that is accepted meanwhile has at most until the end of the stop as its deadline, which its target is told, so it ends with a response; one whose latency target lies beyond the end is refused at once.

platform/lib/test/lateStopRequests.test.js failed before: 'socket hang up' for a request that needed 1.1 s, and 502 for one in flight at the target.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -69,7 +69,10 @@
   readonly metrics: SiteMetrics;
   /** Whether callers may send requests to this daemon. */
   readonly isReady: boolean;
-  /** Stops accepting requests, waits up to `graceMs` for requests in flight and closes. */
+  /**
+   * Stops accepting requests, waits for requests in flight and closes, all within about `graceMs`. Requests
+   * that are still accepted meanwhile get a response by then.
+   */
   stop(graceMs: number): Promise<void>;
 }
 
@@ -86,6 +89,8 @@
  */
 const READINESS_PROPAGATION_MS = 2_600;
 const STOP_POLL_INTERVAL_MS = 50;
+/** Time before the end of a stop for the last responses of targets, which end at their deadline. */
+const LAST_RESPONSE_MS = 150;
 /** Maximum number of connections to the target; leaves connections free for its other callers. */
 const MAX_TARGET_CONNECTIONS = 64;
 
@@ -96,6 +101,7 @@
   let isStopping = false;
   let isClosed = false;
   let isAdmissionClosed = false;
+  let stopDeadlineAtMs = Infinity;
   const forwardAddress = `${opts.forwardEndpoint.host}:${opts.forwardEndpoint.port}`;
   const view = new SiteView({clock, availabilityZone: opts.availabilityZone});
   const grantApi =
@@ -171,6 +177,7 @@
       if (isClosed) return 'closed';
       return isStopping || callerListener.isOverConnectionLimit ? 'closing' : 'open';
     },
+    stopDeadlineAtMs: () => stopDeadlineAtMs - LAST_RESPONSE_MS,
     onResponse: (outcome) => metrics.recordRequest(outcome),
   });
   const rpc = disposables.use(createRpcClient(), (client) => client.close());
@@ -287,9 +294,10 @@
     stop: async (graceMs) => {
       isStopping = true;
       controlReporter.reportNow();
-      const deadlineMs = clock.nowMs() + graceMs;
+      stopDeadlineAtMs = clock.nowMs() + graceMs;
       const waitUntil = async (isDone: () => boolean): Promise<void> => {
-        while (!isDone() && clock.nowMs() < deadlineMs) await clock.sleep(STOP_POLL_INTERVAL_MS);
+        while (!isDone() && clock.nowMs() < stopDeadlineAtMs)
+          await clock.sleep(STOP_POLL_INTERVAL_MS);
       };
       const readyUntilMs = clock.nowMs() + READINESS_PROPAGATION_MS;
       // Only this daemon reaches the target, so it still serves requests of other daemons.
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -41,6 +41,8 @@
   readonly lagMs: () => number;
   /** While `closing`, connections are closed after each response; when `closed`, requests are refused. */
   readonly phase: () => 'open' | 'closing' | 'closed';
+  /** Time by which all requests must be answered, because the daemon stops; `Infinity` before. */
+  readonly stopDeadlineAtMs?: () => number;
   readonly onResponse?: (outcome: EntryOutcome) => void;
 }
 
@@ -219,7 +221,13 @@
   if (!route) throw new MedlarlaneError('SERVICE_UNKNOWN', 'No route matches the host and path');
   context.route = route;
   const remainingMs = Math.min(timeLeftMs ?? route.timeoutMs, route.timeoutMs);
-  const deadlineAtMs = context.startedAtMs + remainingMs;
+  const stopDeadlineAtMs = opts.stopDeadlineAtMs?.() ?? Infinity;
+  if (clock.nowMs() + route.targetLatencyMs > stopDeadlineAtMs) {
+    throw new MedlarlaneError('DRAINING', 'Daemon stops before the request can complete', {
+      details: {retryAfterMs: RESTART_RETRY_MS},
+    });
+  }
+  const deadlineAtMs = Math.min(context.startedAtMs + remainingMs, stopDeadlineAtMs);
   // A caller that retries after a refusal has less time left than the route timeout, and the latency
   // target counts from its first attempt.
   const elapsedMs = Math.max(0, route.timeoutMs - remainingMs);
--- a/routing/request-path/src/startOfferListener.ts
+++ b/routing/request-path/src/startOfferListener.ts
@@ -35,7 +35,7 @@
 /** Above this lag, a cancellation may be waiting unread behind its offer, so the sockets are polled again. */
 const POLL_AGAIN_LAG_MS = 15;
 /** Time for flushing pending results when the listener closes. */
-const FLUSH_TIMEOUT_MS = 1_000;
+const FLUSH_TIMEOUT_MS = 150;
 /** TCP keep-alive, which detects dead peers on idle connections. */
 const KEEP_ALIVE_MS = 10_000;
 
