Let one plan move keys of several targets to the same target

A plan used each destination once, although it knows what is left of its spare capacity. A test without network names the pattern; before, the plan moved only the keys of the first.

--- a/control/site-control/src/planTransfers.ts
+++ b/control/site-control/src/planTransfers.ts
@@ -33,7 +33,7 @@
 
 /**
  * Plans transfers between targets so that all have the same utilisation, that is, load in proportion
- * to capacity. Every target is the destination of at most one transfer of a plan.
+ * to capacity.
  */
 export function planTransfers(targets: readonly LoadedTarget[]): Transfer[] {
   if (targets.length < 2) return [];
@@ -63,14 +63,19 @@
   for (const source of sources) {
     let remainingRps = Math.min(excessRps(source), source.offeredRps * MAX_MOVED_FRACTION);
     while (remainingRps > 0 && destinations.length > 0) {
-      const {target: destination, spareRps} = destinations.shift()!;
-      const movedRps = Math.min(remainingRps, spareRps);
-      const fraction = movedRps / source.offeredRps;
-      remainingRps -= movedRps;
+      const destination = destinations[0]!;
+      const movedRps = Math.min(remainingRps, destination.spareRps);
+      if (movedRps === destination.spareRps) destinations.shift();
       // Relative to the source's capacity, not its load: in a large fleet the spare capacity of each
       // destination is small compared to the load of an overloaded source.
-      if (movedRps < capacityRps(source) * MIN_MOVED_CAPACITY_FRACTION) break;
-      transfers.push({fromLife: source.life, toLife: destination.life, share: fraction});
+      if (movedRps < capacityRps(source) * MIN_MOVED_CAPACITY_FRACTION) {
+        if (movedRps === remainingRps) break;
+        continue;
+      }
+      remainingRps -= movedRps;
+      destination.spareRps -= movedRps;
+      const fraction = movedRps / source.offeredRps;
+      transfers.push({fromLife: source.life, toLife: destination.target.life, share: fraction});
     }
   }
   return transfers;
--- a/control/site-control/test/planning.test.ts
+++ b/control/site-control/test/planning.test.ts
@@ -158,6 +158,18 @@
     ],
     expected: [['limited', 'b', 35]],
   },
+  {
+    name: 'moves keys of several limited targets to one with spare capacity in one plan',
+    targets: [
+      {...loadedTarget('limited-1', 60), rateLimit: {rps: 30, ageMs: 2_000}},
+      {...loadedTarget('limited-2', 60), rateLimit: {rps: 30, ageMs: 2_000}},
+      loadedTarget('c', 40),
+    ],
+    expected: [
+      ['limited-1', 'c', 30],
+      ['limited-2', 'c', 30],
+    ],
+  },
   {
     name: 'does not move keys away for a limit that was just named',
     targets: [
