Keep the rate limit of a target while its restarted daemon has not heard from it

A heartbeat that reached the restarted daemon before its first report was answered made it report the target without a limit, which removed the limit from the directory: the daemon then sent as many requests as there are slots before the first response named the limit again. With a limit of 2 a second the rule allows 17 in 4 s, and 18 slots exceed that. Found by reading; the tests of HostedTarget and SiteControl fail without it.

A report says whether the daemon has heard from the target; until then the leader keeps the limit of the incarnation.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -354,6 +354,7 @@
       offeredRps: Math.round(hostedTarget.offeredRps),
       meanMs: admissionController.load.meanMs,
       ...(rateLimit ? {rateLimit} : {}),
+      isRateLimitKnown: hostedTarget.hasNotice,
     },
   };
 }
--- a/control/site-control/src/reports.ts
+++ b/control/site-control/src/reports.ts
@@ -28,6 +28,8 @@
   meanMs: z.number(),
   /** The rate limit that the target names, and how long ago it first named one; absent without a limit. */
   rateLimit: z.object({rps: z.number(), ageMs: z.number()}).optional(),
+  /** False until the daemon has heard from the target whether it names a limit. */
+  isRateLimitKnown: z.boolean().optional(),
 });
 
 const releasedRangeSchema = z.object({
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -107,7 +107,7 @@
   /** @throws MedlarlaneError `NOT_LEADER`. */
   async report(receivedReport: ReportRequest): Promise<ReportResponse> {
     const term = this.requireTerm();
-    const report = withKnownDrain(term.directory, receivedReport);
+    const report = withKnownStatements(term.directory, receivedReport);
     this.acceptReport(term, report);
     await this.commitReleases(term, report);
     if (!this.hasUpdates(term, report) && report.waitMs > 0) {
@@ -473,15 +473,24 @@
 }
 
 /**
- * Keeps a target `draining` that its daemon reports as `ready` after a restart: an incarnation never
- * returns to service, and the new process may not have been told yet that it drains.
+ * Completes the report of a daemon that was restarted with what an incarnation stated before: it stays
+ * `draining`, because it never returns to service, and limited until the daemon hears from it again.
  */
-function withKnownDrain(directory: InstanceDirectory, report: ReportRequest): ReportRequest {
+function withKnownStatements(directory: InstanceDirectory, report: ReportRequest): ReportRequest {
   const {target, forwardAddress} = report;
   const known = directory.get(forwardAddress);
-  const isDraining = known?.state === 'draining' && known.life === target?.life;
-  if (!isDraining || target?.state !== 'ready') return report;
-  return {...report, target: {...target, state: 'draining'}};
+  if (!target || known?.life !== target.life) return report;
+  const isDraining = known.state === 'draining' && target.state === 'ready';
+  const isLimited = known.rateLimitRps !== undefined && target.isRateLimitKnown === false;
+  if (!isDraining && !isLimited) return report;
+  return {
+    ...report,
+    target: {
+      ...target,
+      ...(isDraining ? {state: 'draining'} : {}),
+      ...(isLimited ? {rateLimit: {rps: known.rateLimitRps!, ageMs: 0}} : {}),
+    },
+  };
 }
 
 /** Parses the start time of an incarnation, which has the form `targetId/startTimeMs`. */
--- a/control/site-control/test/siteControl.test.ts
+++ b/control/site-control/test/siteControl.test.ts
@@ -48,6 +48,18 @@
     );
   });
 
+  it('keeps the rate limit of a target until its restarted daemon has heard from it', async () => {
+    const {control, report} = startControl();
+    const limitAfter = async (fields: Partial<ReportedTarget>): Promise<number | undefined> =>
+      (await control.report(report({target: target(fields)}))).instances[0]?.rateLimitRps;
+    const rateLimit = {rps: 3, ageMs: 100};
+    assert.equal(await limitAfter({rateLimit, isRateLimitKnown: true}), 3);
+    assert.equal(await limitAfter({isRateLimitKnown: false}), 3);
+    assert.equal(await limitAfter({isRateLimitKnown: true}), undefined);
+    assert.equal(await limitAfter({rateLimit, isRateLimitKnown: true}), 3);
+    assert.equal(await limitAfter({life: 't/2', isRateLimitKnown: false}), undefined);
+  });
+
   it('sends only the changes since the last response of the same term', async () => {
     const {control, report} = startControl();
     const first = await control.report(report({target: target({})}));
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -134,7 +134,8 @@
   private endedIncarnationIds: string[] = [];
   private hasSuccessors = false;
   private notice: TargetNotice = NO_NOTICE;
-  private noticeChangedAtMs = -Infinity;
+  /** Time of the latest notice of the current incarnation. */
+  private noticeAtMs = -Infinity;
   private limitedSinceMs: number | undefined;
   private keyLoad: KeyLoad | undefined;
   private readonly pushedGrants: PushedGrants | undefined;
@@ -296,23 +297,29 @@
     return {rps, ageMs: Math.round(this.opts.clock.nowMs() - limitedSinceMs)};
   }
 
+  /** Whether the current incarnation has stated anything about itself since this daemon started. */
+  get hasNotice(): boolean {
+    return this.noticeAtMs > -Infinity;
+  }
+
   /** Records what an incarnation of the target stated about itself in a response. */
   recordNotice(incarnation: string, notice: TargetNotice): void {
     const {rateLimitRps, isLeaving} = this.notice;
     if (incarnation !== this.incarnation) return;
-    if (notice.rateLimitRps === rateLimitRps && notice.isLeaving === isLeaving) return;
     const nowMs = this.opts.clock.nowMs();
+    const ageMs = nowMs - this.noticeAtMs;
+    this.noticeAtMs = nowMs;
+    if (notice.rateLimitRps === rateLimitRps && notice.isLeaving === isLeaving) return;
     this.opts.logger.info(
       {
         life: incarnation,
         ...notice,
         before: this.notice,
-        beforeAgeMs: Math.round(nowMs - this.noticeChangedAtMs),
+        beforeAgeMs: Math.round(ageMs),
       },
       'Target changed its notice',
     );
     this.notice = notice;
-    this.noticeChangedAtMs = nowMs;
     const startsDrain = notice.isLeaving && this.beginDrain('response');
     const wasLimited = this.limitedSinceMs !== undefined;
     const isLimited = notice.rateLimitRps !== undefined;
@@ -348,6 +355,10 @@
    */
   restore(entry: RestoredTarget): void {
     this.restoreTarget(entry);
+    const {rateLimitRps} = entry;
+    if (rateLimitRps !== undefined && !this.hasNotice) {
+      this.recordNotice(entry.life, {rateLimitRps, isLeaving: false});
+    }
     const isDraining = entry.state === 'draining' && entry.life === this.incarnation;
     // The start of the drain is unknown, so its timeout counts as passed.
     if (isDraining && this.beginDrain('directory', this.opts.drainMs)) this.onChange();
@@ -368,10 +379,6 @@
       ...noHeartbeat,
     };
     this.heartbeatAtMs = this.opts.steadyClock.nowMs();
-    const {rateLimitRps} = entry;
-    if (rateLimitRps !== undefined) {
-      this.recordNotice(entry.life, {rateLimitRps, isLeaving: false});
-    }
     this.assumedUntilMs = this.opts.clock.nowMs() + MAX_GRANT_MS;
     this.opts.logger.info({life: entry.life}, 'Restored target of the previous daemon process');
   }
@@ -479,7 +486,7 @@
     this.invalidateLease();
     this.drainStartedAtMs = undefined;
     this.notice = NO_NOTICE;
-    this.noticeChangedAtMs = -Infinity;
+    this.noticeAtMs = -Infinity;
     this.limitedSinceMs = undefined;
     this.pushedGrants?.reset();
     this.granted = [];
--- a/targets/key-holds/test/hostedTarget.test.ts
+++ b/targets/key-holds/test/hostedTarget.test.ts
@@ -70,10 +70,26 @@
   });
 
   it('knows the rate limit after a restart of its daemon', () => {
+    const entry = {
+      targetId: 'i-1',
+      life: 'i-1/1000',
+      service: 'wallboard',
+      state: 'ready',
+      slots: 8,
+      rateLimitRps: 12.5,
+    } as const;
     const {hosted} = startHosted();
-    const entry = {targetId: 'i-1', service: 'vault', slots: 8};
-    hosted.restore({...entry, life: 'i-1/1000', state: 'ready', rateLimitRps: 12.5});
+    hosted.restore(entry);
     assert.equal(hosted.rateLimitRps, 12.5);
+    const heartbeatFirst = startHosted();
+    heartbeatFirst.sendHeartbeat({sequence: 9, startedAtMs: 1_000});
+    heartbeatFirst.hosted.restore(entry);
+    assert.equal(heartbeatFirst.hosted.rateLimitRps, 12.5);
+    const responseFirst = startHosted();
+    responseFirst.sendHeartbeat({sequence: 9, startedAtMs: 1_000});
+    responseFirst.hosted.recordNotice('i-1/1000', {rateLimitRps: undefined, isLeaving: false});
+    responseFirst.hosted.restore(entry);
+    assert.equal(responseFirst.hosted.rateLimitRps, undefined);
   });
 
   // Guards against incident target-limit-ignored: only heartbeats were read for a target that leaves.
