Assign a limited target only its part of unowned keys

planKeys gave the keys of a lost target to those with the fewest keys, whether these named a rate limit or not, and transfers took them away again. Found by reading; the test of planKeys fails without it.

--- a/control/site-control/src/planKeys.ts
+++ b/control/site-control/src/planKeys.ts
@@ -4,6 +4,8 @@
 /** A target that can be assigned keys. */
 export interface CandidateTarget {
   readonly life: string;
+  /** Fraction of its slots that the target can use under its rate limit, above 0; 1 without a limit. */
+  readonly usableFraction: number;
 }
 
 export interface KeyPlanInput {
@@ -26,7 +28,7 @@
 const MAX_STRIPES_PER_TARGET = 32;
 
 /**
- * Assigns unowned keys to the targets with the fewest keys, in stripes. Busy keys are often adjacent, so
+ * Assigns unowned keys to the targets with the fewest keys for what they can use, in stripes. Busy keys are often adjacent, so
  * stripes spread their load before any load is measured. They also spread the load of a lost target over
  * all others.
  */
@@ -35,6 +37,7 @@
   const reassignableRanges = ranges.filter(
     ({ownerLife}) => !isServing(ownerLife) && isLeaseExpired(ownerLife),
   );
+  const usableFractions = new Map(targets.map(({life, usableFraction}) => [life, usableFraction]));
   const keyCounts = new Map(targets.map(({life}) => [life, 0]));
   for (const {ownerLife, fromKey, toKey} of ranges) {
     const owned = keyCounts.get(ownerLife);
@@ -48,8 +51,9 @@
   const assignments: KeyAssignment[] = [];
   for (const range of reassignableRanges) {
     for (const {fromKey, toKey} of stripesOf(range, keysPerStripe)) {
+      const fill = ([life, owned]: [string, number]): number => owned / usableFractions.get(life)!;
       const [incarnation, owned] = [...keyCounts].reduce((least, next) =>
-        next[1] < least[1] ? next : least,
+        fill(next) < fill(least) ? next : least,
       );
       assignments.push({
         fromKey,
--- a/control/site-control/src/planTransfers.ts
+++ b/control/site-control/src/planTransfers.ts
@@ -81,8 +81,18 @@
   return transfers;
 }
 
+type TargetCapacity = Pick<LoadedTarget, 'slots' | 'meanMs' | 'rateLimit'>;
+
 /** Requests per second that the slots of a target and its rate limit permit. */
-function capacityRps({slots, meanMs, rateLimit}: LoadedTarget): number {
-  const slotsRps = (slots * 1_000) / Math.max(1, meanMs);
-  return Math.max(MIN_CAPACITY_RPS, Math.min(slotsRps, rateLimit?.rps ?? Infinity));
+function capacityRps(target: TargetCapacity): number {
+  return Math.max(MIN_CAPACITY_RPS, Math.min(slotsRps(target), target.rateLimit?.rps ?? Infinity));
+}
+
+/** Fraction of a target's slots that it can use under its rate limit, above 0; 1 without a limit. */
+export function usableFractionOf(target: TargetCapacity): number {
+  return target.rateLimit ? Math.min(1, capacityRps(target) / slotsRps(target)) : 1;
+}
+
+function slotsRps({slots, meanMs}: TargetCapacity): number {
+  return (slots * 1_000) / Math.max(1, meanMs);
 }
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -10,7 +10,7 @@
 import {InstanceDirectory} from './instanceDirectory.js';
 import {KEY_LEASE_MS, KeyLeaseTable} from './keyLeaseTable.js';
 import {planKeys} from './planKeys.js';
-import {planTransfers} from './planTransfers.js';
+import {planTransfers, usableFractionOf} from './planTransfers.js';
 import type {Transfer} from './planTransfers.js';
 import {encodeConfiguration} from './reports.js';
 import type {ReportedTarget, ReportRequest, ReportResponse} from './reports.js';
@@ -402,7 +402,10 @@
             .filter(({report}) => report.target?.state === 'ready')
             .map(({report}) => report.target!.life),
         );
-        const targets = this.readyTargets(term, name);
+        const targets = this.readyTargets(term, name).map((target) => ({
+          life: target.life,
+          usableFraction: usableFractionOf(target),
+        }));
         const {assignments} = planKeys({
           ranges: state.rangesOf(name),
           targets,
--- a/control/site-control/test/planning.test.ts
+++ b/control/site-control/test/planning.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {ManualClock} from '@medlarlane/lifecycle';
 import {KEY_LEASE_MS, KeyLeaseTable, planKeys, planTransfers} from '@medlarlane/site-control';
-import type {LoadedTarget} from '@medlarlane/site-control';
+import type {CandidateTarget, LoadedTarget} from '@medlarlane/site-control';
 import {KEY_COUNT} from '@medlarlane/site-state';
 import type {KeyRange} from '@medlarlane/site-state';
 
@@ -64,6 +64,25 @@
     assert.ok(Math.abs(20_000 + assigned('a') - KEY_COUNT / 2) < 1_100);
   });
 
+  it('gives a target with a rate limit only its part of the keys of a lost target', () => {
+    const [a, limited, c] = targetsOf('a', 'limited', 'c');
+    const {assignments} = planKeys({
+      ranges: [range(0, 65_535, 'lost')],
+      targets: [a!, {...limited!, usableFraction: 0.2}, c!],
+      isLeaseExpired: () => true,
+      isServing: () => false,
+    });
+    const keysOf = (life: string): number =>
+      sum(
+        assignments
+          .filter(({ownerLife}) => ownerLife === life)
+          .map(({fromKey, toKey}) => toKey - fromKey + 1),
+      );
+    const fraction = keysOf('limited') / 65_536;
+    assert.ok(fraction > 0.05 && fraction < 0.13, `${fraction} of all keys`);
+    assert.ok(Math.abs(keysOf('a') - keysOf('c')) < 1_500);
+  });
+
   it('does not reassign the keys of an unresponsive target until its lease expires', () => {
     const input = {
       ranges: [range(0, 99, 'lost'), range(100, KEY_COUNT - 1, 'a')],
@@ -242,8 +261,8 @@
   return {life: incarnation, slots: 10, meanMs: 100, offeredRps, ownsKeys: true};
 }
 
-function targetsOf(...names: string[]): Array<{life: string}> {
-  return names.map((incarnation) => ({life: incarnation}));
+function targetsOf(...names: string[]): CandidateTarget[] {
+  return names.map((incarnation) => ({life: incarnation, usableFraction: 1}));
 }
 
 function range(fromKey: number, toKey: number, ownerLife: string): KeyRange {
