--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -137,7 +137,7 @@
   const metrics = createDaemonMetrics({
     load: () => admissionController.load,
     configVersion: () => view.configuration.version,
-    rateLimitRps: () => hostedTarget.rateLimitRps,
+    rateLimitRps: () => hostedTarget.rateLimit?.rps,
     controlSilentMs: () => controlReporter.sinceLastResponseMs,
   });
   const poison = new PoisonTable({reporterId: forwardAddress, clock});
@@ -149,7 +149,7 @@
     client: targetClient,
     target: () => resolveCurrentTarget(hostedTarget, isAdmissionClosed),
     holdsKey: (key) => hostedTarget.holdsKey(key),
-    rateLimitRps: () => hostedTarget.rateLimitRps,
+    rateLimitRps: () => hostedTarget.rateLimit?.rps,
     grantDueInMs: (key) => hostedTarget.grantDueInMs(key),
     poison,
     onResult: (result, durationMs) => metrics.recordTargetRun(result, durationMs),
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -8,6 +8,8 @@
 import {overlaps} from './keyRange.js';
 import type {KeyRange} from './keyRange.js';
 import type {TargetNotice} from './targetNotice.js';
+import {TargetStatements} from './targetStatements.js';
+import type {RateLimit} from './targetStatements.js';
 
 /** State that a target reports about once a second. */
 export interface Heartbeat {
@@ -62,9 +64,6 @@
   readonly grantApi?: GrantApi;
 }
 
-/** How the daemon learned that its target drains. */
-type DrainSource = 'heartbeat' | 'removal' | 'response' | 'directory';
-
 export type HostedTargetState = 'ready' | 'draining' | 'silent' | 'ended';
 
 /** The directory entry of a daemon's own target. */
@@ -106,15 +105,12 @@
 const REPORT_VALID_HEARTBEATS = 1.5;
 /** Number of ended incarnations to report; more than can start between two reports that arrive. */
 const MAX_REPORTED_INCARNATIONS = 8;
-const NO_NOTICE: TargetNotice = {rateLimitRps: undefined, isLeaving: false};
-/** The target stops accepting requests this long before the drain timeout. */
-const DRAIN_LEAD_TIME_MS = 250;
 
 /** The local target of this daemon: its incarnation, its state and the keys that it may hold. */
 export class HostedTarget {
   private heartbeat: Heartbeat | undefined;
   private heartbeatAtMs = -Infinity;
-  private drainStartedAtMs: number | undefined;
+  private statements: TargetStatements | undefined;
   private ended = false;
   private readonly startedAtMs: number;
   private grantedUntilMs = -Infinity;
@@ -133,10 +129,6 @@
   private readonly outgoingKeys = new OutgoingKeys();
   private endedIncarnationIds: string[] = [];
   private hasSuccessors = false;
-  private notice: TargetNotice = NO_NOTICE;
-  /** Time of the latest notice of the current incarnation. */
-  private noticeAtMs = -Infinity;
-  private limitedSinceMs: number | undefined;
   private keyLoad: KeyLoad | undefined;
   private readonly pushedGrants: PushedGrants | undefined;
   /** Called after a change that is to be reported to the control leader immediately. */
@@ -173,7 +165,7 @@
   get state(): HostedTargetState | undefined {
     if (!this.heartbeat) return undefined;
     if (this.ended) return 'ended';
-    if (this.drainStartedAtMs !== undefined) return 'draining';
+    if (this.statements?.isDraining) return 'draining';
     const silentMs = this.opts.steadyClock.nowMs() - this.heartbeatAtMs;
     return silentMs > SILENT_AFTER_HEARTBEATS * this.opts.heartbeatIntervalMs ? 'silent' : 'ready';
   }
@@ -190,10 +182,8 @@
 
   /** Whether the target accepts new requests. */
   get acceptsRequests(): boolean {
-    const {drainStartedAtMs} = this;
     if (!this.heartbeat || this.ended) return false;
-    if (drainStartedAtMs === undefined) return true;
-    return this.opts.clock.nowMs() - drainStartedAtMs < this.opts.drainMs - DRAIN_LEAD_TIME_MS;
+    return this.statements?.isDrainTimeoutNear !== true;
   }
 
   /** Also true for a while after the start: the previous daemon process may have just sent a grant. */
@@ -234,7 +224,7 @@
   /** Time until the next grant that includes the key; `undefined` when none is planned. */
   grantDueInMs(key: number): number | undefined {
     if (this.opts.clock.nowMs() >= this.leaseUntilMs) return undefined;
-    if (this.drainStartedAtMs !== undefined) return undefined;
+    if (this.statements?.isDraining) return undefined;
     const nowMs = this.opts.steadyClock.nowMs();
     const isPlanned = this.assigned
       .flatMap((range) => this.remainingRanges(range))
@@ -278,53 +268,26 @@
     this.updateReportedHolds(next, previous);
     this.heartbeatAtMs = this.opts.steadyClock.nowMs();
     this.ended = false;
-    if (next.state === 'draining') this.beginDrain('heartbeat');
+    if (next.state === 'draining') this.statements?.beginDrain('heartbeat');
     this.addFreed(next);
     if (this.state !== stateBefore || next.freed.length > 0) this.onChange();
     this.applyGrantPlan();
     return {accepted: true, grant: this.pushedGrants ? undefined : this.createGrant()};
   }
 
-  /** Requests per second that the target accepts in total; `undefined` if it names no limit. */
-  get rateLimitRps(): number | undefined {
-    return this.notice.rateLimitRps;
-  }
-
-  /** The rate limit for a report, with the time since the target first named one. */
-  get rateLimit(): {rps: number; ageMs: number} | undefined {
-    const {limitedSinceMs, rateLimitRps: rps} = this;
-    if (limitedSinceMs === undefined || rps === undefined) return undefined;
-    return {rps, ageMs: Math.round(this.opts.clock.nowMs() - limitedSinceMs)};
+  /** The rate limit that the target names; `undefined` if it names none. */
+  get rateLimit(): RateLimit | undefined {
+    return this.statements?.rateLimit;
   }
 
-  /** Whether the current incarnation has stated anything about itself since this daemon started. */
+  /** Whether a response of the current incarnation has arrived since this daemon started. */
   get hasNotice(): boolean {
-    return this.noticeAtMs > -Infinity;
+    return this.statements?.hasNotice === true;
   }
 
   /** Records what an incarnation of the target stated about itself in a response. */
   recordNotice(incarnation: string, notice: TargetNotice): void {
-    const {rateLimitRps, isLeaving} = this.notice;
-    if (incarnation !== this.incarnation) return;
-    const nowMs = this.opts.clock.nowMs();
-    const ageMs = nowMs - this.noticeAtMs;
-    this.noticeAtMs = nowMs;
-    if (notice.rateLimitRps === rateLimitRps && notice.isLeaving === isLeaving) return;
-    this.opts.logger.info(
-      {
-        life: incarnation,
-        ...notice,
-        before: this.notice,
-        beforeAgeMs: Math.round(ageMs),
-      },
-      'Target changed its notice',
-    );
-    this.notice = notice;
-    const startsDrain = notice.isLeaving && this.beginDrain('response');
-    const wasLimited = this.limitedSinceMs !== undefined;
-    const isLimited = notice.rateLimitRps !== undefined;
-    if (wasLimited !== isLimited) this.limitedSinceMs = isLimited ? nowMs : undefined;
-    if (startsDrain || wasLimited !== isLimited) this.onChange();
+    if (incarnation === this.incarnation && this.statements?.recordNotice(notice)) this.onChange();
   }
 
   /**
@@ -339,7 +302,7 @@
   applyGrantPlan(): void {
     if (!this.pushedGrants || this.ended || this.lastHeartbeatAtMs === -Infinity) return;
     const {assigned, leaseUntilMs} = this;
-    const isHandingOver = this.drainStartedAtMs !== undefined && this.hasSuccessors;
+    const isHandingOver = this.statements?.isDraining === true && this.hasSuccessors;
     this.pushedGrants.applyPlan({
       keep: isHandingOver ? [] : assigned.flatMap((range) => this.remainingRanges(range)),
       revoke: isHandingOver ? assigned : this.outgoingKeys.outgoingRanges,
@@ -361,7 +324,7 @@
     }
     const isDraining = entry.state === 'draining' && entry.life === this.incarnation;
     // The start of the drain is unknown, so its timeout counts as passed.
-    if (isDraining && this.beginDrain('directory', this.opts.drainMs)) this.onChange();
+    if (isDraining && this.statements?.beginDrain('directory', this.opts.drainMs)) this.onChange();
   }
 
   private restoreTarget(entry: RestoredTarget): void {
@@ -378,6 +341,7 @@
       slots,
       ...noHeartbeat,
     };
+    this.statements = this.createStatements(incarnationOf(this.heartbeat));
     this.heartbeatAtMs = this.opts.steadyClock.nowMs();
     this.assumedUntilMs = this.opts.clock.nowMs() + MAX_GRANT_MS;
     this.opts.logger.info({life: entry.life}, 'Restored target of the previous daemon process');
@@ -386,18 +350,7 @@
   /** Starts a drain that the target requested. It continues to serve its keys until `drainMs`. */
   startDraining(targetId: string): void {
     if (this.heartbeat?.targetId !== targetId) return;
-    if (this.beginDrain('removal')) this.onChange();
-  }
-
-  /**
-   * Starts the drain of the current incarnation, however the target announced it; it never returns to
-   * service. `agoMs` is the time since the announcement. Returns whether it was not draining yet.
-   */
-  private beginDrain(source: DrainSource, agoMs = 0): boolean {
-    if (this.drainStartedAtMs !== undefined) return false;
-    this.drainStartedAtMs = this.opts.clock.nowMs() - agoMs;
-    this.opts.logger.info({life: this.incarnation, source, agoMs}, 'Target started draining');
-    return true;
+    if (this.statements?.beginDrain('removal')) this.onChange();
   }
 
   /** Records that no process listens at the target's address any more. */
@@ -409,7 +362,7 @@
     this.grantedUntilMs = -Infinity;
     this.steadyGrantedUntilMs = -Infinity;
     this.opts.logger.info({life: this.incarnation}, 'Target process exited');
-    if (this.drainStartedAtMs === undefined) this.onCrash(incarnationOf(this.heartbeat));
+    if (!this.statements?.isDraining) this.onCrash(incarnationOf(this.heartbeat));
     this.onChange();
   }
 
@@ -476,7 +429,7 @@
       {life: incarnationOf(next), former: previous && incarnationOf(previous)},
       'Target started a new incarnation',
     );
-    if (previous && !this.ended && this.drainStartedAtMs === undefined)
+    if (previous && !this.ended && !this.statements?.isDraining)
       this.onCrash(incarnationOf(previous));
     if (previous)
       this.endedIncarnationIds = [...this.endedIncarnationIds, incarnationOf(previous)].slice(
@@ -484,10 +437,7 @@
       );
     // A response to a report of the previous incarnation must not renew the lease for this one.
     this.invalidateLease();
-    this.drainStartedAtMs = undefined;
-    this.notice = NO_NOTICE;
-    this.noticeAtMs = -Infinity;
-    this.limitedSinceMs = undefined;
+    this.statements = this.createStatements(incarnationOf(next));
     this.pushedGrants?.reset();
     this.granted = [];
     this.grantedUntilMs = -Infinity;
@@ -497,6 +447,10 @@
     this.outgoingKeys.reset();
   }
 
+  private createStatements(incarnation: string): TargetStatements {
+    return new TargetStatements({...this.opts, incarnation});
+  }
+
   private addFreed({freed}: Heartbeat): void {
     for (const {fromKey, toKey, handover} of freed) {
       if (!this.outgoingKeys.hasHandover(handover)) this.addRelease({fromKey, toKey}, handover);
@@ -531,7 +485,7 @@
     const remainingMs = (this.leaseUntilMs - nowMs) * CLOCK_RATE_MARGIN;
     const holdMs = Math.floor(Math.min(MAX_GRANT_MS, this.opts.maxHoldMs, remainingMs));
     if (holdMs < MIN_GRANT_MS) return undefined;
-    const isHandingOver = this.drainStartedAtMs !== undefined && this.hasSuccessors;
+    const isHandingOver = this.statements?.isDraining === true && this.hasSuccessors;
     const ranges = isHandingOver
       ? []
       : this.assigned.flatMap((range) => this.remainingRanges(range));
--- /dev/null
+++ b/targets/key-holds/src/targetStatements.ts
@@ -0,0 +1,86 @@
+import type {Clock} from '@medlarlane/lifecycle';
+import type {Logger} from '@medlarlane/logger';
+import type {TargetNotice} from './targetNotice.js';
+
+/** How the daemon learned that its target drains. */
+export type DrainSource = 'heartbeat' | 'removal' | 'response' | 'directory';
+
+/** A rate limit and the time since the target first named one. */
+export interface RateLimit {
+  readonly rps: number;
+  readonly ageMs: number;
+}
+
+/** The target stops accepting requests this long before the drain timeout. */
+const DRAIN_LEAD_TIME_MS = 250;
+const NO_NOTICE: TargetNotice = {rateLimitRps: undefined, isLeaving: false};
+
+/** What one incarnation of a target has stated about itself: its rate limit and that it drains. */
+export class TargetStatements {
+  private notice = NO_NOTICE;
+  private noticeAtMs = -Infinity;
+  private limitedSinceMs: number | undefined;
+  private drainStartedAtMs: number | undefined;
+
+  constructor(
+    private readonly opts: {
+      readonly incarnation: string;
+      readonly clock: Clock;
+      readonly drainMs: number;
+      readonly logger: Logger;
+    },
+  ) {}
+
+  /** Whether a response has stated anything, also that there is no limit. */
+  get hasNotice(): boolean {
+    return this.noticeAtMs > -Infinity;
+  }
+
+  get isDraining(): boolean {
+    return this.drainStartedAtMs !== undefined;
+  }
+
+  get isDrainTimeoutNear(): boolean {
+    const {clock, drainMs} = this.opts;
+    const drainingMs = clock.nowMs() - (this.drainStartedAtMs ?? Infinity);
+    return drainingMs >= drainMs - DRAIN_LEAD_TIME_MS;
+  }
+
+  get rateLimit(): RateLimit | undefined {
+    const {limitedSinceMs} = this;
+    const rps = this.notice.rateLimitRps;
+    if (limitedSinceMs === undefined || rps === undefined) return undefined;
+    return {rps, ageMs: Math.round(this.opts.clock.nowMs() - limitedSinceMs)};
+  }
+
+  /** Records a notice. Returns whether a drain or a limit has started or a limit has ended. */
+  recordNotice(notice: TargetNotice): boolean {
+    const {clock, logger, incarnation} = this.opts;
+    const before = this.notice;
+    const nowMs = clock.nowMs();
+    const beforeAgeMs = Math.round(nowMs - this.noticeAtMs);
+    this.noticeAtMs = nowMs;
+    const hasChanged =
+      notice.rateLimitRps !== before.rateLimitRps || notice.isLeaving !== before.isLeaving;
+    if (!hasChanged) return false;
+    logger.info({life: incarnation, ...notice, before, beforeAgeMs}, 'Target changed its notice');
+    this.notice = notice;
+    const wasLimited = before.rateLimitRps !== undefined;
+    const isLimited = notice.rateLimitRps !== undefined;
+    if (wasLimited !== isLimited) this.limitedSinceMs = isLimited ? nowMs : undefined;
+    const startsDrain = notice.isLeaving && this.beginDrain('response');
+    return startsDrain || wasLimited !== isLimited;
+  }
+
+  /**
+   * Starts the drain, however the target announced it; an incarnation never returns to service. `agoMs` is
+   * the time since the announcement. Returns whether it was not draining yet.
+   */
+  beginDrain(source: DrainSource, agoMs = 0): boolean {
+    const {clock, logger, incarnation} = this.opts;
+    if (this.isDraining) return false;
+    this.drainStartedAtMs = clock.nowMs() - agoMs;
+    logger.info({life: incarnation, source, agoMs}, 'Target started draining');
+    return true;
+  }
+}
--- a/targets/key-holds/test/hostedTarget.test.ts
+++ b/targets/key-holds/test/hostedTarget.test.ts
@@ -50,14 +50,14 @@
     sendHeartbeat({sequence: 1, startedAtMs: 1_000});
     hosted.recordNotice('i-1/1000', {rateLimitRps: 30.1, isLeaving: false});
     sendHeartbeat({sequence: 2, startedAtMs: 1_000});
-    assert.equal(hosted.rateLimitRps, 30.1);
+    assert.equal(hosted.rateLimit?.rps, 30.1);
     hosted.recordNotice('i-1/1000', {rateLimitRps: undefined, isLeaving: false});
-    assert.equal(hosted.rateLimitRps, undefined);
+    assert.equal(hosted.rateLimit?.rps, undefined);
     hosted.recordNotice('i-1/1000', {rateLimitRps: 12, isLeaving: false});
     sendHeartbeat({sequence: 1, startedAtMs: 2_000});
-    assert.equal(hosted.rateLimitRps, undefined);
+    assert.equal(hosted.rateLimit?.rps, undefined);
     hosted.recordNotice('i-1/1000', {rateLimitRps: 12, isLeaving: false});
-    assert.equal(hosted.rateLimitRps, undefined);
+    assert.equal(hosted.rateLimit?.rps, undefined);
   });
 
   it('reports for how long it has named rate limits, however these change', async () => {
@@ -80,16 +80,16 @@
     } as const;
     const {hosted} = startHosted();
     hosted.restore(entry);
-    assert.equal(hosted.rateLimitRps, 12.5);
+    assert.equal(hosted.rateLimit?.rps, 12.5);
     const heartbeatFirst = startHosted();
     heartbeatFirst.sendHeartbeat({sequence: 9, startedAtMs: 1_000});
     heartbeatFirst.hosted.restore(entry);
-    assert.equal(heartbeatFirst.hosted.rateLimitRps, 12.5);
+    assert.equal(heartbeatFirst.hosted.rateLimit?.rps, 12.5);
     const responseFirst = startHosted();
     responseFirst.sendHeartbeat({sequence: 9, startedAtMs: 1_000});
     responseFirst.hosted.recordNotice('i-1/1000', {rateLimitRps: undefined, isLeaving: false});
     responseFirst.hosted.restore(entry);
-    assert.equal(responseFirst.hosted.rateLimitRps, undefined);
+    assert.equal(responseFirst.hosted.rateLimit?.rps, undefined);
   });
 
   // Guards against incident target-limit-ignored: only heartbeats were read for a target that leaves.
