--- a/routing/request-path/src/createTargetClient.ts
+++ b/routing/request-path/src/createTargetClient.ts
@@ -3,7 +3,13 @@
 import type {TargetNotice} from '@medlarlane/key-holds';
 import {readMessageBody} from '@medlarlane/rpc';
 import {endToEndHeaders} from './endToEndHeaders.js';
-import type {Offer, RequestFrame, RunResult, TargetHeaderCodec} from './messages.js';
+import type {
+  Offer,
+  RequestFrame,
+  RunResult,
+  TargetHeaderCodec,
+  TargetResponseFields,
+} from './messages.js';
 
 export interface TargetClientOptions {
   readonly host: string;
@@ -43,6 +49,8 @@
 /** Maximum number of interim responses (1xx) to a request; a target that sends more is faulty. */
 const MAX_INTERIM_RESPONSES = 16;
 const OK_STATUS = 200;
+/** Status of a response whose sender is not the addressed instance or does not own the key. */
+const MISDIRECTED_STATUS = 421;
 const FIRST_FAILURE_STATUS = 300;
 /**
  * Grace period after the deadline. The target stops at its deadline by itself, and the response that it
@@ -163,14 +171,16 @@
       if (interimResponses > MAX_INTERIM_RESPONSES) fail();
     });
     request.on('response', (response) => {
-      const notice = readNotice(headerCodec, offer, response);
-      if (notice) onNotice?.(offer.life, notice);
+      const fields = headerCodec.readResponse(response.headers);
+      const isFromTarget =
+        fields.requestId === offer.requestId && response.statusCode !== MISDIRECTED_STATUS;
+      if (isFromTarget) onNotice?.(offer.life, fields.notice);
       memoryLimiter.track(response, fail);
       const bodyPromise = hasExplicitLength(response.headers)
         ? readMessageBody(response, MAX_RESPONSE_BYTES)
         : readUntilClose(response);
       bodyPromise.then((body) => {
-        const result = classifyResponse(headerCodec, offer, response, body);
+        const result = classifyResponse(fields, offer, response, body);
         settle(result);
         // The connection may already be back in the pool, and further data on it cannot be trusted.
         if (result.kind === 'lost') connection?.destroy();
@@ -208,26 +218,12 @@
   return body;
 }
 
-/** Status of a response whose sender is not the addressed instance or does not own the key. */
-const MISDIRECTED_STATUS = 421;
-
-/** Returns the notice in a response that is known to come from the target. */
-function readNotice(
-  headerCodec: TargetHeaderCodec,
-  offer: Offer,
-  {headers, statusCode}: http.IncomingMessage,
-): TargetNotice | undefined {
-  const {requestId, notice} = headerCodec.readResponse(headers);
-  return requestId === offer.requestId && statusCode !== MISDIRECTED_STATUS ? notice : undefined;
-}
-
 function classifyResponse(
-  headerCodec: TargetHeaderCodec,
+  {requestId, notExecuted, sealed}: TargetResponseFields,
   offer: Offer,
   response: http.IncomingMessage,
   body: Buffer,
 ): RunResult {
-  const {requestId, notExecuted, sealed} = headerCodec.readResponse(response.headers);
   const status = response.statusCode ?? 0;
   // A target that rejects a request early does not know its ID yet.
   if (notExecuted && (requestId === offer.requestId || requestId === undefined)) {
--- a/routing/request-path/src/index.ts
+++ b/routing/request-path/src/index.ts
@@ -9,7 +9,7 @@
 export {createPeerClient} from './createPeerClient.js';
 export type {PeerClient} from './createPeerClient.js';
 export {createTargetClient} from './createTargetClient.js';
-export type {TargetClient} from './createTargetClient.js';
+export type {TargetClient, TargetClientOptions} from './createTargetClient.js';
 export type {
   TargetLoad,
   Offer,
--- a/routing/request-path/src/messages.ts
+++ b/routing/request-path/src/messages.ts
@@ -125,6 +125,17 @@
     }
   | {readonly kind: 'lost'; readonly code: ErrorCode; readonly load?: TargetLoad};
 
+/** What the headers of a target's response say. */
+export interface TargetResponseFields {
+  readonly requestId: string | undefined;
+  /** Whether the target guarantees that it did not run the request. */
+  readonly notExecuted: boolean;
+  /** Whether the response carries the signature of the target. */
+  readonly sealed: boolean;
+  /** What the target states about itself. */
+  readonly notice: TargetNotice;
+}
+
 /** Maps request and response properties to the HTTP headers exchanged with targets. */
 export interface TargetHeaderCodec {
   /** Headers that the daemon sets on a request to a target. */
@@ -135,14 +146,7 @@
     callerService: string;
   }): string[];
   /** Reads the headers of a response. */
-  readResponse(headers: IncomingHttpHeaders): {
-    requestId: string | undefined;
-    /** Whether the target guarantees that it did not run the request. */
-    notExecuted: boolean;
-    /** Whether the response carries the signature of the target. */
-    sealed: boolean;
-    notice: TargetNotice;
-  };
+  readResponse(headers: IncomingHttpHeaders): TargetResponseFields;
 }
 
 /** Maps request and response properties to the HTTP headers exchanged with callers. */
--- a/routing/request-path/test/targetClient.test.ts
+++ b/routing/request-path/test/targetClient.test.ts
@@ -5,7 +5,13 @@
 import {after, describe, it} from 'node:test';
 import {DisposableStore} from '@medlarlane/lifecycle';
 import {createTargetClient} from '@medlarlane/request-path';
-import type {Offer, RunResult, TargetClient, TargetHeaderCodec} from '@medlarlane/request-path';
+import type {
+  Offer,
+  RunResult,
+  TargetClient,
+  TargetClientOptions,
+  TargetHeaderCodec,
+} from '@medlarlane/request-path';
 
 const headerCodec: TargetHeaderCodec = {
   requestHeaders: ({requestId}) => ['x-id', requestId],
@@ -105,6 +111,23 @@
     });
   }
 
+  // Guards against incident target-limit-ignored: responses were not read for what a target states.
+  it('passes on what the target states in its own responses only', async () => {
+    const states = 'x-limit: 7.5\r\nx-leaving: 1\r\nContent-Length: 0\r\n\r\n';
+    const notices: unknown[] = [];
+    const client = await startTarget(
+      disposables,
+      (socket, id) => {
+        const status = id === 'other-owner' ? '421 Misdirected' : '503 Full';
+        const responseId = id === 'foreign' ? 'another' : id;
+        socket.write(`HTTP/1.1 ${status}\r\nx-id: ${responseId}\r\nx-not-run: 1\r\n${states}`);
+      },
+      (life, notice) => notices.push([life, notice]),
+    );
+    for (const id of ['other-owner', 'foreign', 'rejected']) await run(client, id);
+    assert.deepEqual(notices, [['a/1', {rateLimitRps: 7.5, isLeaving: true}]]);
+  });
+
   it('does not reuse a connection that received data without a request', async () => {
     const connections = new Set<Socket>();
     const client = await startTarget(disposables, (socket, id) => {
@@ -262,6 +285,7 @@
 async function startTarget(
   disposables: DisposableStore,
   respond: (socket: Socket, id: string) => void,
+  onNotice?: TargetClientOptions['onNotice'],
 ): Promise<TargetClient> {
   const sockets = new Set<Socket>();
   const server = net.createServer((socket) => {
@@ -279,6 +303,7 @@
     host: '127.0.0.1',
     port,
     headerCodec,
+    ...(onNotice ? {onNotice} : {}),
     maxConnections: 4,
   });
   disposables.add(() => {
