Start cautiously with a target whose limits a restarted daemon does not know

A daemon that is restarted while the control leader cannot be reached, or whose target's heartbeat comes first, sent as many requests as there are slots before the first response could name a limit (18 slots; a limit of 2 a second allows 17 in 4 s), and took a target that was leaving for ready for another drain time. Found by reading; both tests of HostedTarget fail without it. Until the target or the leader has been heard the target gets 10 requests a second, which one response ends; a first response that states leaving counts as one whose drain time has passed.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -149,7 +149,7 @@
     client: targetClient,
     target: () => resolveCurrentTarget(hostedTarget, isAdmissionClosed),
     holdsKey: (key) => hostedTarget.holdsKey(key),
-    rateLimitRps: () => hostedTarget.rateLimit?.rps,
+    rateLimitRps: () => hostedTarget.permittedRps,
     grantDueInMs: (key) => hostedTarget.grantDueInMs(key),
     poison,
     onResult: (result, durationMs) => metrics.recordTargetRun(result, durationMs),
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -76,6 +76,9 @@
   readonly rateLimitRps?: number | undefined;
 }
 
+/** Rate at which a target is used whose limit is unknown; it takes one response to know it. */
+const UNKNOWN_LIMIT_RPS = 10;
+
 /** A range that the control leader assigned to the current incarnation. */
 export interface AssignedRange extends GrantedRange {
   readonly ownerLife: string;
@@ -129,6 +132,7 @@
   private readonly outgoingKeys = new OutgoingKeys();
   private endedIncarnationIds: string[] = [];
   private hasSuccessors = false;
+  private hasHeardLeader = false;
   private keyLoad: KeyLoad | undefined;
   private readonly pushedGrants: PushedGrants | undefined;
   /** Called after a change that is to be reported to the control leader immediately. */
@@ -280,6 +284,15 @@
     return this.statements?.rateLimit;
   }
 
+  /**
+   * Requests per second that may be sent to the target; `undefined` without a limit. A restarted daemon
+   * starts cautiously until the target or the leader has told it whether there is a limit.
+   */
+  get permittedRps(): number | undefined {
+    if (!this.hasHeardLeader && !this.hasNotice) return UNKNOWN_LIMIT_RPS;
+    return this.rateLimit?.rps;
+  }
+
   /** Whether a response of the current incarnation has arrived since this daemon started. */
   get hasNotice(): boolean {
     return this.statements?.hasNotice === true;
@@ -375,6 +388,7 @@
     /** Whether another target can take over keys that this one releases. */
     hasSuccessors: boolean;
   }): void {
+    this.hasHeardLeader = true;
     const isLeaseGranted = response.leaseMs > 0 && response.sentAtMs >= this.minReportSentAtMs;
     if (isLeaseGranted)
       this.leaseUntilMs = Math.max(this.leaseUntilMs, response.sentAtMs + response.leaseMs);
--- a/targets/key-holds/src/targetStatements.ts
+++ b/targets/key-holds/src/targetStatements.ts
@@ -57,6 +57,7 @@
   recordNotice(notice: TargetNotice): boolean {
     const {clock, logger, incarnation} = this.opts;
     const before = this.notice;
+    const isFirst = !this.hasNotice;
     const nowMs = clock.nowMs();
     const beforeAgeMs = Math.round(nowMs - this.noticeAtMs);
     this.noticeAtMs = nowMs;
@@ -68,7 +69,9 @@
     const wasLimited = before.rateLimitRps !== undefined;
     const isLimited = notice.rateLimitRps !== undefined;
     if (wasLimited !== isLimited) this.limitedSinceMs = isLimited ? nowMs : undefined;
-    const startsDrain = notice.isLeaving && this.beginDrain('response');
+    // A restarted daemon does not know since when the target has been leaving.
+    const leavingForMs = isFirst ? this.opts.drainMs : 0;
+    const startsDrain = notice.isLeaving && this.beginDrain('response', leavingForMs);
     return startsDrain || wasLimited !== isLimited;
   }
 
--- a/targets/key-holds/test/hostedTarget.test.ts
+++ b/targets/key-holds/test/hostedTarget.test.ts
@@ -103,6 +103,7 @@
       const fixture = startHosted();
       const {hosted, clock, sendHeartbeat} = fixture;
       sendHeartbeat({sequence: 1});
+      hosted.recordNotice('i-1/1000', {rateLimitRps: undefined, isLeaving: false});
       announce(fixture);
       assert.deepEqual([hosted.state, hosted.acceptsRequests], ['draining', true]);
       await clock.advance(1_000);
@@ -116,6 +117,26 @@
     }
   });
 
+  // A daemon that is restarted while the control leader cannot be reached knows nothing of its target.
+  it('is used cautiously until it or the leader has told a restarted daemon of limits', () => {
+    const toldByTarget = startHosted();
+    toldByTarget.sendHeartbeat({sequence: 9});
+    assert.ok(toldByTarget.hosted.permittedRps! <= 10);
+    toldByTarget.hosted.recordNotice('i-1/1000', {rateLimitRps: undefined, isLeaving: false});
+    assert.equal(toldByTarget.hosted.permittedRps, undefined);
+    const toldByLeader = startHosted();
+    toldByLeader.sendHeartbeat({sequence: 9});
+    toldByLeader.renewLease({});
+    assert.equal(toldByLeader.hosted.permittedRps, undefined);
+  });
+
+  it('accepts nothing if its first response to a restarted daemon states that it is leaving', () => {
+    const {hosted, sendHeartbeat} = startHosted();
+    sendHeartbeat({sequence: 9});
+    hosted.recordNotice('i-1/1000', {rateLimitRps: undefined, isLeaving: true});
+    assert.deepEqual([hosted.state, hosted.acceptsRequests], ['draining', false]);
+  });
+
   it('accepts nothing after a restart of its daemon if it was draining before', () => {
     const entry = {targetId: 'i-1', service: 'vault', slots: 8, state: 'draining'} as const;
     const restarted = startHosted();
