--- a/control/site-control/src/planKeys.ts
+++ b/control/site-control/src/planKeys.ts
@@ -28,9 +28,9 @@
 const MAX_STRIPES_PER_TARGET = 32;
 
 /**
- * Assigns unowned keys to the targets with the fewest keys for what they can use, in stripes. Busy keys are often adjacent, so
- * stripes spread their load before any load is measured. They also spread the load of a lost target over
- * all others.
+ * Assigns unowned keys to the targets with the fewest keys relative to their usable slots, in stripes.
+ * Busy keys are often adjacent, so stripes spread their load before any load is measured. They also
+ * spread the load of a lost target over all others.
  */
 export function planKeys({ranges, targets, isLeaseExpired, isServing}: KeyPlanInput): KeyPlan {
   if (targets.length === 0) return {assignments: []};
