Revert "Prefer limited targets for long requests and others for short ones"

The limits were used in full either way; 40% of their tokens still went to calls, because both targets without a limit were full and the preference only orders targets that look free. Reserving the tokens for long requests would need their rate to be known, or tokens stay unused.

--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -274,8 +274,7 @@
 ): Promise<FinalResponse> {
   const {view, clock} = opts;
   const key = view.isKeyed(service) ? context.key : undefined;
-  if (key === undefined) view.recordLatencyTarget(service, route.targetLatencyMs);
-  const offerPlan = new OfferPlan(view, service, key, route.targetLatencyMs);
+  const offerPlan = new OfferPlan(view, service, key);
   let executionCount = 0;
   let lastResult: RunResult | undefined;
   while (times.deadlineAtMs - clock.nowMs() >= MIN_ATTEMPT_MS && !context.abort.signal.aborted) {
--- a/routing/request-path/src/offerPlan.ts
+++ b/routing/request-path/src/offerPlan.ts
@@ -32,8 +32,6 @@
     private readonly service: string,
     /** Present if the targets of the service own keys. */
     private readonly key: number | undefined,
-    /** Latency target of the route. */
-    private readonly targetLatencyMs?: number,
   ) {}
 
   /** Returns the next offer, or `undefined` if no further offer is worth a round trip. */
@@ -54,9 +52,7 @@
 
   private offerToAnyTarget(): PlannedOffer | undefined {
     const isLast = this.offers === MAX_OFFERS - 1;
-    const freeInstance = isLast
-      ? undefined
-      : this.view.pickFreeInstance(this.service, this.tried, this.targetLatencyMs);
+    const freeInstance = isLast ? undefined : this.view.pickFreeInstance(this.service, this.tried);
     if (freeInstance) return {instance: freeInstance, isFinal: false};
     const instance = this.view.pickShortestQueue(this.service, this.excluded);
     return instance && {instance, isFinal: true};
--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -78,10 +78,6 @@
 const OTHER_ZONE_FACTOR = 1.25;
 /** A free instance in the local zone is preferred unless it is slower by more than this factor. */
 const LOCAL_PREFERENCE_FACTOR = 2;
-/** Weight of a new request in the mean latency target of a service. */
-const LATENCY_TARGET_SMOOTHING = 0.02;
-/** Bound of the preference between targets with and without a rate limit. */
-const MAX_LIMIT_FACTOR = 4;
 /** A target in its cold start runs at about half its speed. */
 const COLD_FACTOR = 2;
 
@@ -101,8 +97,6 @@
   private ranges = new Map<string, readonly OwnedRange[]>();
   private readonly statsByIncarnation = new Map<string, InstanceStats>();
   private readonly sentByRoute = new Map<string, number[]>();
-  /** Smoothed latency target of the requests of this daemon, by service. */
-  private readonly meanLatencyTargetMs = new Map<string, number>();
 
   constructor(
     private readonly opts: {
@@ -234,18 +228,8 @@
    * Picks an instance outside `tried` that is likely to have a free slot, using the power of two choices.
    * The local availability zone is preferred unless its instance is much slower or fails. Returns
    * `undefined` if all instances are likely full.
-   *
-   * A rate limit counts requests, slots count their work: requests with a long latency target prefer
-   * targets with a limit, and short ones those without.
    */
-  pickFreeInstance(
-    service: string,
-    tried: ReadonlySet<string>,
-    targetLatencyMs?: number,
-  ): InstanceView | undefined {
-    const limitFactor = this.limitFactor(service, targetLatencyMs);
-    const predictedMs = (entry: InstanceView, defaultMeanMs?: number): number =>
-      this.predictedMs(entry, defaultMeanMs) * (this.isLimited(entry) ? limitFactor : 1);
+  pickFreeInstance(service: string, tried: ReadonlySet<string>): InstanceView | undefined {
     const nowMs = this.opts.clock.nowMs();
     const list = this.availableByService.get(service) ?? [];
     const isFree = (entry: InstanceView): boolean =>
@@ -254,27 +238,12 @@
       this.estimateOccupancy(entry.life) < this.usableSlots(entry);
     const isLocalAndFree = (entry: InstanceView): boolean =>
       entry.availabilityZone === this.opts.availabilityZone && isFree(entry);
-    const local = this.drawBetterOfTwo(list, isLocalAndFree, predictedMs);
-    const any = this.drawBetterOfTwo(list, isFree, predictedMs);
+    const local = this.drawBetterOfTwo(list, isLocalAndFree);
+    const any = this.drawBetterOfTwo(list, isFree);
     if (!local || !any) return local ?? any;
     // An instance without statistics is assumed to be as fast as the local one.
-    const anyMs = predictedMs(any, this.statsOf(local.life).load?.meanMs);
-    return predictedMs(local) <= anyMs * LOCAL_PREFERENCE_FACTOR ? local : any;
-  }
-
-  /** Records a request's latency target, which indicates how long its work takes compared to others. */
-  recordLatencyTarget(service: string, targetLatencyMs: number): void {
-    const mean = this.meanLatencyTargetMs.get(service) ?? targetLatencyMs;
-    const smoothed = mean + (targetLatencyMs - mean) * LATENCY_TARGET_SMOOTHING;
-    this.meanLatencyTargetMs.set(service, smoothed);
-  }
-
-  /** Factor by which a target with a rate limit is more costly for a request than for an average one. */
-  private limitFactor(service: string, targetLatencyMs = 0): number {
-    const meanMs = this.meanLatencyTargetMs.get(service);
-    if (meanMs === undefined || targetLatencyMs <= 0) return 1;
-    const factor = meanMs / targetLatencyMs;
-    return Math.min(MAX_LIMIT_FACTOR, Math.max(1 / MAX_LIMIT_FACTOR, factor));
+    const anyMs = this.predictedMs(any, this.statsOf(local.life).load?.meanMs);
+    return this.predictedMs(local) <= anyMs * LOCAL_PREFERENCE_FACTOR ? local : any;
   }
 
   /**
@@ -307,12 +276,11 @@
   private drawBetterOfTwo(
     list: readonly InstanceView[],
     isEligible: (instance: InstanceView) => boolean,
-    predictedMs = (entry: InstanceView): number => this.predictedMs(entry),
   ): InstanceView | undefined {
     const a = this.draw(list, isEligible);
     if (!a) return undefined;
     const b = this.draw(list, (entry) => entry !== a && isEligible(entry));
-    return !b || predictedMs(a) <= predictedMs(b) ? a : b;
+    return !b || this.predictedMs(a) <= this.predictedMs(b) ? a : b;
   }
 
   /** Returns the first eligible instance, searching from a random index. */
@@ -395,11 +363,6 @@
     return isCurrent ? load.inFlight + load.waiting + sentSinceLoad : outstanding;
   }
 
-  /** Whether the target's rate limit, not its slots, bounds what it takes. */
-  private isLimited(entry: InstanceView): boolean {
-    return this.usableSlots(entry) < entry.slots;
-  }
-
   /** Slots that the target can use: those that its rate limit keeps busy, by Little's law. */
   private usableSlots({life, slots, rateLimitRps}: InstanceView): number {
     const {load} = this.statsOf(life);
