--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -54,8 +54,8 @@
  * within a second, but a daemon that is partitioned from the leader can still serve requests.
  */
 const KEEP_UNCONFIRMED_MS = 20_000;
+/** Time for which an instance that refused for overload is avoided; longer under a low rate limit. */
 const AVOID_OVERLOADED_MS = 30;
-/** The same at most, if the target's rate limit permits requests less often. */
 const MAX_AVOID_OVERLOADED_MS = 500;
 /**
  * After an overload refusal, no request is offered to the owner of a key for this time. Its daemon would
