--- a/routing/admission/src/slotQueue.ts
+++ b/routing/admission/src/slotQueue.ts
@@ -129,7 +129,7 @@
       this.waiters.length === 0 &&
       this.rateLimiter.tryTake()
     ) {
-      if (this.canMeetLatencyTarget(request, nowMs)) this.recordTimelyRequest(nowMs);
+      this.recordTimelyRequest(nowMs);
       return Promise.resolve(this.grant(nowMs));
     }
     const ahead = this.waiters.filter((waiter) => !precedesByTarget(request, waiter)).length;
