--- a/routing/admission/src/rateLimiter.ts
+++ b/routing/admission/src/rateLimiter.ts
@@ -7,7 +7,7 @@
 }
 
 const MS_PER_S = 1_000;
-/** Tokens accumulate for at most this time, which bounds the requests in a window to a little over the limit. */
+/** Tokens accumulate for at most this time, which bounds bursts after a pause. */
 const MAX_BURST_MS = 250;
 /** A lower limit counts as this rate, because only a response tells that the limit has ended. */
 const MIN_RATE_RPS = 0.5;
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -76,9 +76,6 @@
   readonly rateLimitRps?: number | undefined;
 }
 
-/** Rate at which a target is used whose limit is unknown; it takes one response to know it. */
-const UNKNOWN_LIMIT_RPS = 10;
-
 /** A range that the control leader assigned to the current incarnation. */
 export interface AssignedRange extends GrantedRange {
   readonly ownerLife: string;
@@ -106,6 +103,8 @@
 const OVERDUE_AFTER_HEARTBEATS = 1.3;
 /** The reported holds are used until the next heartbeat, which may be slightly late. */
 const REPORT_VALID_HEARTBEATS = 1.5;
+/** Rate of requests to a target until its first response tells whether it names a limit. */
+const UNKNOWN_LIMIT_RPS = 10;
 /** Number of ended incarnations to report; more than can start between two reports that arrive. */
 const MAX_REPORTED_INCARNATIONS = 8;
 
