--- a/protocol/site-config/src/index.ts
+++ b/protocol/site-config/src/index.ts
@@ -4,6 +4,7 @@
 export {
   configurationChangeSchema,
   INITIAL_CONFIGURATION,
+  isIdempotent,
   limitsSchema,
   routeSchema,
   serviceSchema,
@@ -16,5 +17,6 @@
   Route,
   SiteConfiguration,
   SiteService,
+  WarmUp,
   WeightedService,
 } from './siteConfiguration.js';
--- a/protocol/site-config/src/siteConfiguration.ts
+++ b/protocol/site-config/src/siteConfiguration.ts
@@ -5,8 +5,11 @@
 
 const weightedServiceSchema = z.object({service: z.string(), weight: z.number()});
 
-/** `safe` requests may be executed more than once, all others at most once. */
-const requestKindSchema = z.enum(['safe', 'unsafe', 'upload']);
+/**
+ * `safe` requests and `download` requests, which have large responses, may be executed more than once, all
+ * others at most once.
+ */
+const requestKindSchema = z.enum(['safe', 'unsafe', 'upload', 'download']);
 
 export const routeSchema = z.object({
   name: z.string(),
@@ -27,12 +30,23 @@
   extras: extrasSchema,
 });
 
+const warmUpSchema = z.object({
+  /** Time for which a target is cold. */
+  durationMs: z.number(),
+  /** Requests per second that a cold target tolerates. */
+  permittedRps: z.number(),
+});
+
 export const serviceSchema = z.object({
   name: z.string(),
   /** Maximum number of connections that one target accepts from all callers together. */
   maxConnections: z.number(),
   /** Whether the keys are partitioned among the targets. */
   keyed: z.boolean(),
+  /** Path of the targets' health check. */
+  healthPath: z.string().optional(),
+  /** What a target tolerates for some time after its start; absent if the service has no such bound. */
+  warmUp: warmUpSchema.optional(),
   extras: extrasSchema,
 });
 
@@ -72,6 +86,7 @@
 });
 
 export type RequestKind = z.infer<typeof requestKindSchema>;
+export type WarmUp = z.infer<typeof warmUpSchema>;
 export type WeightedService = z.infer<typeof weightedServiceSchema>;
 export type Route = z.infer<typeof routeSchema>;
 export type SiteService = z.infer<typeof serviceSchema>;
@@ -92,3 +107,10 @@
     extras: {},
   },
 };
+
+const IDEMPOTENT_KINDS: ReadonlySet<RequestKind> = new Set(['safe', 'download']);
+
+/** Whether requests of this kind may be executed more than once. */
+export function isIdempotent(kind: RequestKind): boolean {
+  return IDEMPOTENT_KINDS.has(kind);
+}
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -7,6 +7,7 @@
 import type {PoisonTable} from '@medlarlane/poison';
 import type {RetryBudget} from '@medlarlane/retry';
 import {readMessageBody} from '@medlarlane/rpc';
+import {isIdempotent} from '@medlarlane/site-config';
 import type {Route} from '@medlarlane/site-config';
 import type {PeerClient} from './createPeerClient.js';
 import {endToEndHeaders} from './endToEndHeaders.js';
@@ -301,12 +302,12 @@
     lastResult = preferredResult(lastResult, result);
     if (result.kind === 'answered') {
       const isRetryable =
-        route.kind === 'safe' &&
+        isIdempotent(route.kind) &&
         result.answer.status >= 500 &&
         executionCount + 1 < route.maxAttempts;
       if (!isRetryable) break;
     }
-    if (result.kind === 'lost' && route.kind !== 'safe') break;
+    if (result.kind === 'lost' && !isIdempotent(route.kind)) break;
     if (result.kind !== 'refused') executionCount += 1;
     if (executionCount >= route.maxAttempts) break;
   }
@@ -356,7 +357,7 @@
           address: instance.forwardAddress,
           offer,
           frame,
-          idempotent: route.kind === 'safe',
+          idempotent: isIdempotent(route.kind),
           signal,
         });
   view.recordResult(instance.life, result);
