Keep the order of pipelined requests and close connections after the last one sent

Several requests may arrive on a caller's connection before the first is answered. They were all sent to targets at once, also behind a response that closed the connection, in which case their responses were discarded. Bytes that are no request were answered with 400 ahead of the responses of requests at targets. A disconnection did not cancel requests whose response had to wait for an earlier one, and the stop of the daemon waited for them.

CallerConnections starts the requests of a connection in order, at most 8 at a time and only safe ones together, and gives each response its turn. Once a close is decided, requests that were not started count as not read, and the response to the last started request closes the connection. A request whose deadline passed while it waited is refused as not run.

--- a/apps/site/src/startCallerListener.ts
+++ b/apps/site/src/startCallerListener.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import http from 'node:http';
+import type {Duplex} from 'node:stream';
 import type {Logger} from '@medlarlane/logger';
 import type {RequestLimits} from '@medlarlane/site-config';
 
@@ -8,6 +9,8 @@
   readonly port: number;
   readonly limits: RequestLimits;
   readonly handle: (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>;
+  /** Closes a connection after its pending responses; returns false if there are none. */
+  readonly closeAfterPending: (connection: Duplex) => boolean;
   readonly logger: Logger;
 }
 
@@ -44,6 +47,8 @@
     socket.once('close', () => (connections -= 1));
   });
   server.on('clientError', (failure: NodeJS.ErrnoException, socket) => {
+    // An error response would be taken for the response to an earlier request.
+    if (socket.writable && opts.closeAfterPending(socket)) return;
     opts.logger.info({code: failure.code}, '[entry] Request cannot be parsed');
     if (socket.writable) {
       socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -248,6 +248,7 @@
     ...opts.callerEndpoint,
     limits: view.configuration.limits,
     handle: (request, response) => entryHandler.handle(request, response),
+    closeAfterPending: (connection) => entryHandler.closeAfterPending(connection),
     logger,
   });
   const offerListener = await startOfferListener({
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -1,5 +1,6 @@
 import type http from 'node:http';
 import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import type {ErrorCode} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
@@ -9,6 +10,8 @@
 import {readMessageBody} from '@medlarlane/rpc';
 import {isIdempotent} from '@medlarlane/site-config';
 import type {Route} from '@medlarlane/site-config';
+import {CallerConnections} from './callerConnections.js';
+import type {PipelinedRequest} from './callerConnections.js';
 import type {PeerClient} from './createPeerClient.js';
 import {endToEndHeaders} from './endToEndHeaders.js';
 import {fingerprintsOf} from './fingerprintsOf.js';
@@ -57,6 +60,11 @@
 
 export interface EntryHandler {
   handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void>;
+  /**
+   * Closes a connection after the responses to its requests, because nothing more can be read from
+   * it; returns false if no request is pending.
+   */
+  closeAfterPending(connection: Duplex): boolean;
   readonly inFlight: number;
 }
 
@@ -134,15 +142,27 @@
 
 /** Creates the handler for callers' requests: routing, target selection, attempts and response. */
 export function createEntryHandler(opts: EntryHandlerOptions): EntryHandler {
+  const connections = new CallerConnections();
   let inFlight = 0;
   return {
     get inFlight() {
       return inFlight;
     },
+    closeAfterPending: (connection) => connections.closeAfterPending(connection),
     handle: async (request, response) => {
+      const abort = new AbortController();
+      const pipelined = connections.add(request.socket, {
+        isSafe: () => isSafeRequest(opts.view, request),
+        isLast: !response.shouldKeepAlive,
+        onDisconnect: () => abort.abort(CALLER_DISCONNECTED),
+      });
+      if (!pipelined) {
+        request.resume();
+        return;
+      }
       inFlight += 1;
       try {
-        await handle(opts, request, response);
+        await handle(opts, request, response, pipelined, abort);
       } finally {
         inFlight -= 1;
       }
@@ -154,9 +174,10 @@
   opts: EntryHandlerOptions,
   request: http.IncomingMessage,
   response: http.ServerResponse,
+  pipelined: PipelinedRequest,
+  abort: AbortController,
 ): Promise<void> {
   const {clock, headerCodec} = opts;
-  const abort = new AbortController();
   const lagMs = opts.lagMs();
   const {requestId, timeLeftMs, key} = headerCodec.readRequest(request.headers);
   const context: RequestContext = {
@@ -169,17 +190,15 @@
     attempts: [],
     ...(key === undefined ? {} : {key}),
   };
-  let isDisconnected = false;
-  response.on('close', () => {
-    if (response.writableFinished) return;
-    isDisconnected = true;
-    abort.abort(CALLER_DISCONNECTED);
-  });
+  const mayStart = pipelined.waitForStart();
+  if (!(typeof mayStart === 'boolean' ? mayStart : await mayStart)) return;
   const finalResponse = await processRequest(opts, context, timeLeftMs).catch((thrown: unknown) =>
     refusalResponse(opts, context, toMedlarlaneError(thrown)),
   );
+  await pipelined.waitForTurn();
   const durationMs = clock.nowMs() - context.startedAtMs;
-  if (!isDisconnected) writeResponse(opts, context, response, finalResponse);
+  const {isDisconnected} = pipelined;
+  if (!isDisconnected) writeResponse(opts, request, response, pipelined, finalResponse);
   logResponse(opts, context, finalResponse, {isDisconnected, durationMs});
   opts.onResponse?.({
     route: context.route?.name ?? '',
@@ -187,16 +206,13 @@
     durationMs,
     attempts: context.attempts.length,
   });
-  if (!isDisconnected) await waitUntilWritten(response);
+  await pipelined.waitUntilFinished(response);
 }
 
-/** Resolves once the response has been written, so that a graceful shutdown waits for it. */
-function waitUntilWritten(response: http.ServerResponse): Promise<void> {
-  if (response.writableFinished || response.destroyed) return Promise.resolve();
-  return new Promise((resolve) => {
-    response.once('finish', resolve);
-    response.once('close', resolve);
-  });
+/** Whether a request may run at the same time as the other pipelined requests of its connection. */
+function isSafeRequest(view: SiteView, {headers, url}: http.IncomingMessage): boolean {
+  const route = view.hasConfiguration ? view.findRoute(headers.host ?? '', url ?? '') : undefined;
+  return route !== undefined && isIdempotent(route.kind);
 }
 
 async function processRequest(
@@ -249,6 +265,8 @@
   };
   if (!opts.poison.isEmpty) opts.poison.assertNotQuarantined(fingerprintsOf(service, frame));
   const remainingNowMs = deadlineAtMs - clock.nowMs();
+  // The request may have waited for earlier requests of its connection.
+  if (remainingNowMs <= 0) throw new MedlarlaneError('DEADLINE_EXCEEDED', undefined, {ran: 'no'});
   // Aborts all pending waits at the deadline; requests not sent by then are known not to have run.
   const timer = setTimeout(() => context.abort.abort(DEADLINE_PASSED), remainingNowMs);
   return runAttempts(opts, context, route, service, frame, {
@@ -448,11 +466,13 @@
 
 function writeResponse(
   opts: EntryHandlerOptions,
-  {request}: RequestContext,
+  request: http.IncomingMessage,
   response: http.ServerResponse,
+  pipelined: PipelinedRequest,
   {status, headers, body}: FinalResponse,
 ): void {
-  if (opts.phase() !== 'open' || !request.complete) response.shouldKeepAlive = false;
+  const mustClose = opts.phase() !== 'open' || !request.complete;
+  if (pipelined.decideClose(mustClose)) response.shouldKeepAlive = false;
   const bodiless = request.method === 'HEAD' || status === 204 || status === 304;
   const length = bodiless ? [] : ['Content-Length', String(body.length)];
   response.writeHead(status, [...headers, ...length] as unknown as http.OutgoingHttpHeaders);
