Record evacuations of availability zones in the control log

Cause: operators had no way to take the targets of an availability zone out of service and to return them. The log order decides between operators; copies of a call that are committed late change nothing. The leader gives targets of evacuated zones no keys, reassigns their keys once they hold none, and sends the evacuated zones to daemons that lack them. Unit tests of the state machine and of the leader's decisions.

--- a/apps/site/src/configurationService.ts
+++ b/apps/site/src/configurationService.ts
@@ -1,3 +1,4 @@
+import {randomUUID} from 'node:crypto';
 import type {Replica} from '@medlarlane/consensus';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import type {ErrorCode} from '@medlarlane/errors';
@@ -7,7 +8,8 @@
 import {configurationChangeSchema, siteConfigurationSchema} from '@medlarlane/site-config';
 import type {ConfigurationChange, SiteConfiguration} from '@medlarlane/site-config';
 import type {SiteControl} from '@medlarlane/site-control';
-import type {ChangeOutcome} from '@medlarlane/site-state';
+import {evacuationChangeSchema} from '@medlarlane/site-state';
+import type {ChangeOutcome, EvacuationChange, EvacuationOutcome} from '@medlarlane/site-state';
 
 export interface ConfigurationServiceOptions {
   readonly control: SiteControl;
@@ -57,6 +59,22 @@
     return outcome;
   }
 
+  /**
+   * Evacuates or restores an availability zone. All attempts have the same digest, so that one that the
+   * log commits late does not undo a later call.
+   * @throws MedlarlaneError when the outcome is unknown or no leader was found in time.
+   */
+  changeEvacuation(change: Omit<EvacuationChange, 'digest'>): Promise<EvacuationOutcome> {
+    const identifiedChange = {...change, digest: randomUUID()};
+    return this.executeAtLeader(
+      () => this.opts.control.changeEvacuation(identifiedChange),
+      async (address, timeoutMs) =>
+        (await this.opts.rpc.call(address, 'changeEvacuation', identifiedChange, {
+          timeoutMs,
+        })) as EvacuationOutcome,
+    );
+  }
+
   /** @throws MedlarlaneError when no leader confirmed the latest configuration in time. */
   readConfiguration(): Promise<SiteConfiguration> {
     return this.executeAtLeader(
@@ -74,6 +92,8 @@
     return {
       changeConfiguration: (payload) =>
         control.changeConfiguration(configurationChangeSchema.parse(payload)),
+      changeEvacuation: (payload) =>
+        control.changeEvacuation(evacuationChangeSchema.parse(payload)),
       readConfiguration: () => control.readConfiguration(),
     };
   }
--- a/apps/site/src/siteMetrics.ts
+++ b/apps/site/src/siteMetrics.ts
@@ -90,6 +90,7 @@
   readonly isLeader: () => boolean;
   readonly commitIndex: () => number;
   readonly configVersion: () => number;
+  readonly evacuatedZoneCount: () => number;
 }
 
 /** Creates the metrics of a control replica. */
@@ -101,6 +102,7 @@
   gauge(registry, 'is_leader', '1 on the leader, else 0.', () => (sources.isLeader() ? 1 : 0));
   gauge(registry, 'commit_index', 'Last committed entry.', sources.commitIndex);
   gauge(registry, 'config_version', 'Version of the newest configuration.', sources.configVersion);
+  gauge(registry, 'evacuated_zones', 'Evacuated availability zones.', sources.evacuatedZoneCount);
   const changes = new Counter({
     name: 'medlarlane_site_configuration_changes_total',
     help: 'Decided configuration changes by outcome.',
--- a/apps/site/src/startSiteControl.ts
+++ b/apps/site/src/startSiteControl.ts
@@ -109,6 +109,7 @@
     isLeader: () => replica.isLeader(),
     commitIndex: () => replica.commitIndex,
     configVersion: () => state.configuration.version,
+    evacuatedZoneCount: () => state.evacuatedZones.size,
   });
   const configurationService = new ConfigurationService({
     control,
--- a/apps/site/src/superviseSiteControl.ts
+++ b/apps/site/src/superviseSiteControl.ts
@@ -6,7 +6,7 @@
   /** Operators' calls; they fail with `NO_LEADER` while the replica is down. */
   readonly configurationService: Pick<
     ConfigurationService,
-    'changeConfiguration' | 'readConfiguration'
+    'changeConfiguration' | 'changeEvacuation' | 'readConfiguration'
   >;
   /** The running replica; absent while it is down. */
   readonly current: SiteControlProcess | undefined;
@@ -82,6 +82,7 @@
   return {
     configurationService: {
       changeConfiguration: async (change) => getConfigurationService().changeConfiguration(change),
+      changeEvacuation: async (change) => getConfigurationService().changeEvacuation(change),
       readConfiguration: async () => getConfigurationService().readConfiguration(),
     },
     get current() {
--- a/control/site-control/src/reports.ts
+++ b/control/site-control/src/reports.ts
@@ -30,6 +30,8 @@
   rateLimit: z.object({rps: z.number(), ageMs: z.number()}).optional(),
   /** False until the daemon has heard from the target whether it names a limit. */
   isRateLimitKnown: z.boolean().optional(),
+  /** Whether the daemon refuses requests for the target because of an evacuation of its zone. */
+  isEvacuated: z.boolean().optional(),
 });
 
 const releasedRangeSchema = z.object({
@@ -52,6 +54,8 @@
   directoryRevision: z.int(),
   /** Log index up to which the daemon knows the key assignments. */
   rangesIndex: z.int(),
+  /** Log index up to which the daemon knows the evacuated zones; absent in reports of earlier versions. */
+  evacuationIndex: z.int().optional(),
   /** Longest time for which the leader may hold the response until there is an update. */
   waitMs: z.number(),
   target: reportedTargetSchema.optional(),
@@ -103,6 +107,8 @@
   /** Ranges that changed after the daemon's `rangesIndex`, by service. */
   ranges: z.array(z.tuple([z.string(), z.array(keyRangeSchema)])),
   poison: poisonExportSchema.optional(),
+  /** The evacuated availability zones, when the daemon knows those of an earlier log index. */
+  evacuation: z.object({index: z.int(), zones: z.array(z.string())}).optional(),
   /** Key transfers requested from the daemon's target. */
   transfers: z.array(transferRequestSchema),
 });
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -6,7 +6,13 @@
 import {QUARANTINE_CRASH_THRESHOLD, PoisonTable} from '@medlarlane/poison';
 import type {ConfigurationChange, SiteConfiguration} from '@medlarlane/site-config';
 import {encodeCommand} from '@medlarlane/site-state';
-import type {ChangeOutcome, KeyAssignment, SiteState} from '@medlarlane/site-state';
+import type {
+  ChangeOutcome,
+  EvacuationChange,
+  EvacuationOutcome,
+  KeyAssignment,
+  SiteState,
+} from '@medlarlane/site-state';
 import {InstanceDirectory} from './instanceDirectory.js';
 import {KEY_LEASE_MS, KeyLeaseTable} from './keyLeaseTable.js';
 import {planKeys} from './planKeys.js';
@@ -14,6 +20,12 @@
 import type {Transfer} from './planTransfers.js';
 import {encodeConfiguration} from './reports.js';
 import type {ReportedTarget, ReportRequest, ReportResponse} from './reports.js';
+import {
+  evacuationUpdate,
+  followsEvacuation,
+  isOutOfService,
+  lacksEvacuation,
+} from './zoneService.js';
 
 export interface SiteControlOptions {
   readonly replica: Replica;
@@ -126,6 +138,16 @@
     return result as ChangeOutcome;
   }
 
+  /** @throws MedlarlaneError `NOT_LEADER` or `COMMIT_UNKNOWN`. */
+  async changeEvacuation(change: EvacuationChange): Promise<EvacuationOutcome> {
+    const {replica, logger, state} = this.opts;
+    const command = encodeCommand({kind: 'setEvacuation', ...change});
+    const {index, result} = await replica.propose(command);
+    const evacuatedZones = [...state.evacuatedZones.keys()];
+    logger.info({...change, index, result, evacuatedZones}, 'Evacuation change decided');
+    return result as EvacuationOutcome;
+  }
+
   /** Returns the current configuration. @throws MedlarlaneError `NOT_LEADER`. */
   async readConfiguration(): Promise<SiteConfiguration> {
     await this.opts.replica.readBarrier({confirm: 'quorum'});
@@ -179,7 +201,7 @@
       logger.info({forwardAddress, entries: term.poison.list()}, 'Target crashes reported');
       this.wakeWaitingReports();
     }
-    if (target) this.acceptTarget(term, target);
+    if (target) this.acceptTarget(term, target, report);
     if (target) this.endFormerIncarnations(term, forwardAddress, target);
     // A daemon that has just started has no heartbeat of its target yet; the directory entry stays.
     if (!target) return;
@@ -209,9 +231,9 @@
     this.wakeWaitingReports();
   }
 
-  private acceptTarget(term: LeadershipTerm, target: ReportedTarget): void {
+  private acceptTarget(term: LeadershipTerm, target: ReportedTarget, report: ReportRequest): void {
     const {clock} = this.opts;
-    if (!needsLease(target)) term.leases.markEnded(target.life);
+    if (!this.needsLease(target, report)) term.leases.markEnded(target.life);
     else term.leases.clearEnded(target.life);
     if (target.state === 'ready' && !term.firstReadyAtMs.has(target.service)) {
       term.firstReadyAtMs.set(target.service, clock.nowMs());
@@ -265,6 +287,7 @@
         ({report, reportedAtMs}) =>
           report.target?.service === service &&
           report.target.state === 'ready' &&
+          !isOutOfService(this.opts.state, report) &&
           !report.stopping &&
           nowMs - reportedAtMs < REPORT_MAX_AGE_MS,
       )
@@ -338,6 +361,7 @@
       report.leaderTerm !== term.term ||
       report.directoryRevision !== term.directory.revision ||
       report.rangesIndex < this.opts.state.rangesIndex ||
+      lacksEvacuation(this.opts.state, report) ||
       report.configVersion !== this.opts.state.configuration.version
     );
   }
@@ -346,7 +370,8 @@
     const {replica, state} = this.opts;
     const knownRevision = report.leaderTerm === term.term ? report.directoryRevision : 0;
     const {target} = report;
-    const hasLease = target && needsLease(target) && !term.reassigning.has(target.life);
+    const hasLease =
+      target && this.needsLease(target, report) && !term.reassigning.has(target.life);
     if (hasLease) term.leases.renew(target.life);
     return {
       leaderTerm: term.term,
@@ -361,6 +386,7 @@
       rangesIndex: state.rangesIndex,
       ranges: state.rangesAssignedSince(report.rangesIndex),
       ...(term.poisonChangedRevision > knownRevision ? {poison: term.poison.export()} : {}),
+      ...evacuationUpdate(state, report),
       transfers: [...term.transfers]
         .filter(([, {fromLife}]) => fromLife === target?.life)
         .map(([transferId, {share}]) => ({transferId, share})),
@@ -399,7 +425,9 @@
         );
         const servingIncarnations = new Set(
           sessions
-            .filter(({report}) => report.target?.state === 'ready')
+            .filter(
+              ({report}) => report.target?.state === 'ready' && !isOutOfService(state, report),
+            )
             .map(({report}) => report.target!.life),
         );
         const targets = this.readyTargets(term, name).map((target) => ({
@@ -429,6 +457,12 @@
     }
   }
 
+  /** Whether the target may hold keys and so needs a lease. */
+  private needsLease({state, mayHoldKeys}: ReportedTarget, report: ReportRequest): boolean {
+    const acceptsGrants = state === 'ready' && !followsEvacuation(this.opts.state, report);
+    return acceptsGrants || (state !== 'ended' && mayHoldKeys);
+  }
+
   private canAssign(term: LeadershipTerm, service: string): boolean {
     if (this.opts.state.hasBeenAssigned(service)) return true;
     const firstAtMs = term.firstReadyAtMs.get(service);
@@ -507,8 +541,3 @@
   const {offeredRps, meanMs, slots, rateLimit} = target;
   return {offeredRps, meanMs, slots, rateLimit};
 }
-
-/** Whether the target may hold keys and so needs a lease. */
-function needsLease({state, mayHoldKeys}: ReportedTarget): boolean {
-  return state === 'ready' || (state !== 'ended' && mayHoldKeys);
-}
--- a/control/site-control/test/siteControl.test.ts
+++ b/control/site-control/test/siteControl.test.ts
@@ -145,6 +145,53 @@
     assert.equal(response.ranges.length, 3);
   });
 
+  // Guards against keys that stay with, or go to, a target to which nothing may be sent.
+  it('gives the keys of an evacuated target to others as soon as it holds none', async () => {
+    const {control, report, state, clock, apply} = startControl();
+    apply({kind: 'changeConfiguration', change: KEYED_SERVICE});
+    apply(assignAllKeys({incarnation: 't/1', daemonAddress: 'a:1'}));
+    const owners = (): string[] => [
+      ...new Set(state.rangesOf('wallboard').map(({ownerLife}) => ownerLife)),
+    ];
+    const other = report({
+      forwardAddress: 'b:1',
+      availabilityZone: 'b',
+      target: target({targetId: 'u', life: 'u/1'}),
+    });
+    const evacuate = (isEvacuated: boolean, digest: string) =>
+      control.changeEvacuation({availabilityZone: 'a', isEvacuated, digest});
+    control.start();
+    await control.report(report({target: target({})}));
+    await control.report(other);
+    await evacuate(true, 'd1');
+    const evacuationIndex = state.evacuationIndex;
+    // The daemon may still grant keys until it knows of the evacuation.
+    const unaware = report({evacuationIndex: 0, target: target({mayHoldKeys: false})});
+    const response = await control.report(unaware);
+    assert.deepEqual(response.evacuation, {index: evacuationIndex, zones: ['a']});
+    assert.ok(response.leaseMs > 0);
+    await clock.advance(300);
+    assert.deepEqual(owners(), ['t/1']);
+    const aware = report({evacuationIndex, target: target({mayHoldKeys: false})});
+    assert.equal((await control.report(aware)).leaseMs, 0);
+    await clock.advance(300);
+    assert.deepEqual(owners(), ['u/1']);
+    await evacuate(false, 'd2');
+    // A report of the evacuation that arrives late must not end the lease of the returned target.
+    assert.ok((await control.report(aware)).leaseMs > 0);
+    await control.stop();
+  });
+
+  it('tells a daemon of evacuated zones once, also one that knows those of an earlier leader', async () => {
+    const {control, report} = startControl();
+    assert.equal((await control.report(report({evacuationIndex: 0}))).evacuation, undefined);
+    await control.changeEvacuation({availabilityZone: 'a', isEvacuated: true, digest: 'd'});
+    const evacuationOf = async (evacuationIndex: number) =>
+      (await control.report(report({evacuationIndex, leaderTerm: 3}))).evacuation;
+    assert.deepEqual(await evacuationOf(0), {index: 1, zones: ['a']});
+    assert.equal(await evacuationOf(1), undefined);
+  });
+
   it('rejects reports while another leader may have been elected', async () => {
     const {control, report, leader} = startControl();
     leader.leaseValid = false;
--- a/control/site-state/src/index.ts
+++ b/control/site-state/src/index.ts
@@ -4,3 +4,5 @@
 export type {KeyRange} from './keyRanges.js';
 export {SiteState} from './siteState.js';
 export type {ChangeOutcome} from './siteState.js';
+export {evacuationChangeSchema} from './zoneEvacuations.js';
+export type {EvacuationChange, EvacuationOutcome} from './zoneEvacuations.js';
--- a/control/site-state/src/siteCommands.ts
+++ b/control/site-state/src/siteCommands.ts
@@ -1,6 +1,7 @@
 import {decode, encode} from '@msgpack/msgpack';
 import {z} from 'zod';
 import {configurationChangeSchema} from '@medlarlane/site-config';
+import {evacuationChangeSchema} from './zoneEvacuations.js';
 
 const keyAssignmentSchema = z.object({
   fromKey: z.int(),
@@ -21,6 +22,7 @@
     /** Addresses of the daemons of the new owners, by target incarnation. */
     homes: z.record(z.string(), z.string()).default({}),
   }),
+  z.object({kind: z.literal('setEvacuation'), ...evacuationChangeSchema.shape}),
 ]);
 
 export type KeyAssignment = z.infer<typeof keyAssignmentSchema>;
--- a/control/site-state/src/siteState.ts
+++ b/control/site-state/src/siteState.ts
@@ -13,6 +13,7 @@
 import type {KeyRange} from './keyRanges.js';
 import {decodeCommand} from './siteCommands.js';
 import type {DecodedSiteCommand, KeyAssignment} from './siteCommands.js';
+import {evacuationSnapshotSchema, ZoneEvacuations} from './zoneEvacuations.js';
 
 /** Result of a configuration change. Concurrent changes are decided by their order in the log. */
 export type ChangeOutcome =
@@ -28,6 +29,7 @@
   accepted: z.array(z.tuple([z.string(), z.int()])),
   keys: z.array(z.tuple([z.string(), z.array(keyRangeSchema)])),
   homes: z.array(z.tuple([z.string(), z.string()])).default([]),
+  evacuations: evacuationSnapshotSchema,
 });
 
 /** Replicated state machine: the state that every control replica derives from the log. */
@@ -37,6 +39,7 @@
   private ranges = new Map<string, readonly KeyRange[]>();
   private addressByOwner = new Map<string, string>();
   private latestEpoch = 0;
+  private readonly evacuations = new ZoneEvacuations();
   private readonly listeners = new Set<() => void>();
 
   /** Returns the ranges of a service, which cover all keys. */
@@ -70,6 +73,16 @@
     return this.addressByOwner;
   }
 
+  /** Evacuated availability zones, with the log index of their evacuation. */
+  get evacuatedZones(): ReadonlyMap<string, number> {
+    return this.evacuations.zones;
+  }
+
+  /** Log index of the latest change of the evacuated zones; 0 before the first one. */
+  get evacuationIndex(): number {
+    return this.evacuations.index;
+  }
+
   /** Calls the listener after each applied command. */
   onChange(listener: () => void): void {
     this.listeners.add(listener);
@@ -83,15 +96,23 @@
   }
 
   snapshot(): Uint8Array {
-    const {configuration, accepted, ranges, addressByOwner} = this;
+    const {configuration, accepted, ranges, addressByOwner, evacuations} = this;
     return encode(
-      {configuration, accepted: [...accepted], keys: [...ranges], homes: [...addressByOwner]},
+      {
+        configuration,
+        accepted: [...accepted],
+        keys: [...ranges],
+        homes: [...addressByOwner],
+        evacuations: evacuations.snapshot(),
+      },
       {ignoreUndefined: true},
     );
   }
 
   restore(payload: Uint8Array): void {
-    const {configuration, accepted, keys, homes} = snapshotSchema.parse(decode(payload));
+    const {configuration, accepted, keys, homes, evacuations} = snapshotSchema.parse(
+      decode(payload),
+    );
     this.configuration = configuration;
     this.accepted = new Map(accepted);
     this.ranges = new Map(keys);
@@ -100,6 +121,7 @@
       for (const {epoch} of ranges) this.latestEpoch = Math.max(this.latestEpoch, epoch);
     }
     this.addressByOwner = new Map(homes);
+    this.evacuations.restore(evacuations);
     for (const listener of this.listeners) listener();
   }
 
@@ -111,6 +133,8 @@
         for (const [incarnation, daemonAddress] of Object.entries(command.homes))
           this.addressByOwner.set(incarnation, daemonAddress);
         return this.assignKeys(command.service, command.assignments, index);
+      case 'setEvacuation':
+        return this.evacuations.apply(command, index);
     }
   }
 
--- a/control/site-state/test/siteState.test.ts
+++ b/control/site-state/test/siteState.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import type {ConfigurationChange, Route} from '@medlarlane/site-config';
 import {encodeCommand, KEY_COUNT, SiteState} from '@medlarlane/site-state';
-import type {ChangeOutcome, SiteCommand} from '@medlarlane/site-state';
+import type {ChangeOutcome, EvacuationOutcome, SiteCommand} from '@medlarlane/site-state';
 
 describe('SiteState', () => {
   it('accepts only one of two changes with the same base version', () => {
@@ -70,11 +70,35 @@
     restored.assign({...allKeys, ownerLife: 'b', previousOwnerLife: 'a'}, {b: 'host-b:1'});
     assert.deepEqual([...restored.state.ownerAddresses], [['b', 'host-b:1']]);
   });
+
+  it('keeps evacuated zones across a snapshot restore and accepts what is already set', () => {
+    const site = startSite();
+    assert.equal(site.setEvacuation('east', true, 'a').kind, 'accepted');
+    assert.equal(site.setEvacuation('east', true, 'b').kind, 'accepted');
+    assert.equal(site.setEvacuation('west', false, 'c').kind, 'accepted');
+    const restored = startSite();
+    restored.state.restore(site.state.snapshot());
+    assert.deepEqual([...restored.state.evacuatedZones], [['east', 1]]);
+    assert.equal(restored.state.evacuationIndex, 1);
+  });
+
+  // Guards against a retry of a call that the log commits after a later call of another operator.
+  it('ignores a late copy of an evacuation after the zone was restored', () => {
+    const site = startSite();
+    site.setEvacuation('east', true, 'a');
+    site.setEvacuation('east', false, 'b');
+    const restored = startSite(2);
+    restored.state.restore(site.state.snapshot());
+    assert.deepEqual(restored.setEvacuation('east', true, 'a'), {kind: 'accepted', index: 1});
+    assert.equal(restored.state.evacuatedZones.size, 0);
+    restored.setEvacuation('east', true, 'c');
+    assert.deepEqual([...restored.state.evacuatedZones], [['east', 4]]);
+  });
 });
 
-function startSite() {
+function startSite(appliedIndex = 0) {
   const state = new SiteState();
-  let index = 0;
+  let index = appliedIndex;
   const apply = (command: SiteCommand): unknown => {
     index += 1;
     return state.apply({index, term: 1, kind: 'command', payload: encodeCommand(command)});
@@ -138,7 +162,18 @@
       assignments: [{...fields, handover: ''}],
       homes,
     });
-  return {state, change, patch, assign};
+  const setEvacuation = (
+    availabilityZone: string,
+    isEvacuated: boolean,
+    digest: string,
+  ): EvacuationOutcome =>
+    apply({
+      kind: 'setEvacuation',
+      availabilityZone,
+      isEvacuated,
+      digest,
+    }) as EvacuationOutcome;
+  return {state, change, patch, assign, setEvacuation};
 }
 
 function route(): Route {
