Bound the requests to a cold target in any one second

Cause: a cold target was sent as much as a warm one, and the choice of targets treated an incarnation as cold once only, so that targets that became cold again got more than they tolerate.

Change: TargetStatements keeps for how long a target is cold, by the newest statement of a heartbeat or health response; a new incarnation that states nothing and a target whose daemon was restarted are assumed to be cold. A request checks the window again when it is sent. Entries and key placement see the rate as the target's rate limit; services without a configured warm-up are unaffected.

--- a/apps/site/src/siteMetrics.ts
+++ b/apps/site/src/siteMetrics.ts
@@ -15,6 +15,8 @@
   readonly configVersion: () => number;
   /** Requests per second that the target accepts; `undefined` if it names no limit. */
   readonly rateLimitRps: () => number | undefined;
+  /** Time for which the target stays cold. */
+  readonly coldLeftMs: () => number;
   /** Time since the last response of a control leader. */
   readonly controlSilentMs: () => number;
 }
@@ -60,6 +62,12 @@
     'Requests per second that the target accepts; NaN if it names no limit.',
     () => sources.rateLimitRps() ?? NaN,
   );
+  gauge(
+    registry,
+    'cold_left_seconds',
+    'Time for which the target stays cold.',
+    () => sources.coldLeftMs() / 1_000,
+  );
   gauge(
     registry,
     'config_version',
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -19,10 +19,11 @@
 import {createRpcClient} from '@medlarlane/rpc';
 import {decodeConfiguration} from '@medlarlane/site-control';
 import type {ReportRequest, ReportResponse} from '@medlarlane/site-control';
-import type {SiteConfiguration} from '@medlarlane/site-config';
+import type {SiteConfiguration, SiteService} from '@medlarlane/site-config';
 import {ControlReporter} from '@medlarlane/site-link';
 import {KEY_COUNT, replaceOverlappingRanges} from '@medlarlane/site-state';
 import type {KeyRange} from '@medlarlane/site-state';
+import {coldBoundOf, unknownColdBound} from './coldBound.js';
 import {RetryBudgets} from './retryBudgets.js';
 import {createDaemonMetrics} from './siteMetrics.js';
 import type {SiteMetrics} from './siteMetrics.js';
@@ -48,6 +49,9 @@
   /** Retries that are always allowed within the window, for all daemons together. */
   readonly retrySlack: number;
   readonly retryWindowMs: number;
+  /** Factor and constant by which a cold target tolerates more than its configured rate in any second. */
+  readonly coldOverage?: number;
+  readonly coldSlack?: number;
   readonly callerHeaderCodec: CallerHeaderCodec;
   readonly targetHeaderCodec: TargetHeaderCodec;
   /**
@@ -114,6 +118,9 @@
       }),
       (client) => client.close(),
     );
+  const tolerance = {coldOverage: opts.coldOverage ?? 1, coldSlack: opts.coldSlack ?? 0};
+  const ownService = (): SiteService | undefined =>
+    view.configuration.services.find(({name}) => name === opts.service);
   const hostedTarget: HostedTarget = new HostedTarget({
     clock,
     steadyClock: systemClock,
@@ -123,6 +130,12 @@
     maxHoldMs: opts.maxHoldMs,
     keyCount: KEY_COUNT,
     ...(grantApi ? {grantApi} : {}),
+    coldBound: () => {
+      if (!view.hasConfiguration) return unknownColdBound(tolerance);
+      const warmUp = ownService()?.warmUp;
+      return warmUp && coldBoundOf(warmUp, tolerance);
+    },
+    isServiceServed: () => view.instancesOf(opts.service).some(({state}) => state === 'ready'),
   });
   const targetClient = disposables.use(
     createTargetClient({
@@ -138,6 +151,7 @@
     load: () => admissionController.load,
     configVersion: () => view.configuration.version,
     rateLimitRps: () => hostedTarget.rateLimit?.rps,
+    coldLeftMs: () => hostedTarget.coldLeftMs,
     controlSilentMs: () => controlReporter.sinceLastResponseMs,
   });
   const poison = new PoisonTable({reporterId: forwardAddress, clock});
@@ -150,6 +164,7 @@
     target: () => resolveCurrentTarget(hostedTarget, isAdmissionClosed),
     holdsKey: (key) => hostedTarget.holdsKey(key),
     rateLimitRps: () => hostedTarget.permittedRps,
+    maxPerSecond: () => hostedTarget.coldBound?.maxPerSecond,
     grantDueInMs: (key) => hostedTarget.grantDueInMs(key),
     poison,
     onResult: (result, durationMs) => metrics.recordTargetRun(result, durationMs),
@@ -274,6 +289,7 @@
   backgroundTasks.run('watch target', async (signal) => {
     while (!signal.aborted) {
       await clock.sleep(TARGET_CHECK_INTERVAL_MS, {signal});
+      hostedTarget.reviewCold();
       if (hostedTarget.isHeartbeatOverdue) await checkTarget();
     }
   });
@@ -338,7 +354,8 @@
   hostedTarget: HostedTarget,
   admissionController: AdmissionController,
 ): Pick<ReportRequest, 'target'> {
-  const {lastHeartbeat: heartbeat, incarnation, state, mayHoldKeys, rateLimit} = hostedTarget;
+  const {lastHeartbeat: heartbeat, incarnation, state, mayHoldKeys} = hostedTarget;
+  const {capacityLimit: rateLimit} = hostedTarget;
   if (!heartbeat || incarnation === undefined || state === undefined) return {};
   // The leader may reassign the keys of a target that holds none and accepts no new ones.
   if (!mayHoldKeys && state !== 'ready') hostedTarget.invalidateLease();
@@ -349,7 +366,7 @@
       service: heartbeat.service,
       state,
       slots: heartbeat.slots,
-      coldLeftMs: heartbeat.coldLeftMs,
+      coldLeftMs: hostedTarget.coldLeftMs,
       mayHoldKeys,
       offeredRps: Math.round(hostedTarget.offeredRps),
       meanMs: admissionController.load.meanMs,
--- a/routing/admission/src/index.ts
+++ b/routing/admission/src/index.ts
@@ -6,5 +6,7 @@
 export type {QueuedRequest, QueueOrder} from './queueOrder.js';
 export {RateLimiter} from './rateLimiter.js';
 export type {RateLimiterOptions} from './rateLimiter.js';
+export {SEND_WINDOW_MS, SendWindow} from './sendWindow.js';
+export type {SendWindowOptions} from './sendWindow.js';
 export {SlotQueue} from './slotQueue.js';
 export type {SlotPermit, SlotQueueOptions, SlotRequest} from './slotQueue.js';
--- a/routing/admission/src/rateLimiter.ts
+++ b/routing/admission/src/rateLimiter.ts
@@ -1,9 +1,12 @@
 import type {Clock} from '@medlarlane/lifecycle';
+import type {SendWindow} from './sendWindow.js';
 
 export interface RateLimiterOptions {
   readonly clock: Clock;
   /** Current limit in requests per second; `undefined` while there is none. */
   readonly rateLimitRps: () => number | undefined;
+  /** Bounds the requests in any one second, in addition to their rate. */
+  readonly sendWindow?: SendWindow | undefined;
 }
 
 const MS_PER_S = 1_000;
@@ -12,7 +15,7 @@
 /** A lower limit counts as this rate, because only a response tells that the limit has ended. */
 const MIN_RATE_RPS = 0.5;
 
-/** Token bucket that limits the rate of requests to a target. */
+/** Token bucket that limits the rate of requests to a target, with a sliding window if one is given. */
 export class RateLimiter {
   private tokens = 0;
   private updatedAtMs: number | undefined;
@@ -27,10 +30,14 @@
 
   /** Takes the token for one request. Returns false if the limit permits none now. */
   tryTake(): boolean {
+    const {sendWindow} = this.opts;
+    if (sendWindow?.hasRoom === false) return false;
     this.refill();
-    if (this.updatedAtMs === undefined) return true;
-    if (this.tokens < 1) return false;
-    this.tokens -= 1;
+    if (this.updatedAtMs !== undefined) {
+      if (this.tokens < 1) return false;
+      this.tokens -= 1;
+    }
+    sendWindow?.reserve();
     return true;
   }
 
@@ -43,8 +50,9 @@
   /** Time until this number of tokens is available. */
   timeUntilMs(count: number): number {
     this.refill();
-    if (this.updatedAtMs === undefined) return 0;
-    return Math.max(0, ((count - this.tokens) * MS_PER_S) / this.rateRps);
+    const windowMs = this.opts.sendWindow?.timeUntilMs(count) ?? 0;
+    if (this.updatedAtMs === undefined) return windowMs;
+    return Math.max(windowMs, ((count - this.tokens) * MS_PER_S) / this.rateRps);
   }
 
   private refill(): void {
--- a/routing/admission/src/slotQueue.ts
+++ b/routing/admission/src/slotQueue.ts
@@ -1,12 +1,15 @@
 import {MedlarlaneError} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
 import {RateLimiter} from './rateLimiter.js';
+import type {SendWindow} from './sendWindow.js';
 
 export interface SlotQueueOptions {
   /** Number of requests the target runs concurrently. */
   readonly slots: number;
   /** Requests per second that the target accepts; `undefined` while it names no limit. */
   readonly rateLimitRps?: () => number | undefined;
+  /** Bounds the requests that arrive at the target in any one second; may outlive the queue. */
+  readonly sendWindow?: SendWindow | undefined;
   readonly clock: Clock;
 }
 
@@ -29,6 +32,11 @@
 /** Permits one request in flight at the target. */
 export interface SlotPermit {
   readonly waitedMs: number;
+  /**
+   * Must be called immediately before the request is sent. Returns false if the request must not be sent,
+   * because a bound on the requests to the target began after the admission.
+   */
+  trySend(): boolean;
   /** Releases the slot. `workMs` updates the mean duration; it is omitted if the target did no work. */
   release(workMs?: number): void;
   /** Releases the slot of a request that was not sent, which does not count towards the rate limit. */
@@ -68,6 +76,7 @@
   private readonly slots: number;
   private readonly clock: Clock;
   private readonly rateLimiter: RateLimiter;
+  private readonly sendWindow: SendWindow | undefined;
   /** Latest time for which a refused caller was asked to return under the rate limit. */
   private lastReturnAtMs = -Infinity;
   /** Requests that can meet their latency target, by priority and then by latency target. */
@@ -91,7 +100,9 @@
     this.rateLimiter = new RateLimiter({
       clock: opts.clock,
       rateLimitRps: opts.rateLimitRps ?? (() => undefined),
+      sendWindow: opts.sendWindow,
     });
+    this.sendWindow = opts.sendWindow;
   }
 
   get inFlight(): number {
@@ -294,17 +305,25 @@
     const startedAtMs = this.clock.nowMs();
     this.startTimeSumMs += startedAtMs;
     let isHeld = true;
+    let sentAtMs: number | undefined;
     const release = (opts: {workMs?: number | undefined; isUnsent?: boolean}): void => {
       if (!isHeld) return;
       isHeld = false;
       this.inFlightCount -= 1;
       this.startTimeSumMs -= startedAtMs;
+      if (sentAtMs === undefined) this.sendWindow?.cancel();
+      else if (opts.isUnsent) this.sendWindow?.withdraw(sentAtMs);
       if (opts.isUnsent) this.rateLimiter.refund();
       if (opts.workMs !== undefined) this.updateMean(opts.workMs);
       this.dispatch();
     };
     return {
       waitedMs: startedAtMs - enqueuedAtMs,
+      trySend: () => {
+        if (!this.sendWindow) return true;
+        sentAtMs ??= this.sendWindow.trySend();
+        return sentAtMs !== undefined;
+      },
       release: (workMs) => release({workMs}),
       cancel: () => release({isUnsent: true}),
     };
--- a/routing/request-path/src/admissionController.ts
+++ b/routing/request-path/src/admissionController.ts
@@ -1,4 +1,4 @@
-import {SlotQueue} from '@medlarlane/admission';
+import {SendWindow, SlotQueue} from '@medlarlane/admission';
 import type {SlotPermit} from '@medlarlane/admission';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
@@ -26,6 +26,8 @@
   readonly holdsKey: (key: number) => boolean;
   /** Requests per second that the target accepts; `undefined` while it names no limit. */
   readonly rateLimitRps: () => number | undefined;
+  /** Requests that may arrive at the target in any one second; `undefined` while there is no bound. */
+  readonly maxPerSecond?: () => number | undefined;
   /** Expected time until the key is granted to the target; `undefined` if no grant is planned. */
   readonly grantDueInMs: (key: number) => number | undefined;
   readonly poison: PoisonTable;
@@ -63,11 +65,15 @@
 export class AdmissionController {
   private queue: SlotQueue;
   private incarnation = '';
+  /** Shared by all incarnations, because they succeed each other at the same address. */
+  private readonly sendWindow: SendWindow;
   /** Recent requests without a response, which may have crashed the target. */
   private lostRequests: LostRequest[] = [];
 
   constructor(private readonly opts: AdmissionControllerOptions) {
-    this.queue = new SlotQueue({slots: 1, clock: opts.clock});
+    const {clock, maxPerSecond = () => undefined} = opts;
+    this.sendWindow = new SendWindow({clock, maxPerSecond});
+    this.queue = new SlotQueue({slots: 1, clock});
   }
 
   get load(): TargetLoad {
@@ -179,7 +185,8 @@
     this.incarnation = life;
     this.queue.refuseQueued(new MedlarlaneError('NO_TARGET'));
     const {clock, rateLimitRps} = this.opts;
-    this.queue = new SlotQueue({slots, clock, rateLimitRps});
+    const {sendWindow} = this;
+    this.queue = new SlotQueue({slots, clock, rateLimitRps, sendWindow});
   }
 
   private async run(
@@ -201,6 +208,8 @@
         this.opts.poison.assertNotQuarantined(fingerprintsOf(offer.service, frame));
       const deadlineLeftMs = Math.floor(deadlineAtMs - startedAtMs - RESPONSE_ALLOWANCE_MS);
       if (deadlineLeftMs <= 0) throw new MedlarlaneError('DEADLINE_EXCEEDED');
+      // The target may have become cold since the admission.
+      if (!permit.trySend()) throw new MedlarlaneError('OVERLOADED');
       result = await client.run({
         offer,
         targetId: target.targetId,
--- a/routing/request-path/src/messages.ts
+++ b/routing/request-path/src/messages.ts
@@ -108,7 +108,7 @@
   readonly slots: number;
   readonly meanMs: number;
   /** Requests per second that the target accepts; absent if it names no limit. */
-  readonly rateLimitRps?: number;
+  readonly rateLimitRps?: number | undefined;
 }
 
 /**
--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -91,6 +91,7 @@
   /** Instances by service that are ready and not stopping. */
   private availableByService = new Map<string, InstanceView[]>();
   private keyedServices: ReadonlySet<string> = new Set();
+  private warmUpServices: ReadonlySet<string> = new Set();
   /** Instances that a new leader has not confirmed yet, with the time at which they are removed. */
   private readonly unconfirmedUntilMs = new Map<string, number>();
   private coldUntilMs = new Map<string, number>();
@@ -117,6 +118,9 @@
     this.keyedServices = new Set(
       configuration.services.filter(({keyed}) => keyed).map(({name}) => name),
     );
+    this.warmUpServices = new Set(
+      configuration.services.filter(({warmUp}) => warmUp).map(({name}) => name),
+    );
   }
 
   updateInstances(update: {
@@ -153,11 +157,7 @@
         list.filter(({state, stopping}) => state === 'ready' && !stopping),
       ]),
     );
-    for (const {life, coldLeftMs} of update.instances) {
-      if (coldLeftMs > 0 && !this.coldUntilMs.has(life)) {
-        this.coldUntilMs.set(life, nowMs + coldLeftMs);
-      }
-    }
+    for (const instance of update.instances) this.updateCold(instance, nowMs);
     for (const incarnation of this.statsByIncarnation.keys()) {
       if (!this.byIncarnation.has(incarnation)) this.statsByIncarnation.delete(incarnation);
     }
@@ -166,6 +166,27 @@
     }
   }
 
+  /**
+   * Without a configured warm-up, an entry is not updated when its target stops being cold, so only the first
+   * one of an incarnation counts. With one, each start and end of the bound is a new entry.
+   */
+  private updateCold({life, service, coldLeftMs, rateLimitRps}: InstanceView, nowMs: number): void {
+    if (!this.warmUpServices.has(service)) {
+      if (coldLeftMs > 0 && !this.coldUntilMs.has(life)) {
+        this.coldUntilMs.set(life, nowMs + coldLeftMs);
+      }
+      return;
+    }
+    const wasCold = this.coldUntilMs.has(life);
+    const isCold = coldLeftMs > 0 && rateLimitRps !== undefined;
+    if (isCold) this.coldUntilMs.set(life, nowMs + coldLeftMs);
+    else this.coldUntilMs.delete(life);
+    const {load} = this.statsOf(life);
+    if (wasCold === isCold || !load) return;
+    // The load of the last response is from before the change.
+    this.statsOf(life).load = {...load, rateLimitRps: isCold ? rateLimitRps : undefined};
+  }
+
   /** Keeps unconfirmed instances, because a new leader only knows those that have reported to it so far. */
   private keepUnconfirmed(nowMs: number): void {
     for (const forwardAddress of this.instances.keys()) {
--- a/routing/request-path/test/siteView.test.ts
+++ b/routing/request-path/test/siteView.test.ts
@@ -108,6 +108,39 @@
     assert.equal(view.pickFreeInstance(SERVICE, new Set())?.life, 'far-1');
   });
 
+  // Guards against a flooded cold target: its entry and its last load were from before it became cold.
+  it('sends less to a target that becomes cold again, until its entry says that it is not', () => {
+    const {view} = startView(['near', 'far-1']);
+    view.setConfiguration({
+      ...view.configuration,
+      services: [
+        {
+          name: SERVICE,
+          maxConnections: 100,
+          keyed: false,
+          warmUp: {durationMs: 3_000, permittedRps: 8},
+          extras: {},
+        },
+      ],
+    });
+    const entry = view.instancesOf(SERVICE)[0]!;
+    const update = (fields: Partial<InstanceView>): void =>
+      view.updateInstances({full: false, instances: [{...entry, ...fields}], removed: []});
+    const answer = {status: 200, headers: [], body: new Uint8Array()};
+    const load = {inFlight: 0, waiting: 0, slots: 10, meanMs: 100};
+    for (let round = 0; round < 2; round += 1) {
+      view.recordSent('near');
+      view.recordResult('near', {kind: 'answered', answer, load});
+      for (let n = 0; n < 2; n += 1) view.recordSent('near');
+      assert.equal(view.pickFreeInstance(SERVICE, new Set())?.life, 'near');
+      update({coldLeftMs: 3_000, rateLimitRps: 12});
+      assert.equal(view.pickFreeInstance(SERVICE, new Set())?.life, 'far-1');
+      update({coldLeftMs: 0});
+      for (let n = 0; n < 2; n += 1)
+        view.recordResult('near', {kind: 'answered', answer, load: {...load}});
+    }
+  });
+
   it('finds the owner of a key at both ends of its range and none in a gap', () => {
     const {view} = startView(['near', 'far-1']);
     view.setRanges(SERVICE, [
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -7,9 +7,9 @@
 import type {ReleasedKeyRange} from './departingKeys.js';
 import {overlaps} from './keyRange.js';
 import type {KeyRange} from './keyRange.js';
-import type {TargetNotice} from './targetNotice.js';
+import type {ColdBound, TargetNotice} from './targetNotice.js';
 import {TargetStatements} from './targetStatements.js';
-import type {RateLimit} from './targetStatements.js';
+import type {ColdSource, RateLimit} from './targetStatements.js';
 
 /** State that a target reports about once a second. */
 export interface Heartbeat {
@@ -19,8 +19,8 @@
   readonly service: string;
   readonly state: 'ready' | 'draining';
   readonly slots: number;
-  /** Remaining duration of the cold start. */
-  readonly coldLeftMs: number;
+  /** Time for which the target stays cold; `undefined` if the target does not state it. */
+  readonly coldLeftMs: number | undefined;
   /** Increases with each heartbeat of an incarnation. */
   readonly sequence: number;
   readonly holds: readonly HeldRange[];
@@ -62,6 +62,10 @@
   readonly keyCount: number;
   /** Grants keys by requests to the target; without it, responses to heartbeats carry the grants. */
   readonly grantApi?: GrantApi;
+  /** What a cold target of the service tolerates; `undefined` if the service has no such bound. */
+  readonly coldBound?: () => ColdBound | undefined;
+  /** Whether the service is already served, so that a new target is one that has just started. */
+  readonly isServiceServed?: () => boolean;
 }
 
 export type HostedTargetState = 'ready' | 'draining' | 'silent' | 'ended';
@@ -133,6 +137,8 @@
   private hasSuccessors = false;
   private hasHeardLeader = false;
   private keyLoad: KeyLoad | undefined;
+  /** Since when the bound of a cold target has been in force. */
+  private coldSinceMs: number | undefined;
   private readonly pushedGrants: PushedGrants | undefined;
   /** Called after a change that is to be reported to the control leader immediately. */
   onChange: () => void = () => undefined;
@@ -272,6 +278,7 @@
     this.heartbeatAtMs = this.opts.steadyClock.nowMs();
     this.ended = false;
     if (next.state === 'draining') this.statements?.beginDrain('heartbeat');
+    this.recordColdOf(next);
     this.addFreed(next);
     if (this.state !== stateBefore || next.freed.length > 0) this.onChange();
     this.applyGrantPlan();
@@ -288,8 +295,74 @@
    * starts cautiously until the target or the leader has told it whether there is a limit.
    */
   get permittedRps(): number | undefined {
-    if (!this.hasHeardLeader && !this.hasNotice) return UNKNOWN_LIMIT_RPS;
-    return this.rateLimit?.rps;
+    const namedRps =
+      !this.hasHeardLeader && !this.hasNotice ? UNKNOWN_LIMIT_RPS : this.rateLimit?.rps;
+    const coldRps = this.coldBound?.rps;
+    return coldRps === undefined ? namedRps : Math.min(coldRps, namedRps ?? Infinity);
+  }
+
+  /** The bound in force while the target is cold. */
+  get coldBound(): ColdBound | undefined {
+    const bound = this.opts.coldBound?.();
+    return bound && (this.statements?.coldLeftMs ?? 0) > 0 ? bound : undefined;
+  }
+
+  /** Time for which the target stays cold; the full duration while that is only assumed. */
+  get coldLeftMs(): number {
+    const bound = this.opts.coldBound?.();
+    if (!bound) return this.heartbeat?.coldLeftMs ?? 0;
+    const leftMs = this.statements?.coldLeftMs ?? 0;
+    return Math.round(leftMs === Infinity ? bound.durationMs : leftMs);
+  }
+
+  /** The rate that the target names or, while lower, the rate that it tolerates while it is cold. */
+  get capacityLimit(): RateLimit | undefined {
+    const {rateLimit, coldBound, coldSinceMs} = this;
+    if (!coldBound || (rateLimit && rateLimit.rps <= coldBound.rps)) return rateLimit;
+    const nowMs = this.opts.clock.nowMs();
+    return {rps: coldBound.rps, ageMs: Math.round(nowMs - (coldSinceMs ?? nowMs))};
+  }
+
+  private recordColdOf({coldLeftMs}: Heartbeat): void {
+    const {statements} = this;
+    // A target that states nothing is not assumed to be cold for longer than the configured time.
+    const isOpen = statements?.coldLeftMs === Infinity;
+    const assumedMs = isOpen ? this.opts.coldBound?.()?.durationMs : undefined;
+    const leftMs = coldLeftMs ?? assumedMs;
+    if (leftMs !== undefined) statements?.recordCold('heartbeat', leftMs);
+    this.reviewCold();
+  }
+
+  /** Records for how long the target stays cold according to a health response. */
+  recordHealth(targetId: string, coldLeftMs: number): void {
+    if (targetId !== this.heartbeat?.targetId) return;
+    this.statements?.recordCold('health', coldLeftMs);
+    this.reviewCold();
+  }
+
+  /** Assumes that the target is cold until it states otherwise. */
+  assumeCold(source: ColdSource): void {
+    this.statements?.recordCold(source, Infinity);
+    this.reviewCold();
+  }
+
+  /** Logs and reports the start and the end of being cold. Must be called regularly. */
+  reviewCold(): void {
+    const bound = this.coldBound;
+    if ((bound === undefined) === (this.coldSinceMs === undefined)) return;
+    const nowMs = this.opts.clock.nowMs();
+    const life = this.incarnation;
+    const source = this.statements?.coldSource;
+    if (bound) {
+      const {coldLeftMs} = this;
+      this.coldSinceMs = nowMs;
+      this.opts.logger.info({life, source, coldLeftMs, ...bound}, 'Target is cold');
+    } else {
+      const coldMs = Math.round(nowMs - this.coldSinceMs!);
+      this.coldSinceMs = undefined;
+      this.opts.logger.info({life, source, coldMs}, 'Target is no longer cold');
+    }
+    this.onChange();
   }
 
   /** Whether a response of the current incarnation has arrived since this daemon started. */
@@ -344,7 +417,7 @@
     const isServing = entry.state === 'ready' || entry.state === 'draining';
     if (this.heartbeat || !isServing || !Number.isFinite(startedAtMs)) return;
     const {targetId, service, slots} = entry;
-    const noHeartbeat = {coldLeftMs: 0, sequence: -1, holds: [], freed: []};
+    const noHeartbeat = {coldLeftMs: undefined, sequence: -1, holds: [], freed: []};
     this.heartbeat = {
       targetId,
       startedAtMs,
@@ -354,6 +427,7 @@
       ...noHeartbeat,
     };
     this.statements = this.createStatements(incarnationOf(this.heartbeat));
+    this.assumeCold('restored');
     this.heartbeatAtMs = this.opts.steadyClock.nowMs();
     this.assumedUntilMs = this.opts.clock.nowMs() + MAX_GRANT_MS;
     this.opts.logger.info({life: entry.life}, 'Restored target of the previous daemon process');
@@ -450,7 +524,10 @@
       );
     // A response to a report of the previous incarnation must not renew the lease for this one.
     this.invalidateLease();
+    this.coldSinceMs = undefined;
     this.statements = this.createStatements(incarnationOf(next));
+    if (previous || this.opts.isServiceServed?.())
+      this.statements.recordCold('start', this.opts.coldBound?.()?.durationMs ?? 0);
     this.pushedGrants?.reset();
     this.granted = [];
     this.grantedUntilMs = -Infinity;
--- a/targets/key-holds/src/targetStatements.ts
+++ b/targets/key-holds/src/targetStatements.ts
@@ -5,6 +5,9 @@
 /** How the daemon learned that its target drains. */
 export type DrainSource = 'heartbeat' | 'removal' | 'response' | 'directory';
 
+/** How the daemon learned whether its target is cold. */
+export type ColdSource = 'heartbeat' | 'health' | 'start' | 'restored' | 'evacuation';
+
 /** A rate limit and the time since the target first named one. */
 export interface RateLimit {
   readonly rps: number;
@@ -13,14 +16,19 @@
 
 /** The target stops accepting requests this long before the drain timeout. */
 const DRAIN_LEAD_TIME_MS = 250;
+/** A stated time may have been rounded down, and ends a little later by a clock that runs slow. */
+const COLD_MARGIN_MS = 100;
 const NO_NOTICE: TargetNotice = {rateLimitRps: undefined, isLeaving: false};
 
-/** What one incarnation of a target has stated about itself: its rate limit and that it drains. */
+/** What one incarnation of a target has stated about itself: its rate limit, its drain and being cold. */
 export class TargetStatements {
   private notice = NO_NOTICE;
   private noticeAtMs = -Infinity;
   private limitedSinceMs: number | undefined;
   private drainStartedAtMs: number | undefined;
+  /** Infinity while the target is assumed to be cold until it states otherwise. */
+  private coldUntilMs = -Infinity;
+  private lastColdSource: ColdSource = 'start';
 
   constructor(
     private readonly opts: {
@@ -46,6 +54,22 @@
     return drainingMs >= drainMs - DRAIN_LEAD_TIME_MS;
   }
 
+  /** Time for which the target stays cold, Infinity until it states one, 0 if it is not cold. */
+  get coldLeftMs(): number {
+    return Math.max(0, this.coldUntilMs - this.opts.clock.nowMs());
+  }
+
+  get coldSource(): ColdSource {
+    return this.lastColdSource;
+  }
+
+  /** Records for how long the target stays cold; the newest statement counts. */
+  recordCold(source: ColdSource, coldLeftMs: number): void {
+    const marginMs = coldLeftMs > 0 ? COLD_MARGIN_MS : 0;
+    this.coldUntilMs = this.opts.clock.nowMs() + coldLeftMs + marginMs;
+    this.lastColdSource = source;
+  }
+
   get rateLimit(): RateLimit | undefined {
     const {limitedSinceMs} = this;
     const rps = this.notice.rateLimitRps;
--- a/targets/key-holds/test/hostedTarget.test.ts
+++ b/targets/key-holds/test/hostedTarget.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {HostedTarget} from '@medlarlane/key-holds';
-import type {Heartbeat} from '@medlarlane/key-holds';
+import type {Heartbeat, HostedTargetOptions} from '@medlarlane/key-holds';
 import {ManualClock} from '@medlarlane/lifecycle';
 import {silentLogger} from '@medlarlane/logger';
 
@@ -130,6 +130,49 @@
     assert.equal(toldByLeader.hosted.permittedRps, undefined);
   });
 
+  // Guards against a flooded cold target: only the start of an incarnation was read as cold.
+  it('is bounded while cold by its newest statement, however that came', async () => {
+    const bound = {durationMs: 3_000, rps: 12, maxPerSecond: 19};
+    const {hosted, clock, sendHeartbeat, renewLease} = startHosted({coldBound: () => bound});
+    sendHeartbeat({sequence: 1, coldLeftMs: 0});
+    renewLease({});
+    assert.deepEqual([hosted.permittedRps, hosted.coldBound], [undefined, undefined]);
+    sendHeartbeat({sequence: 2, coldLeftMs: 1_000});
+    assert.deepEqual([hosted.permittedRps, hosted.coldBound], [12, bound]);
+    await clock.advance(600);
+    assert.deepEqual(hosted.capacityLimit, {rps: 12, ageMs: 600});
+    hosted.recordHealth('i-1', 0);
+    assert.equal(hosted.coldBound, undefined);
+    hosted.recordHealth('i-2', 900);
+    assert.equal(hosted.coldBound, undefined);
+    hosted.recordHealth('i-1', 900);
+    sendHeartbeat({sequence: 3, coldLeftMs: 0});
+    assert.equal(hosted.coldBound, undefined);
+    sendHeartbeat({sequence: 1, startedAtMs: 5_000, coldLeftMs: undefined});
+    await clock.advance(2_900);
+    assert.equal(hosted.coldBound, bound);
+    await clock.advance(300);
+    assert.equal(hosted.coldBound, undefined);
+    hosted.assumeCold('evacuation');
+    await clock.advance(60_000);
+    assert.equal(hosted.coldBound, bound);
+  });
+
+  it('is assumed to be cold after a restart of its daemon until it states the contrary', () => {
+    const bound = {durationMs: 3_000, rps: 12, maxPerSecond: 19};
+    const {hosted, sendHeartbeat} = startHosted({coldBound: () => bound});
+    hosted.restore({
+      targetId: 'i-1',
+      life: 'i-1/1000',
+      service: 'wallboard',
+      state: 'ready',
+      slots: 8,
+    });
+    assert.equal(hosted.coldBound, bound);
+    sendHeartbeat({sequence: 40, coldLeftMs: 0});
+    assert.equal(hosted.coldBound, undefined);
+  });
+
   it('accepts nothing if its first response to a restarted daemon states that it is leaving', () => {
     const {hosted, sendHeartbeat} = startHosted();
     sendHeartbeat({sequence: 9});
@@ -315,7 +358,7 @@
   return response.accepted ? response.grant : undefined;
 }
 
-function startHosted() {
+function startHosted(opts: Pick<HostedTargetOptions, 'coldBound'> = {}) {
   const clock = new ManualClock();
   const clockOffset = {aheadMs: 0};
   const hosted = new HostedTarget({
@@ -330,6 +373,7 @@
     drainMs: 2_000,
     maxHoldMs: MAX_HOLD_MS,
     keyCount: KEY_COUNT,
+    ...opts,
   });
   const sendHeartbeat = (fields: Partial<Heartbeat>) =>
     hosted.handleHeartbeat({
