Check the health of a target on events

Cause: after a return from an evacuation or a restart of the daemon, only the next heartbeat, up to a second later, said whether a target is cold.

Change: createTargetClient.checkHealth requests the configured health path on the target's own connections, and HealthChecks does so when the zone is restored (SiteDaemon.onZoneRestored), when a restarted daemon finds its target running and after two failures in a row, at most once in 1.1 s and once in 5 s for failures. Cold-Ms of the response is a statement like that of a heartbeat. Services without a warm-up are not checked.

--- a/apps/site/src/index.ts
+++ b/apps/site/src/index.ts
@@ -1,3 +1,5 @@
+export {HealthChecks} from './healthChecks.js';
+export type {HealthCheckReason, HealthChecksOptions} from './healthChecks.js';
 export {startSiteControl} from './startSiteControl.js';
 export type {SiteControlProcess, SiteControlProcessOptions} from './startSiteControl.js';
 export {superviseSiteControl} from './superviseSiteControl.js';
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -24,6 +24,7 @@
 import {KEY_COUNT, replaceOverlappingRanges} from '@medlarlane/site-state';
 import type {KeyRange} from '@medlarlane/site-state';
 import {coldBoundOf, unknownColdBound} from './coldBound.js';
+import {HealthChecks} from './healthChecks.js';
 import {RetryBudgets} from './retryBudgets.js';
 import {createDaemonMetrics} from './siteMetrics.js';
 import type {SiteMetrics} from './siteMetrics.js';
@@ -73,6 +74,11 @@
   readonly metrics: SiteMetrics;
   /** Whether callers may send requests to this daemon. */
   readonly isReady: boolean;
+  /**
+   * Must be called when the evacuation of this daemon's zone has been withdrawn: the target counts as cold
+   * until a health check or heartbeat says that it is not.
+   */
+  onZoneRestored(): void;
   /**
    * Stops accepting requests, waits for requests in flight and closes, all within about `graceMs`. Requests
    * that are still accepted meanwhile get a response by then.
@@ -167,9 +173,23 @@
     maxPerSecond: () => hostedTarget.coldBound?.maxPerSecond,
     grantDueInMs: (key) => hostedTarget.grantDueInMs(key),
     poison,
-    onResult: (result, durationMs) => metrics.recordTargetRun(result, durationMs),
+    onResult: (result, durationMs) => {
+      metrics.recordTargetRun(result, durationMs);
+      healthChecks.recordResult(result);
+    },
     onKeyRequest: (key) => hostedTarget.recordRequest(key),
   });
+  const healthChecks = new HealthChecks({
+    clock,
+    logger: createComponentLogger('target', logger),
+    client: targetClient,
+    // The result has no use without a bound for cold targets, and checks have a cost.
+    path: () => (ownService()?.warmUp ? ownService()?.healthPath : undefined),
+    onHealth: ({targetId, coldLeftMs}) => {
+      if (targetId !== undefined && coldLeftMs !== undefined)
+        hostedTarget.recordHealth(targetId, coldLeftMs);
+    },
+  });
   const eventLoopLag = new EventLoopLag(disposables);
   const peers = disposables.use(
     createPeerClient({logger: createComponentLogger('peers', logger)}),
@@ -219,7 +239,10 @@
       .instancesOf(opts.service)
       .filter(({state, life}) => state === 'ready' && life !== hostedTarget.incarnation);
     const ownEntry = response.instances.find((entry) => entry.forwardAddress === forwardAddress);
+    const isTargetUnknown = hostedTarget.incarnation === undefined;
     if (ownEntry) hostedTarget.restore(ownEntry);
+    if (isTargetUnknown && hostedTarget.incarnation !== undefined)
+      void healthChecks.check('daemon-started');
     hostedTarget.applyReportResponse({
       sentAtMs,
       leaseMs: response.leaseMs,
@@ -307,6 +330,10 @@
     get isReady() {
       return !isStopping && view.hasConfiguration;
     },
+    onZoneRestored: () => {
+      hostedTarget.assumeCold('evacuation');
+      void healthChecks.check('zone-restored');
+    },
     stop: async (graceMs) => {
       isStopping = true;
       controlReporter.reportNow();
--- a/routing/request-path/src/createTargetClient.ts
+++ b/routing/request-path/src/createTargetClient.ts
@@ -8,6 +8,7 @@
   RequestFrame,
   RunResult,
   TargetHeaderCodec,
+  TargetHealth,
   TargetResponseFields,
 } from './messages.js';
 
@@ -32,6 +33,8 @@
     deadlineLeftMs: number;
     signal: AbortSignal;
   }): Promise<RunResult>;
+  /** Requests the health path. Resolves with `undefined` without a response within the timeout. */
+  checkHealth(path: string, timeoutMs: number): Promise<TargetHealth | undefined>;
   /** Determines by a connection attempt whether a process listens on the target's address. */
   probeListener(timeoutMs: number): Promise<'yes' | 'no' | 'unknown'>;
   close(): void;
@@ -69,6 +72,7 @@
   const memoryLimiter = new ResponseMemoryLimiter();
   return {
     run: (run) => sendRequest(agent, memoryLimiter, opts, run),
+    checkHealth: (path, timeoutMs) => requestHealth(agent, opts, path, timeoutMs),
     probeListener: (timeoutMs) => probeConnection(agent, opts, timeoutMs),
     close: () => agent.destroy(),
   };
@@ -191,6 +195,29 @@
   });
 }
 
+function requestHealth(
+  agent: http.Agent,
+  {host, port, headerCodec}: TargetClientOptions,
+  path: string,
+  timeoutMs: number,
+): Promise<TargetHealth | undefined> {
+  return new Promise((resolve) => {
+    const request = http.get({agent, host, port, path});
+    const timer = setTimeout(() => request.destroy(), timeoutMs);
+    request.on('response', (response) => {
+      const {targetId, coldLeftMs} = headerCodec.readResponse(response.headers);
+      resolve({isHealthy: response.statusCode === OK_STATUS, targetId, coldLeftMs});
+      // The connection returns to the pool once the body has been read.
+      response.on('error', () => undefined).resume();
+    });
+    request.on('error', () => undefined);
+    request.on('close', () => {
+      clearTimeout(timer);
+      resolve(undefined);
+    });
+  });
+}
+
 function contentLengthHeader({method, body}: RequestFrame): string[] {
   const canOmit = body.length === 0 && (method === 'GET' || method === 'HEAD');
   return canOmit ? [] : ['Content-Length', String(body.length)];
--- a/routing/request-path/src/index.ts
+++ b/routing/request-path/src/index.ts
@@ -15,6 +15,7 @@
   Offer,
   RequestFrame,
   RunResult,
+  TargetHealth,
   TargetResponse,
   TargetHeaderCodec,
   CallerHeaderCodec,
--- a/routing/request-path/src/messages.ts
+++ b/routing/request-path/src/messages.ts
@@ -134,6 +134,17 @@
   readonly sealed: boolean;
   /** What the target states about itself. */
   readonly notice: TargetNotice;
+  /** The responding target and the time for which it stays cold, in responses to health checks. */
+  readonly targetId?: string | undefined;
+  readonly coldLeftMs?: number | undefined;
+}
+
+/** Response of a target to a health check. */
+export interface TargetHealth {
+  readonly isHealthy: boolean;
+  readonly targetId: string | undefined;
+  /** Time for which the target stays cold; `undefined` if it does not state it. */
+  readonly coldLeftMs: number | undefined;
 }
 
 /** Maps request and response properties to the HTTP headers exchanged with targets. */
--- a/routing/request-path/test/targetClient.test.ts
+++ b/routing/request-path/test/targetClient.test.ts
@@ -23,6 +23,7 @@
       rateLimitRps: headers['x-limit'] === undefined ? undefined : Number(headers['x-limit']),
       isLeaving: headers['x-leaving'] !== undefined,
     },
+    coldLeftMs: headers['x-cold'] === undefined ? undefined : Number(headers['x-cold']),
   }),
 };
 
@@ -128,6 +129,20 @@
     assert.deepEqual(notices, [['a/1', {rateLimitRps: 7.5, isLeaving: true}]]);
   });
 
+  // Guards against a flooded cold target: nobody asked for how long a target stays cold.
+  it('reads for how long a target stays cold from its health response, if there is one', async () => {
+    let respondsToHealth = true;
+    const client = await startTarget(disposables, (socket) => {
+      if (respondsToHealth)
+        socket.write('HTTP/1.1 503 Busy\r\nx-cold: 900\r\nContent-Length: 0\r\n\r\n');
+    });
+    const check = () => client.checkHealth('/health', 100);
+    const cold = {isHealthy: false, targetId: undefined, coldLeftMs: 900};
+    assert.deepEqual(await check(), cold);
+    respondsToHealth = false;
+    assert.equal(await check(), undefined);
+  });
+
   it('does not reuse a connection that received data without a request', async () => {
     const connections = new Set<Socket>();
     const client = await startTarget(disposables, (socket, id) => {
