--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -19,10 +19,12 @@
 import {createRpcClient} from '@medlarlane/rpc';
 import {decodeConfiguration} from '@medlarlane/site-control';
 import type {ReportRequest, ReportResponse} from '@medlarlane/site-control';
-import type {SiteConfiguration} from '@medlarlane/site-config';
+import type {SiteConfiguration, SiteService} from '@medlarlane/site-config';
 import {ControlReporter} from '@medlarlane/site-link';
 import {KEY_COUNT, replaceOverlappingRanges} from '@medlarlane/site-state';
 import type {KeyRange} from '@medlarlane/site-state';
+import {coldBoundOf, unknownColdBound} from './coldBound.js';
+import {HealthChecks} from './healthChecks.js';
 import {RetryBudgets} from './retryBudgets.js';
 import {createDaemonMetrics} from './siteMetrics.js';
 import type {SiteMetrics} from './siteMetrics.js';
@@ -48,6 +50,9 @@
   /** Retries that are always allowed within the window, for all daemons together. */
   readonly retrySlack: number;
   readonly retryWindowMs: number;
+  /** Factor and constant by which a cold target tolerates more than its configured rate in any second. */
+  readonly coldOverage?: number;
+  readonly coldSlack?: number;
   readonly callerHeaderCodec: CallerHeaderCodec;
   readonly targetHeaderCodec: TargetHeaderCodec;
   /**
@@ -69,6 +74,11 @@
   readonly metrics: SiteMetrics;
   /** Whether callers may send requests to this daemon. */
   readonly isReady: boolean;
+  /**
+   * Must be called when the evacuation of this daemon's zone has been withdrawn: the target counts as cold
+   * until a health check or heartbeat says that it is not.
+   */
+  onZoneRestored(): void;
   /**
    * Stops accepting requests, waits for requests in flight and closes, all within about `graceMs`. Requests
    * that are still accepted meanwhile get a response by then.
@@ -114,6 +124,9 @@
       }),
       (client) => client.close(),
     );
+  const tolerance = {coldOverage: opts.coldOverage ?? 1, coldSlack: opts.coldSlack ?? 0};
+  const ownService = (): SiteService | undefined =>
+    view.configuration.services.find(({name}) => name === opts.service);
   const hostedTarget: HostedTarget = new HostedTarget({
     clock,
     steadyClock: systemClock,
@@ -123,6 +136,12 @@
     maxHoldMs: opts.maxHoldMs,
     keyCount: KEY_COUNT,
     ...(grantApi ? {grantApi} : {}),
+    coldBound: () => {
+      if (!view.hasConfiguration) return unknownColdBound(tolerance);
+      const warmUp = ownService()?.warmUp;
+      return warmUp && coldBoundOf(warmUp, tolerance);
+    },
+    isServiceServed: () => view.instancesOf(opts.service).some(({state}) => state === 'ready'),
   });
   const targetClient = disposables.use(
     createTargetClient({
@@ -138,6 +157,7 @@
     load: () => admissionController.load,
     configVersion: () => view.configuration.version,
     rateLimitRps: () => hostedTarget.rateLimit?.rps,
+    coldLeftMs: () => hostedTarget.coldLeftMs,
     controlSilentMs: () => controlReporter.sinceLastResponseMs,
   });
   const poison = new PoisonTable({reporterId: forwardAddress, clock});
@@ -150,11 +170,26 @@
     target: () => resolveCurrentTarget(hostedTarget, isAdmissionClosed),
     holdsKey: (key) => hostedTarget.holdsKey(key),
     rateLimitRps: () => hostedTarget.permittedRps,
+    maxPerSecond: () => hostedTarget.coldBound?.maxPerSecond,
     grantDueInMs: (key) => hostedTarget.grantDueInMs(key),
     poison,
-    onResult: (result, durationMs) => metrics.recordTargetRun(result, durationMs),
+    onResult: (result, durationMs) => {
+      metrics.recordTargetRun(result, durationMs);
+      healthChecks.recordResult(result);
+    },
     onKeyRequest: (key) => hostedTarget.recordRequest(key),
   });
+  const healthChecks = new HealthChecks({
+    clock,
+    logger: createComponentLogger('target', logger),
+    client: targetClient,
+    // The result has no use without a bound for cold targets, and checks have a cost.
+    path: () => (ownService()?.warmUp ? ownService()?.healthPath : undefined),
+    onHealth: ({targetId, coldLeftMs}) => {
+      if (targetId !== undefined && coldLeftMs !== undefined)
+        hostedTarget.recordHealth(targetId, coldLeftMs);
+    },
+  });
   const eventLoopLag = new EventLoopLag(disposables);
   const peers = disposables.use(
     createPeerClient({logger: createComponentLogger('peers', logger)}),
@@ -204,7 +239,10 @@
       .instancesOf(opts.service)
       .filter(({state, life}) => state === 'ready' && life !== hostedTarget.incarnation);
     const ownEntry = response.instances.find((entry) => entry.forwardAddress === forwardAddress);
+    const isTargetUnknown = hostedTarget.incarnation === undefined;
     if (ownEntry) hostedTarget.restore(ownEntry);
+    if (isTargetUnknown && hostedTarget.incarnation !== undefined)
+      void healthChecks.check('daemon-started');
     hostedTarget.applyReportResponse({
       sentAtMs,
       leaseMs: response.leaseMs,
@@ -275,6 +313,7 @@
   backgroundTasks.run('watch target', async (signal) => {
     while (!signal.aborted) {
       await clock.sleep(TARGET_CHECK_INTERVAL_MS, {signal});
+      hostedTarget.reviewCold();
       if (hostedTarget.isHeartbeatOverdue) await checkTarget();
     }
   });
@@ -292,6 +331,10 @@
     get isReady() {
       return !isStopping && view.hasConfiguration;
     },
+    onZoneRestored: () => {
+      hostedTarget.assumeCold('evacuation');
+      void healthChecks.check('zone-restored');
+    },
     stop: async (graceMs) => {
       isStopping = true;
       controlReporter.reportNow();
@@ -339,7 +382,8 @@
   hostedTarget: HostedTarget,
   admissionController: AdmissionController,
 ): Pick<ReportRequest, 'target'> {
-  const {lastHeartbeat: heartbeat, incarnation, state, mayHoldKeys, rateLimit} = hostedTarget;
+  const {lastHeartbeat: heartbeat, incarnation, state, mayHoldKeys} = hostedTarget;
+  const {capacityLimit: rateLimit} = hostedTarget;
   if (!heartbeat || incarnation === undefined || state === undefined) return {};
   // The leader may reassign the keys of a target that holds none and accepts no new ones.
   if (!mayHoldKeys && state !== 'ready') hostedTarget.invalidateLease();
@@ -350,7 +394,7 @@
       service: heartbeat.service,
       state,
       slots: heartbeat.slots,
-      coldLeftMs: heartbeat.coldLeftMs,
+      coldLeftMs: hostedTarget.coldLeftMs,
       mayHoldKeys,
       offeredRps: Math.round(hostedTarget.offeredRps),
       meanMs: admissionController.load.meanMs,
