Serve the highest priority at a target at least as well as lower ones

Cause: on a slow target, requests with a short latency target are late as soon as they wait, and late requests only got what timely requests of all priorities left free. A lower priority with a longer latency target was admitted while the highest one was refused. Calls of running requests also waited behind long requests.

Change: a late request runs before a timely request of a lower priority while its own priority is served worse; predicted waits and the free share of slots follow the same order. While requests of priority 0 arrive, and for 1 s after the last, lower priorities leave max(1, 10%) slots to them. With one priority nothing changes.

--- a/routing/admission/src/slotQueue.ts
+++ b/routing/admission/src/slotQueue.ts
@@ -1,5 +1,6 @@
 import {MedlarlaneError} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
+import {DecayingRate} from './decayingRate.js';
 import {RateLimiter} from './rateLimiter.js';
 
 export interface SlotQueueOptions {
@@ -40,6 +41,17 @@
   readonly settle: (result: SlotPermit | MedlarlaneError) => void;
 }
 
+/** Decaying rates of the requests of a priority. */
+interface PriorityRates {
+  /** Requests admitted within their latency target. */
+  readonly timely: DecayingRate;
+  /** All admitted requests. */
+  readonly admitted: DecayingRate;
+  /** Requests that got a slot, and those refused for overload. */
+  readonly served: DecayingRate;
+  readonly refused: DecayingRate;
+}
+
 const MS_PER_S = 1_000;
 /** Weight of a new sample in the smoothed duration. */
 const DURATION_SMOOTHING = 0.08;
@@ -48,6 +60,12 @@
 const INITIAL_TARGET_FRACTION = 0.3;
 /** Time constant of the decaying rate of requests admitted within their latency target. */
 const RATE_TIME_CONSTANT_MS = 1_000;
+/** Time constant of the rates from which the served shares of priorities are compared. */
+const SHARE_TIME_CONSTANT_MS = 2_000;
+/** The higher of two priorities is served better by at least this share while both are refused. */
+const SERVED_SHARE_MARGIN = 0.05;
+/** At a lower rate, refusals do not change the order of priorities. */
+const MIN_REFUSED_RPS = 0.5;
 /** With a smaller fraction of the slots free, late requests would mostly expire in the queue. */
 const MIN_FREE_FRACTION = 0.08;
 /** Fraction of the remaining time kept as a margin for requests that take longer than predicted. */
@@ -55,14 +73,24 @@
 /** Bounds of the retry delay of refused callers, as fractions of the remaining time. */
 const MIN_RETRY_FRACTION = 0.25;
 const MAX_RETRY_FRACTION = 0.5;
+/**
+ * While requests of the highest priority arrive, lower priorities leave this fraction of the slots to them,
+ * and at least one slot. They are mostly calls that running requests make: they have a short latency target,
+ * and the loss of one wastes the work of the request that made it.
+ */
+const HEADROOM_FRACTION = 0.1;
+const MIN_HEADROOM_SLOTS = 1;
+const HEADROOM_HOLD_MS = 1_000;
+const HIGHEST_PRIORITY = 0;
 /** Interval at which the deadlines of waiting requests are checked. */
 const CHECK_INTERVAL_MS = 25;
 
 /**
  * Admits requests to the slots of one target. A request is queued while its latency target can still be
  * met behind requests of higher priority. Otherwise it is refused immediately, so that its caller can
- * try another target, or, if a late response is acceptable, waits for slots that timely requests leave
- * free. Under overload the target thus spends its slots on responses that meet their latency target.
+ * try another target, or, if a late response is acceptable, waits for slots that timely requests of its
+ * own and higher priorities leave free. Under overload the target thus spends its slots first on the higher
+ * priority, and within a priority on responses that meet their latency target.
  */
 export class SlotQueue {
   private readonly slots: number;
@@ -74,10 +102,11 @@
   private waiters: Waiter[] = [];
   /** Requests that cannot meet their latency target, by priority and then by deadline. */
   private lateWaiters: Waiter[] = [];
-  /** Rate of requests admitted within their latency target, as of `rateUpdatedAtMs`. */
-  private timelyRps = 0;
-  private rateUpdatedAtMs = -Infinity;
+  /** Recent rates by priority. */
+  private readonly ratesByPriority = new Map<number, PriorityRates>();
   private inFlightCount = 0;
+  private highestPriorityInFlight = 0;
+  private highestPriorityAtMs = -Infinity;
   private readonly durationMsByClass = new Map<string, number>();
   private smoothedDurationMs = INITIAL_DURATION_MS;
   private sampleCount = 0;
@@ -124,16 +153,15 @@
     const nowMs = this.clock.nowMs();
     if (request.deadlineAtMs <= nowMs) return Promise.reject(expired());
     if (this.sampleCount === 0) this.smoothedDurationMs = this.initialDurationMs(request, nowMs);
-    if (
-      this.inFlightCount < this.slots &&
-      this.waiters.length === 0 &&
-      this.rateLimiter.tryTake()
-    ) {
-      this.recordTimelyRequest(nowMs);
-      return Promise.resolve(this.grant(nowMs));
+    if (request.priority <= HIGHEST_PRIORITY) this.highestPriorityAtMs = nowMs;
+    if (this.hasSlotFor(request) && !this.hasWaiterBefore(request) && this.rateLimiter.tryTake()) {
+      this.recordAdmitted(request, {isTimely: true});
+      return Promise.resolve(this.grant(request, nowMs));
     }
-    const ahead = this.waiters.filter((waiter) => !precedesByTarget(request, waiter)).length;
-    const waitMs = this.predictedWaitMs(ahead);
+    const ahead =
+      this.waiters.filter((waiter) => !precedesByTarget(request, waiter)).length +
+      this.countLateAbove(request);
+    const waitMs = this.predictedWaitMs(ahead, request);
     const isTimely = this.canMeetLatencyTarget(request, nowMs + waitMs);
     const isWaitTooLong = waitMs > (request.maxWaitMs ?? Infinity);
     if (
@@ -155,8 +183,8 @@
         },
       };
       signal?.addEventListener('abort', onAbort, {once: true});
+      this.recordAdmitted(request, {isTimely});
       if (isTimely) {
-        this.recordTimelyRequest(nowMs);
         insert(this.waiters, waiter, precedesByTarget);
       } else {
         insert(this.lateWaiters, waiter, precedesByDeadline);
@@ -176,8 +204,33 @@
     return Math.min((this.slots * MS_PER_S) / this.meanMs, this.rateLimiter.rateRps);
   }
 
-  private predictedWaitMs(ahead: number): number {
-    const slotWaitMs = ((ahead + 1) * this.meanMs) / this.slots;
+  /** Slots that lower priorities leave to the highest one and that it does not use at the moment. */
+  private get unusedHeadroom(): number {
+    const isHeld = this.clock.nowMs() - this.highestPriorityAtMs < HEADROOM_HOLD_MS;
+    if (!isHeld) return 0;
+    const slots = Math.max(MIN_HEADROOM_SLOTS, Math.floor(this.slots * HEADROOM_FRACTION));
+    // A target with one slot cannot leave it unused.
+    return Math.max(0, Math.min(slots, this.slots - 1) - this.highestPriorityInFlight);
+  }
+
+  /** Slots that requests of this priority may use at the moment. */
+  private slotsFor({priority}: SlotRequest): number {
+    return priority <= HIGHEST_PRIORITY ? this.slots : this.slots - this.unusedHeadroom;
+  }
+
+  private hasSlotFor(request: SlotRequest): boolean {
+    return this.inFlightCount < this.slotsFor(request);
+  }
+
+  private hasWaiterBefore(request: SlotRequest): boolean {
+    const [timely] = this.waiters;
+    const [late] = this.lateWaiters;
+    const isTimelyBefore = timely !== undefined && timely.priority <= request.priority;
+    return isTimelyBefore || (late !== undefined && this.isServedWorse(late, request));
+  }
+
+  private predictedWaitMs(ahead: number, request: SlotRequest): number {
+    const slotWaitMs = ((ahead + 1) * this.meanMs) / this.slotsFor(request);
     return Math.max(slotWaitMs, this.rateLimiter.timeUntilMs(ahead + 1));
   }
 
@@ -188,10 +241,14 @@
   /** Whether a late response is acceptable and likely in time behind `ahead` other late requests. */
   private canMeetDeadline(request: SlotRequest, nowMs: number, ahead: number): boolean {
     if (!request.acceptLate) return false;
-    const freeFraction = 1 - this.timelyRpsAt(nowMs) / this.capacityRps;
+    const freeFraction = 1 - this.precedingRps(request, nowMs) / this.capacityRps;
     if (freeFraction < MIN_FREE_FRACTION) return false;
+    const timelyAhead = this.waiters.filter(
+      (waiter) => !this.isServedWorse(request, waiter),
+    ).length;
     const waitMs =
-      this.predictedWaitMs(this.waiters.length) + this.predictedWaitMs(ahead) / freeFraction;
+      this.predictedWaitMs(timelyAhead, request) +
+      this.predictedWaitMs(ahead, request) / freeFraction;
     const remainingMs = (request.deadlineAtMs - nowMs) * (1 - DEADLINE_MARGIN);
     return waitMs + this.expectedMs(request) <= remainingMs;
   }
@@ -204,13 +261,60 @@
     return this.lateWaiters.filter((waiter) => !precedesByDeadline(request, waiter)).length;
   }
 
-  private timelyRpsAt(nowMs: number): number {
-    return this.timelyRps * Math.exp((this.rateUpdatedAtMs - nowMs) / RATE_TIME_CONSTANT_MS);
+  /** Number of late requests of higher priorities that run before timely requests of this one. */
+  private countLateAbove(request: SlotRequest): number {
+    return this.lateWaiters.filter((waiter) => this.isServedWorse(waiter, request)).length;
   }
 
-  private recordTimelyRequest(nowMs: number): void {
-    this.timelyRps = this.timelyRpsAt(nowMs) + MS_PER_S / RATE_TIME_CONSTANT_MS;
-    this.rateUpdatedAtMs = nowMs;
+  /**
+   * Whether `late` has the higher priority and its priority is served worse than that of `timely`. On a slow
+   * target, requests with a short latency target are mostly late; they would be refused for requests of
+   * a lower priority that can still meet a longer latency target.
+   */
+  private isServedWorse(late: SlotRequest, timely: SlotRequest): boolean {
+    return (
+      late.priority < timely.priority &&
+      this.servedShare(late.priority) < this.servedShare(timely.priority) + SERVED_SHARE_MARGIN
+    );
+  }
+
+  private servedShare(priority: number): number {
+    const rates = this.ratesByPriority.get(priority);
+    const nowMs = this.clock.nowMs();
+    const refusedRps = rates?.refused.at(nowMs) ?? 0;
+    if (!rates || refusedRps < MIN_REFUSED_RPS) return 1 + SERVED_SHARE_MARGIN;
+    const servedRps = rates.served.at(nowMs);
+    return servedRps / (servedRps + refusedRps);
+  }
+
+  private ratesOf({priority}: SlotRequest): PriorityRates {
+    const known = this.ratesByPriority.get(priority);
+    if (known) return known;
+    const rates = {
+      timely: new DecayingRate(RATE_TIME_CONSTANT_MS),
+      admitted: new DecayingRate(RATE_TIME_CONSTANT_MS),
+      served: new DecayingRate(SHARE_TIME_CONSTANT_MS),
+      refused: new DecayingRate(SHARE_TIME_CONSTANT_MS),
+    };
+    this.ratesByPriority.set(priority, rates);
+    return rates;
+  }
+
+  /** Rate of the admitted requests that run before late requests of this priority. */
+  private precedingRps(request: SlotRequest, nowMs: number): number {
+    let rps = 0;
+    for (const [priority, {timely, admitted}] of this.ratesByPriority) {
+      if (priority < request.priority) rps += admitted.at(nowMs);
+      else if (!this.isServedWorse(request, {...request, priority})) rps += timely.at(nowMs);
+    }
+    return rps;
+  }
+
+  private recordAdmitted(request: SlotRequest, {isTimely}: {isTimely: boolean}): void {
+    const nowMs = this.clock.nowMs();
+    const rates = this.ratesOf(request);
+    rates.admitted.record(nowMs);
+    if (isTimely) rates.timely.record(nowMs);
   }
 
   /** Demotes or refuses waiting requests that higher-priority arrivals have delayed too long. */
@@ -218,7 +322,8 @@
     const nowMs = this.clock.nowMs();
     let ahead = 0;
     for (const waiter of [...this.waiters]) {
-      if (this.canMeetLatencyTarget(waiter, nowMs + this.predictedWaitMs(ahead))) {
+      const waitMs = this.predictedWaitMs(ahead + this.countLateAbove(waiter), waiter);
+      if (this.canMeetLatencyTarget(waiter, nowMs + waitMs)) {
         ahead += 1;
       } else if (waiter.acceptLate) {
         this.waiters.splice(this.waiters.indexOf(waiter), 1);
@@ -235,7 +340,8 @@
   }
 
   private overloaded(request: SlotRequest): MedlarlaneError {
-    const queueDrainMs = this.predictedWaitMs(this.waiting);
+    if (request.acceptLate) this.ratesOf(request).refused.record(this.clock.nowMs());
+    const queueDrainMs = this.predictedWaitMs(this.waiting, request);
     const retryAfterMs = Math.round(
       this.reserveReturnMs(request, queueDrainMs) ??
         Math.max(queueDrainMs, this.retryDelayMs(request)),
@@ -283,21 +389,32 @@
 
   private dispatch(): void {
     while (this.inFlightCount < this.slots) {
-      const waiter = this.waiters[0] ?? this.lateWaiters[0];
-      if (!waiter || !this.rateLimiter.tryTake()) return;
-      this.remove(waiter, this.grant(waiter.enqueuedAtMs));
+      const waiter = this.nextWaiter();
+      if (!waiter || !this.hasSlotFor(waiter) || !this.rateLimiter.tryTake()) return;
+      this.remove(waiter, this.grant(waiter, waiter.enqueuedAtMs));
     }
   }
 
-  private grant(enqueuedAtMs: number): SlotPermit {
+  private nextWaiter(): Waiter | undefined {
+    const [timely] = this.waiters;
+    const [late] = this.lateWaiters;
+    if (!timely || !late) return timely ?? late;
+    return this.isServedWorse(late, timely) ? late : timely;
+  }
+
+  private grant(request: SlotRequest, enqueuedAtMs: number): SlotPermit {
+    const isHighest = request.priority <= HIGHEST_PRIORITY;
     this.inFlightCount += 1;
+    if (isHighest) this.highestPriorityInFlight += 1;
     const startedAtMs = this.clock.nowMs();
+    this.ratesOf(request).served.record(startedAtMs);
     this.startTimeSumMs += startedAtMs;
     let isHeld = true;
     const release = (opts: {workMs?: number | undefined; isUnsent?: boolean}): void => {
       if (!isHeld) return;
       isHeld = false;
       this.inFlightCount -= 1;
+      if (isHighest) this.highestPriorityInFlight -= 1;
       this.startTimeSumMs -= startedAtMs;
       if (opts.isUnsent) this.rateLimiter.refund();
       if (opts.workMs !== undefined) this.updateMean(opts.workMs);
