--- a/routing/admission/src/serviceAdmission.ts
+++ b/routing/admission/src/serviceAdmission.ts
@@ -83,7 +83,9 @@
       const neededSlots = (demand.newRps + demand.returnedRps) * state.workS;
       const fraction = neededSlots > freeSlots ? Math.max(0, freeSlots) / neededSlots : 1;
       const level = 1 - (1 - fraction) * effect;
-      state.level = this.isActive ? mix(state.level, level, LEVEL_SMOOTHING) : level;
+      // A level of 1 applies immediately, so that free slots are never refused.
+      const isSmoothed = this.isActive && level < 1;
+      state.level = isSmoothed ? mix(state.level, level, LEVEL_SMOOTHING) : level;
       freeSlots -= neededSlots;
       usualSlots += demand.newRps * state.workS;
       // A service that was at rest used less than the fraction from which demand is reported.
