Take targets of evacuated zones out of service in the daemons and return them

Cause: daemons went on selecting the targets of an evacuated zone, and a target that hands its keys over as in a drain could not return to service in the same incarnation. Change: no daemon selects instances of an evacuated zone. The daemons of the zone refuse offers for their target with DRAINING, empty its queue and hand its keys over while another target can take them; the same incarnation returns with the restore. Releases name the epoch they belong to, so that a release that is reported again cannot take away keys that the returned target was assigned anew; two tests expect the new field. With evacuate_s, a restarted daemon refuses offers for its target until its first report response. Gauges target_evacuated and evacuated_zones.

--- a/apps/site/src/siteMetrics.ts
+++ b/apps/site/src/siteMetrics.ts
@@ -17,6 +17,9 @@
   readonly rateLimitRps: () => number | undefined;
   /** Time since the last response of a control leader. */
   readonly controlSilentMs: () => number;
+  /** Whether the target next to this daemon is out of service because of an evacuation. */
+  readonly isEvacuated: () => boolean;
+  readonly evacuatedZoneCount: () => number;
 }
 
 /** Upper bounds of the latency histograms; 20 ms is the latency objective for one hop. */
@@ -72,6 +75,13 @@
     'Time since the last response of a control leader.',
     () => sources.controlSilentMs() / 1_000,
   );
+  gauge(
+    registry,
+    'target_evacuated',
+    '1 while the target is out of service because of an evacuation, else 0.',
+    () => (sources.isEvacuated() ? 1 : 0),
+  );
+  gauge(registry, 'evacuated_zones', 'Evacuated availability zones.', sources.evacuatedZoneCount);
   return {
     recordRequest: ({route, status, durationMs, attempts}) => {
       requests.inc({route, status: String(status), offers: String(attempts)});
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -28,6 +28,7 @@
 import type {SiteMetrics} from './siteMetrics.js';
 import {startCallerListener} from './startCallerListener.js';
 import type {CallerListener} from './startCallerListener.js';
+import {ZoneEvacuation} from './zoneEvacuation.js';
 
 export interface SiteDaemonOptions {
   readonly availabilityZone: string;
@@ -48,6 +49,11 @@
   /** Retries that are always allowed within the window, for all daemons together. */
   readonly retrySlack: number;
   readonly retryWindowMs: number;
+  /**
+   * Whether the deployment evacuates zones. A daemon then refuses requests for its target until the control
+   * leader has told it whether its zone is evacuated.
+   */
+  readonly hasEvacuations?: boolean;
   readonly callerHeaderCodec: CallerHeaderCodec;
   readonly targetHeaderCodec: TargetHeaderCodec;
   /**
@@ -122,8 +128,15 @@
     drainMs: opts.drainMs,
     maxHoldMs: opts.maxHoldMs,
     keyCount: KEY_COUNT,
+    awaitsLeader: opts.hasEvacuations === true,
     ...(grantApi ? {grantApi} : {}),
   });
+  const zoneEvacuation = new ZoneEvacuation({
+    availabilityZone: opts.availabilityZone,
+    view,
+    hostedTarget,
+    logger: createComponentLogger('zones', logger),
+  });
   const targetClient = disposables.use(
     createTargetClient({
       ...opts.targetEndpoint,
@@ -139,6 +152,8 @@
     configVersion: () => view.configuration.version,
     rateLimitRps: () => hostedTarget.rateLimit?.rps,
     controlSilentMs: () => controlReporter.sinceLastResponseMs,
+    isEvacuated: () => hostedTarget.isEvacuated,
+    evacuatedZoneCount: () => zoneEvacuation.zoneCount,
   });
   const poison = new PoisonTable({reporterId: forwardAddress, clock});
   let isPoisonReported = true;
@@ -193,6 +208,7 @@
     if (response.configuration) applyConfiguration(decodeConfiguration(response.configuration));
     budgets.setDaemonCount(response.daemonCount);
     view.updateInstances(response);
+    if (response.evacuation) zoneEvacuation.apply(response.evacuation);
     if (response.poison) poison.merge(response.poison);
     for (const [service, changedRanges] of response.ranges) {
       view.setRanges(
@@ -202,7 +218,12 @@
     }
     const successors = view
       .instancesOf(opts.service)
-      .filter(({state, life}) => state === 'ready' && life !== hostedTarget.incarnation);
+      .filter(
+        (entry) =>
+          entry.state === 'ready' &&
+          entry.life !== hostedTarget.incarnation &&
+          !view.isEvacuated(entry),
+      );
     const ownEntry = response.instances.find((entry) => entry.forwardAddress === forwardAddress);
     if (ownEntry) hostedTarget.restore(ownEntry);
     hostedTarget.applyReportResponse({
@@ -225,6 +246,7 @@
       availabilityZone: opts.availabilityZone,
       configVersion: view.configuration.version,
       ...syncState,
+      evacuationIndex: zoneEvacuation.index,
       waitMs: 0,
       ...buildTargetReport(hostedTarget, admissionController),
       endedLives: [...hostedTarget.endedIncarnations],
@@ -339,9 +361,10 @@
   admissionController: AdmissionController,
 ): Pick<ReportRequest, 'target'> {
   const {lastHeartbeat: heartbeat, incarnation, state, mayHoldKeys, rateLimit} = hostedTarget;
+  const {isEvacuated} = hostedTarget;
   if (!heartbeat || incarnation === undefined || state === undefined) return {};
   // The leader may reassign the keys of a target that holds none and accepts no new ones.
-  if (!mayHoldKeys && state !== 'ready') hostedTarget.invalidateLease();
+  if (!mayHoldKeys && (state !== 'ready' || isEvacuated)) hostedTarget.invalidateLease();
   return {
     target: {
       targetId: heartbeat.targetId,
@@ -355,6 +378,7 @@
       meanMs: admissionController.load.meanMs,
       ...(rateLimit ? {rateLimit} : {}),
       isRateLimitKnown: hostedTarget.hasNotice,
+      ...(isEvacuated ? {isEvacuated} : {}),
     },
   };
 }
--- a/control/site-control/src/reports.ts
+++ b/control/site-control/src/reports.ts
@@ -41,6 +41,8 @@
   handover: z.string(),
   /** The transfer for which the keys were released; 0 for none. */
   transferId: z.int(),
+  /** Fencing token of the assignment that the keys were released from; absent in earlier versions. */
+  epoch: z.int().optional(),
 });
 
 /** Report that a daemon sends to the control leader a few times per second. */
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -266,11 +266,12 @@
     const readyIncarnations = new Set(
       this.readyTargets(term, target.service).map(({life}) => life),
     );
-    const assignments = released.map(({life, fromKey, toKey, handover, transferId}) => {
+    const assignments = released.map(({life, fromKey, toKey, handover, transferId, epoch}) => {
       const toLife = term.transfers.get(transferId)?.toLife ?? '';
       term.transfers.delete(transferId);
       const ownerLife = readyIncarnations.has(toLife) ? toLife : '';
-      return {fromKey, toKey, ownerLife, handover, previousOwnerLife: life};
+      const previous = {previousOwnerLife: life, maxPreviousEpoch: epoch};
+      return {fromKey, toKey, ownerLife, handover, ...previous};
     });
     await this.assign(target.service, assignments);
     term.rebalancedAtMs.set(target.service, this.opts.clock.nowMs());
--- a/control/site-state/src/siteCommands.ts
+++ b/control/site-state/src/siteCommands.ts
@@ -11,6 +11,11 @@
   handover: z.string(),
   /** The assignment is skipped when any of its keys has a different owner by the time it is applied. */
   previousOwnerLife: z.string(),
+  /**
+   * The same when any of its keys was assigned after this epoch: a release that is reported twice must not
+   * take away keys that its owner was assigned again.
+   */
+  maxPreviousEpoch: z.int().optional(),
 });
 
 const siteCommandSchema = z.discriminatedUnion('kind', [
--- a/control/site-state/src/siteState.ts
+++ b/control/site-state/src/siteState.ts
@@ -177,9 +177,14 @@
   ): number {
     let ranges = this.rangesOf(service);
     let changed = 0;
-    for (const {fromKey, toKey, ownerLife, handover, previousOwnerLife} of assignments) {
+    for (const assignment of assignments) {
+      const {fromKey, toKey, ownerLife, handover, previousOwnerLife} = assignment;
+      const maxPreviousEpoch = assignment.maxPreviousEpoch ?? Infinity;
       const affected = ranges.filter((range) => range.fromKey <= toKey && range.toKey >= fromKey);
-      if (affected.some((range) => range.ownerLife !== previousOwnerLife)) continue;
+      const hasChanged = affected.some(
+        (range) => range.ownerLife !== previousOwnerLife || range.epoch > maxPreviousEpoch,
+      );
+      if (hasChanged) continue;
       ranges = replaceRange(ranges, {fromKey, toKey, ownerLife, epoch: index, handover});
       changed += 1;
       this.latestEpoch = index;
--- a/control/site-state/test/siteState.test.ts
+++ b/control/site-state/test/siteState.test.ts
@@ -71,6 +71,18 @@
     assert.deepEqual([...restored.state.ownerAddresses], [['b', 'host-b:1']]);
   });
 
+  // Guards against a repeated report of a release that takes keys away which the owner holds again.
+  it('skips a release of keys that were assigned to the same owner again', () => {
+    const site = startSite();
+    const keys = {fromKey: 0, toKey: KEY_COUNT - 1};
+    site.assign({...keys, ownerLife: 'a', previousOwnerLife: ''});
+    const release = {...keys, ownerLife: '', previousOwnerLife: 'a', maxPreviousEpoch: 1};
+    assert.equal(site.assign(release), 1);
+    site.assign({...keys, ownerLife: 'a', previousOwnerLife: ''});
+    assert.equal(site.assign(release), 0);
+    assert.equal(site.state.rangesOf('wallboard')[0]?.ownerLife, 'a');
+  });
+
   it('keeps evacuated zones across a snapshot restore and accepts what is already set', () => {
     const site = startSite();
     assert.equal(site.setEvacuation('east', true, 'a').kind, 'accepted');
@@ -153,6 +165,7 @@
       toKey: number;
       ownerLife: string;
       previousOwnerLife: string;
+      maxPreviousEpoch?: number;
     },
     homes: Record<string, string> = {},
   ): unknown =>
--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -88,9 +88,10 @@
   private instances = new Map<string, InstanceView>();
   private byIncarnation = new Map<string, InstanceView>();
   private byService = new Map<string, InstanceView[]>();
-  /** Instances by service that are ready and not stopping. */
+  /** Instances by service that are ready, not stopping and not in an evacuated zone. */
   private availableByService = new Map<string, InstanceView[]>();
   private keyedServices: ReadonlySet<string> = new Set();
+  private evacuatedZones: ReadonlySet<string> = new Set();
   /** Instances that a new leader has not confirmed yet, with the time at which they are removed. */
   private readonly unconfirmedUntilMs = new Map<string, number>();
   private coldUntilMs = new Map<string, number>();
@@ -147,12 +148,7 @@
       if (list) list.push(instance);
       else this.byService.set(instance.service, [instance]);
     }
-    this.availableByService = new Map(
-      [...this.byService].map(([service, list]) => [
-        service,
-        list.filter(({state, stopping}) => state === 'ready' && !stopping),
-      ]),
-    );
+    this.updateAvailable();
     for (const {life, coldLeftMs} of update.instances) {
       if (coldLeftMs > 0 && !this.coldUntilMs.has(life)) {
         this.coldUntilMs.set(life, nowMs + coldLeftMs);
@@ -166,6 +162,27 @@
     }
   }
 
+  /** Sets the availability zones whose instances are not selected. */
+  setEvacuatedZones(zones: readonly string[]): void {
+    this.evacuatedZones = new Set(zones);
+    this.updateAvailable();
+  }
+
+  isEvacuated({availabilityZone}: Pick<InstanceView, 'availabilityZone'>): boolean {
+    return this.evacuatedZones.has(availabilityZone);
+  }
+
+  private updateAvailable(): void {
+    this.availableByService = new Map(
+      [...this.byService].map(([service, list]) => [
+        service,
+        list.filter(
+          (entry) => entry.state === 'ready' && !entry.stopping && !this.isEvacuated(entry),
+        ),
+      ]),
+    );
+  }
+
   /** Keeps unconfirmed instances, because a new leader only knows those that have reported to it so far. */
   private keepUnconfirmed(nowMs: number): void {
     for (const forwardAddress of this.instances.keys()) {
@@ -211,6 +228,7 @@
     return route.shares[best]!.service;
   }
 
+  /** Returns the instance that owns the key; `undefined` also while its zone is evacuated. */
   ownerOf(service: string, key: number): InstanceView | undefined {
     const ranges = this.rangesOf(service);
     let low = 0;
@@ -221,7 +239,9 @@
       else high = middle;
     }
     const range = ranges[low];
-    return range && range.fromKey <= key ? this.byIncarnation.get(range.ownerLife) : undefined;
+    if (!range || range.fromKey > key) return undefined;
+    const owner = this.byIncarnation.get(range.ownerLife);
+    return owner && !this.isEvacuated(owner) ? owner : undefined;
   }
 
   /**
@@ -264,7 +284,9 @@
     if (shortest) return shortest;
     const isPreferred = ({life}: InstanceView): boolean => this.statsOf(life).avoidUntilMs <= nowMs;
     const unresponsive = (): InstanceView[] =>
-      this.instancesOf(service).filter(({state}) => state === 'silent');
+      this.instancesOf(service).filter(
+        (entry) => entry.state === 'silent' && !this.isEvacuated(entry),
+      );
     return (
       this.drawBetterOfTwo(available, isPreferred) ??
       this.drawBetterOfTwo(available, isNotExcluded) ??
@@ -298,7 +320,8 @@
 
   /** Shortest time after which an instance of the service may have a free slot again. */
   estimateRetryAfterMs(service: string): number {
-    const waits = this.instancesOf(service).map((entry) => {
+    const instances = this.instancesOf(service).filter((entry) => !this.isEvacuated(entry));
+    const waits = instances.map((entry) => {
       const {load} = this.statsOf(entry.life);
       return load ? (load.meanMs * (load.waiting + 1)) / this.usableSlots(entry) : INITIAL_MEAN_MS;
     });
--- a/routing/request-path/test/siteView.test.ts
+++ b/routing/request-path/test/siteView.test.ts
@@ -108,6 +108,23 @@
     assert.equal(view.pickFreeInstance(SERVICE, new Set())?.life, 'far-1');
   });
 
+  // Guards against requests to an evacuated zone, also those of last resort and to owners of keys.
+  it('selects no instance of an evacuated zone until it is restored', () => {
+    const {view} = startView(['near', 'far-1']);
+    view.setRanges(SERVICE, [{fromKey: 0, toKey: 65_535, ownerLife: 'near'}]);
+    view.setEvacuatedZones(['near']);
+    assert.deepEqual([...pickMany(view, 50)], [['far-1', 50]]);
+    assert.equal(view.ownerOf(SERVICE, 5), undefined);
+    const late = {...view.instancesOf(SERVICE)[0]!, life: 'near-2', forwardAddress: 'near-2:1'};
+    const silent = {...late, life: 'near-3', forwardAddress: 'near-3:1', state: 'silent'} as const;
+    view.updateInstances({full: false, instances: [late, silent], removed: ['far-1:1']});
+    assert.equal(view.pickFreeInstance(SERVICE, new Set()), undefined);
+    assert.equal(view.pickShortestQueue(SERVICE, new Set()), undefined);
+    view.setEvacuatedZones([]);
+    assert.equal(view.ownerOf(SERVICE, 5)?.life, 'near');
+    assert.notEqual(view.pickFreeInstance(SERVICE, new Set()), undefined);
+  });
+
   it('finds the owner of a key at both ends of its range and none in a gap', () => {
     const {view} = startView(['near', 'far-1']);
     view.setRanges(SERVICE, [
--- a/targets/key-holds/src/departingKeys.ts
+++ b/targets/key-holds/src/departingKeys.ts
@@ -7,6 +7,8 @@
   readonly handover: string;
   /** 0 when the keys were released without a transfer. */
   readonly transferId: number;
+  /** Fencing token of the assignment that the keys were released from. */
+  readonly epoch: number;
 }
 
 /** A key range that a transfer moves to another target. */
@@ -16,6 +18,7 @@
 
 interface KeyRelease extends KeyRange {
   readonly handover: string;
+  readonly epoch: number;
 }
 
 /**
@@ -37,8 +40,8 @@
   }
 
   get released(): ReleasedKeyRange[] {
-    return this.releases.flatMap(({fromKey, toKey, handover}) =>
-      this.splitByTransfer({fromKey, toKey}).map((part) => ({...part, handover})),
+    return this.releases.flatMap(({fromKey, toKey, handover, epoch}) =>
+      this.splitByTransfer({fromKey, toKey}).map((part) => ({...part, handover, epoch})),
     );
   }
 
@@ -46,14 +49,17 @@
     return this.releases.some((other) => other.handover === handover);
   }
 
-  addRelease(range: KeyRange, handover: string): void {
-    this.releases.push({...range, handover});
+  addRelease(range: KeyRange, release: {handover: string; epoch: number}): void {
+    this.releases.push({...range, ...release});
   }
 
-  /** Removes releases that overlap no key range assigned to this incarnation. */
-  retainAssigned(assigned: readonly KeyRange[]): void {
+  /**
+   * Removes releases whose keys the leader has assigned anew, to another incarnation or, after an
+   * evacuation, to this one again.
+   */
+  retainAssigned(assigned: ReadonlyArray<KeyRange & {readonly epoch: number}>): void {
     this.releases = this.releases.filter((release) =>
-      assigned.some((range) => overlaps(range, release)),
+      assigned.some((range) => overlaps(range, release) && range.epoch <= release.epoch),
     );
   }
 
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -62,6 +62,11 @@
   readonly keyCount: number;
   /** Grants keys by requests to the target; without it, responses to heartbeats carry the grants. */
   readonly grantApi?: GrantApi;
+  /**
+   * Whether the target accepts no requests until the control leader has been heard, because its zone may
+   * be evacuated.
+   */
+  readonly awaitsLeader?: boolean;
 }
 
 export type HostedTargetState = 'ready' | 'draining' | 'silent' | 'ended';
@@ -114,6 +119,7 @@
   private heartbeatAtMs = -Infinity;
   private statements: TargetStatements | undefined;
   private ended = false;
+  private evacuated = false;
   private readonly startedAtMs: number;
   private grantedUntilMs = -Infinity;
   /** `grantedUntilMs` on the steady clock. */
@@ -183,9 +189,20 @@
     );
   }
 
+  /** Whether the target is out of service because its zone is evacuated. */
+  get isEvacuated(): boolean {
+    return this.evacuated;
+  }
+
+  /** Whether the target hands its keys over to others. */
+  private get isLeavingService(): boolean {
+    return this.evacuated || this.statements?.isDraining === true;
+  }
+
   /** Whether the target accepts new requests. */
   get acceptsRequests(): boolean {
-    if (!this.heartbeat || this.ended) return false;
+    if (!this.heartbeat || this.ended || this.evacuated) return false;
+    if (this.opts.awaitsLeader && !this.hasHeardLeader) return false;
     return this.statements?.isDrainTimeoutNear !== true;
   }
 
@@ -227,7 +244,7 @@
   /** Time until the next grant that includes the key; `undefined` when none is planned. */
   grantDueInMs(key: number): number | undefined {
     if (this.opts.clock.nowMs() >= this.leaseUntilMs) return undefined;
-    if (this.statements?.isDraining) return undefined;
+    if (this.isLeavingService) return undefined;
     const nowMs = this.opts.steadyClock.nowMs();
     const isPlanned = this.assigned
       .flatMap((range) => this.remainingRanges(range))
@@ -314,7 +331,7 @@
   applyGrantPlan(): void {
     if (!this.pushedGrants || this.ended || this.lastHeartbeatAtMs === -Infinity) return;
     const {assigned, leaseUntilMs} = this;
-    const isHandingOver = this.statements?.isDraining === true && this.hasSuccessors;
+    const isHandingOver = this.isLeavingService && this.hasSuccessors;
     this.pushedGrants.applyPlan({
       keep: isHandingOver ? [] : assigned.flatMap((range) => this.remainingRanges(range)),
       revoke: isHandingOver ? assigned : this.outgoingKeys.outgoingRanges,
@@ -365,6 +382,20 @@
     if (this.statements?.beginDrain('removal')) this.onChange();
   }
 
+  /**
+   * Takes the target out of service or returns it. Unlike after a drain, the same incarnation can return.
+   * Grants follow with the next response of the leader.
+   */
+  setEvacuated(isEvacuated: boolean): void {
+    if (this.evacuated === isEvacuated) return;
+    this.evacuated = isEvacuated;
+    this.opts.logger.info(
+      {life: this.incarnation, assignedRanges: this.assigned.length},
+      isEvacuated ? 'Target evacuated' : 'Target returned from an evacuation',
+    );
+    this.onChange();
+  }
+
   /** Records that no process listens at the target's address any more. */
   markEnded(): void {
     if (!this.heartbeat || this.ended) return;
@@ -472,8 +503,9 @@
 
   private addRelease(keys: KeyRange, handover: string): void {
     this.opts.logger.info({life: this.incarnation, ...keys}, 'Target released keys');
-    const isAssigned = this.assigned.some((range) => overlaps(range, keys));
-    if (isAssigned) this.outgoingKeys.addRelease(keys, handover);
+    const epochs = this.assigned.filter((range) => overlaps(range, keys)).map(({epoch}) => epoch);
+    if (epochs.length > 0)
+      this.outgoingKeys.addRelease(keys, {handover, epoch: Math.max(...epochs)});
   }
 
   /** Selects the key range whose load comes closest to the requested fraction of the total. */
@@ -498,7 +530,7 @@
     const remainingMs = (this.leaseUntilMs - nowMs) * CLOCK_RATE_MARGIN;
     const holdMs = Math.floor(Math.min(MAX_GRANT_MS, this.opts.maxHoldMs, remainingMs));
     if (holdMs < MIN_GRANT_MS) return undefined;
-    const isHandingOver = this.statements?.isDraining === true && this.hasSuccessors;
+    const isHandingOver = this.isLeavingService && this.hasSuccessors;
     const ranges = isHandingOver
       ? []
       : this.assigned.flatMap((range) => this.remainingRanges(range));
--- a/targets/key-holds/test/hostedTarget.test.ts
+++ b/targets/key-holds/test/hostedTarget.test.ts
@@ -212,7 +212,7 @@
       [[100, KEY_COUNT - 1]],
     );
     assert.deepEqual(hosted.released, [
-      {life: 'i-1/1000', fromKey: 0, toKey: 99, handover: 'h', transferId: 0},
+      {life: 'i-1/1000', fromKey: 0, toKey: 99, handover: 'h', transferId: 0, epoch: 3},
     ]);
   });
 
@@ -224,6 +224,50 @@
     assert.deepEqual(acceptedGrantOf(sendHeartbeat({sequence: 3, state: 'draining'}))?.ranges, []);
   });
 
+  it('hands its keys over while its zone is evacuated and serves them again in the same incarnation', () => {
+    const {hosted, sendHeartbeat, renewLease} = startHosted();
+    sendHeartbeat({sequence: 1});
+    renewLease({});
+    sendHeartbeat({sequence: 2});
+    let reports = 0;
+    hosted.onChange = () => (reports += 1);
+    hosted.setEvacuated(true);
+    hosted.setEvacuated(true);
+    assert.equal(reports, 1);
+    assert.deepEqual([hosted.acceptsRequests, hosted.grantDueInMs(10)], [false, undefined]);
+    assert.deepEqual(acceptedGrantOf(sendHeartbeat({sequence: 3}))?.ranges, []);
+    sendHeartbeat({sequence: 4, freed: [{fromKey: 0, toKey: KEY_COUNT - 1, handover: 'h'}]});
+    assert.equal(hosted.released.length, 1);
+    hosted.setEvacuated(false);
+    assert.deepEqual([hosted.state, hosted.acceptsRequests], ['ready', true]);
+    // Still the assignment that the keys were released from.
+    renewLease({});
+    assert.deepEqual(acceptedGrantOf(sendHeartbeat({sequence: 5}))?.ranges ?? [], []);
+    const keys = {fromKey: 0, toKey: KEY_COUNT - 1, handover: 'h'};
+    renewLease({ranges: [{...keys, ownerLife: 'i-1/1000', epoch: 4}]});
+    assert.deepEqual(hosted.released, []);
+    assert.equal(acceptedGrantOf(sendHeartbeat({sequence: 6}))?.ranges.length, 1);
+  });
+
+  it('keeps its keys in an evacuation while no other target can take them over', () => {
+    const {hosted, sendHeartbeat, renewLease} = startHosted();
+    sendHeartbeat({sequence: 1});
+    renewLease({hasSuccessors: false});
+    hosted.setEvacuated(true);
+    assert.equal(acceptedGrantOf(sendHeartbeat({sequence: 2}))?.ranges.length, 1);
+    assert.equal(hosted.acceptsRequests, false);
+  });
+
+  // Guards against requests to an evacuated target between a restart of its daemon and the first response
+  // of the leader.
+  it('accepts nothing until the leader was heard if its zone may be evacuated', () => {
+    const {hosted, sendHeartbeat, renewLease} = startHosted({awaitsLeader: true});
+    sendHeartbeat({sequence: 9});
+    assert.equal(hosted.acceptsRequests, false);
+    renewLease({});
+    assert.equal(hosted.acceptsRequests, true);
+  });
+
   it('keeps its keys when it drains and no other target can take them over', () => {
     const {sendHeartbeat, renewLease} = startHosted();
     sendHeartbeat({sequence: 1});
@@ -315,7 +359,7 @@
   return response.accepted ? response.grant : undefined;
 }
 
-function startHosted() {
+function startHosted(opts: {awaitsLeader?: boolean} = {}) {
   const clock = new ManualClock();
   const clockOffset = {aheadMs: 0};
   const hosted = new HostedTarget({
@@ -330,6 +374,7 @@
     drainMs: 2_000,
     maxHoldMs: MAX_HOLD_MS,
     keyCount: KEY_COUNT,
+    ...opts,
   });
   const sendHeartbeat = (fields: Partial<Heartbeat>) =>
     hosted.handleHeartbeat({
--- a/targets/key-holds/test/pushedGrants.test.ts
+++ b/targets/key-holds/test/pushedGrants.test.ts
@@ -169,7 +169,7 @@
     await settle();
     assert.equal(hosted.holdsKey(10), false);
     assert.deepEqual(hosted.released, [
-      {life: 'i-1/1000', fromKey: 0, toKey: 99, handover: 'h-0-99', transferId: 0},
+      {life: 'i-1/1000', fromKey: 0, toKey: 99, handover: 'h-0-99', transferId: 0, epoch: 7},
     ]);
     assert.ok(hosted.mayHoldKeys, 'the leader still assigns the released keys to it');
   });
