--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -31,6 +31,7 @@
 import type {SiteMetrics} from './siteMetrics.js';
 import {startCallerListener} from './startCallerListener.js';
 import type {CallerListener} from './startCallerListener.js';
+import {ZoneEvacuation} from './zoneEvacuation.js';
 
 export interface SiteDaemonOptions {
   readonly availabilityZone: string;
@@ -54,6 +55,11 @@
   /** Factor and constant by which a cold target tolerates more than its configured rate in any second. */
   readonly coldOverage?: number;
   readonly coldSlack?: number;
+  /**
+   * Whether the deployment evacuates zones. A daemon then refuses requests for its target until the control
+   * leader has told it whether its zone is evacuated.
+   */
+  readonly hasEvacuations?: boolean;
   readonly callerHeaderCodec: CallerHeaderCodec;
   readonly targetHeaderCodec: TargetHeaderCodec;
   /**
@@ -138,6 +144,7 @@
     drainMs: opts.drainMs,
     maxHoldMs: opts.maxHoldMs,
     keyCount: KEY_COUNT,
+    awaitsLeader: opts.hasEvacuations === true,
     ...(grantApi ? {grantApi} : {}),
     coldBound: () => {
       if (!view.hasConfiguration) return unknownColdBound(tolerance);
@@ -146,6 +153,12 @@
     },
     isServiceServed: () => view.instancesOf(opts.service).some(({state}) => state === 'ready'),
   });
+  const zoneEvacuation = new ZoneEvacuation({
+    availabilityZone: opts.availabilityZone,
+    view,
+    hostedTarget,
+    logger: createComponentLogger('zones', logger),
+  });
   const targetClient = disposables.use(
     createTargetClient({
       ...opts.targetEndpoint,
@@ -175,6 +188,8 @@
     rateLimitRps: () => hostedTarget.rateLimit?.rps,
     coldLeftMs: () => hostedTarget.coldLeftMs,
     controlSilentMs: () => controlReporter.sinceLastResponseMs,
+    isEvacuated: () => hostedTarget.isEvacuated,
+    evacuatedZoneCount: () => zoneEvacuation.zoneCount,
   });
   const poison = new PoisonTable({reporterId: forwardAddress, clock});
   let isPoisonReported = true;
@@ -247,6 +262,7 @@
     if (response.isDemandWanted) demandWantedUntilMs = clock.nowMs() + DEMAND_WANTED_MS;
     serviceLevels.update((response.demand ?? []).map(decodeSums), response.daemonCount);
     view.updateInstances(response);
+    if (response.evacuation) zoneEvacuation.apply(response.evacuation);
     if (response.poison) poison.merge(response.poison);
     for (const [service, changedRanges] of response.ranges) {
       view.setRanges(
@@ -256,7 +272,12 @@
     }
     const successors = view
       .instancesOf(opts.service)
-      .filter(({state, life}) => state === 'ready' && life !== hostedTarget.incarnation);
+      .filter(
+        (entry) =>
+          entry.state === 'ready' &&
+          entry.life !== hostedTarget.incarnation &&
+          !view.isEvacuated(entry),
+      );
     const ownEntry = response.instances.find((entry) => entry.forwardAddress === forwardAddress);
     const isTargetUnknown = hostedTarget.incarnation === undefined;
     if (ownEntry) hostedTarget.restore(ownEntry);
@@ -282,6 +303,7 @@
       availabilityZone: opts.availabilityZone,
       configVersion: view.configuration.version,
       ...syncState,
+      evacuationIndex: zoneEvacuation.index,
       waitMs: 0,
       ...buildTargetReport(hostedTarget, admissionController),
       endedLives: [...hostedTarget.endedIncarnations],
@@ -404,9 +426,10 @@
 ): Pick<ReportRequest, 'target'> {
   const {lastHeartbeat: heartbeat, incarnation, state, mayHoldKeys} = hostedTarget;
   const {capacityLimit: rateLimit} = hostedTarget;
+  const {isEvacuated} = hostedTarget;
   if (!heartbeat || incarnation === undefined || state === undefined) return {};
   // The leader may reassign the keys of a target that holds none and accepts no new ones.
-  if (!mayHoldKeys && state !== 'ready') hostedTarget.invalidateLease();
+  if (!mayHoldKeys && (state !== 'ready' || isEvacuated)) hostedTarget.invalidateLease();
   return {
     target: {
       targetId: heartbeat.targetId,
@@ -420,6 +443,7 @@
       meanMs: admissionController.load.meanMs,
       ...(rateLimit ? {rateLimit} : {}),
       isRateLimitKnown: hostedTarget.hasNotice,
+      ...(isEvacuated ? {isEvacuated} : {}),
     },
   };
 }
