Divide hot stretches among all targets at once and move only their keys

Cause: each transfer took one range at the end of an owned range, one after the other from a shrinking rest; a plan waited for all pending transfers and then for 1.5 s; loads were averaged over 1.5 s. A hot stretch stayed on few targets for its whole life, and the moves took wide idle ranges with them.

Change: KeyDemand measures the recent demand as well and reports a surge at once. The keys of all transfers are selected together, when the target can be told, as parts of the narrowest stretch that carries their load. TransferLedger corrects loads for pending and recent transfers, so only targets that these involve wait.

--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -11,9 +11,10 @@
 import {KEY_LEASE_MS, KeyLeaseTable} from './keyLeaseTable.js';
 import {planKeys} from './planKeys.js';
 import {planTransfers, usableFractionOf} from './planTransfers.js';
-import type {Transfer} from './planTransfers.js';
+import type {LoadedTarget} from './planTransfers.js';
 import {encodeConfiguration} from './reports.js';
 import type {ReportedTarget, ReportRequest, ReportResponse} from './reports.js';
+import {TransferLedger} from './transferLedger.js';
 
 export interface SiteControlOptions {
   readonly replica: Replica;
@@ -37,17 +38,10 @@
   readonly firstReadyAtMs: Map<string, number>;
   /** Owners whose keys a proposed command reassigns; their leases are not renewed until it is applied. */
   readonly reassigning: Set<string>;
-  readonly transfers: Map<number, PendingTransfer>;
+  readonly transfers: TransferLedger;
   readonly poison: PoisonTable;
   /** Directory revision at which the poison table last changed. */
   poisonChangedRevision: number;
-  /** Time at which keys of a service were last moved, by service. */
-  readonly rebalancedAtMs: Map<string, number>;
-}
-
-interface PendingTransfer extends Transfer {
-  readonly service: string;
-  readonly startedAtMs: number;
 }
 
 const RECONCILE_INTERVAL_MS = 100;
@@ -57,15 +51,15 @@
 const REPORT_MAX_AGE_MS = 1_500;
 /** Time between the first ready target of a service and its first assignment, so that more targets can join. */
 const FIRST_ASSIGNMENT_DELAY_MS = 2_000;
-/** A transfer takes up to two heartbeats of the target; it is abandoned after this time. */
-const TRANSFER_TIMEOUT_MS = 4_000;
 /** Updates are batched for this time before they are sent, and longer in a large fleet, where each costs more. */
 const UPDATE_BATCH_DELAY_MS = 20;
 const UPDATE_BATCH_DELAY_PER_DAEMON_MS = 0.25;
 /** Maximum number of assignments in a log record; a service has hundreds of ranges. */
 const MAX_LOGGED_ASSIGNMENTS = 8;
-/** Time after a move of keys before the next rebalancing, in which loads are measured again. */
-const REBALANCE_COOLDOWN_MS = 1_500;
+/** Time after the start of a term until the first transfers, in which the daemons report their loads. */
+const FIRST_TRANSFER_DELAY_MS = 1_500;
+/** Maximum number of transfers of a plan in the log; a hot stretch is divided among dozens of targets. */
+const MAX_LOGGED_TRANSFERS = 8;
 
 /** Control leader: handles daemon reports, the instance directory, key placement and configuration changes. */
 export class SiteControl {
@@ -76,7 +70,6 @@
   private isWakeScheduled = false;
   private encodedCache:
     {readonly version: number; readonly bytes: Uint8Array<ArrayBuffer>} | undefined;
-  private lastTransferId = 0;
 
   constructor(private readonly opts: SiteControlOptions) {
     const {logger, state, replica} = opts;
@@ -153,14 +146,13 @@
         sessions: new Map(),
         firstReadyAtMs: new Map(),
         reassigning: new Set(),
-        transfers: new Map(),
+        transfers: new TransferLedger(clock),
         poison: new PoisonTable({
           reporterId: `leader-${replica.term}`,
           crashThreshold: QUARANTINE_CRASH_THRESHOLD,
           clock,
         }),
         poisonChangedRevision: 0,
-        rebalancedAtMs: new Map(),
       };
     }
     return this.currentTerm;
@@ -245,13 +237,11 @@
       this.readyTargets(term, target.service).map(({life}) => life),
     );
     const assignments = released.map(({life, fromKey, toKey, handover, transferId}) => {
-      const toLife = term.transfers.get(transferId)?.toLife ?? '';
-      term.transfers.delete(transferId);
+      const toLife = term.transfers.complete(transferId)?.toLife ?? '';
       const ownerLife = readyIncarnations.has(toLife) ? toLife : '';
       return {fromKey, toKey, ownerLife, handover, previousOwnerLife: life};
     });
     await this.assign(target.service, assignments);
-    term.rebalancedAtMs.set(target.service, this.opts.clock.nowMs());
     if (assignments.some(({ownerLife}) => ownerLife === '') && !this.isPlacing) {
       await this.placeKeys(term);
     }
@@ -274,35 +264,36 @@
   /** Requests key transfers from overloaded targets. */
   private rebalance(term: LeadershipTerm, service: string): void {
     const {clock, logger} = this.opts;
-    const nowMs = clock.nowMs();
-    for (const [transferId, {startedAtMs}] of term.transfers) {
-      if (nowMs - startedAtMs > TRANSFER_TIMEOUT_MS) term.transfers.delete(transferId);
-    }
-    const hasPendingTransfer = [...term.transfers.values()].some(
-      (transfer) => transfer.service === service,
-    );
-    const sinceRebalanceMs = nowMs - (term.rebalancedAtMs.get(service) ?? term.startedAtMs);
-    if (hasPendingTransfer || sinceRebalanceMs < REBALANCE_COOLDOWN_MS) return;
+    term.transfers.removeExpired();
+    if (clock.nowMs() - term.startedAtMs < FIRST_TRANSFER_DELAY_MS) return;
     const owners = new Set(this.opts.state.rangesOf(service).map(({ownerLife}) => ownerLife));
-    const targets = this.readyTargets(term, service).map((target) => ({
-      ...target,
-      ownsKeys: owners.has(target.life),
-    }));
-    for (const transfer of planTransfers(targets)) {
-      this.lastTransferId += 1;
-      term.transfers.set(this.lastTransferId, {...transfer, service, startedAtMs: nowMs});
-      logger.info(
-        {
-          transferId: this.lastTransferId,
-          ...transfer,
-          service,
-          from: loadOf(targets, transfer.fromLife),
-          to: loadOf(targets, transfer.toLife),
-        },
-        'Key transfer requested',
-      );
-      this.wakeWaitingReports();
-    }
+    const targets = term.transfers.correctLoads(
+      this.readyTargets(term, service).map((target) => ({
+        ...target,
+        ownsKeys: owners.has(target.life),
+      })),
+    );
+    const planned = planTransfers(targets);
+    if (planned.length === 0) return;
+    const transfers = planned.map((transfer) => {
+      const offeredRps = targets.find(({life}) => life === transfer.fromLife)?.offeredRps ?? 0;
+      const movedRps = transfer.share * offeredRps;
+      const transferId = term.transfers.add({...transfer, service, movedRps});
+      return {transferId, ...transfer, movedRps: Math.round(movedRps)};
+    });
+    const loadsOf = (lives: readonly string[]): unknown[] =>
+      [...new Set(lives)].slice(0, MAX_LOGGED_TRANSFERS).map((life) => loadOf(targets, life));
+    logger.info(
+      {
+        service,
+        count: transfers.length,
+        transfers: transfers.slice(0, MAX_LOGGED_TRANSFERS),
+        from: loadsOf(transfers.map(({fromLife}) => fromLife)),
+        to: loadsOf(transfers.map(({toLife}) => toLife)),
+      },
+      'Key transfers requested',
+    );
+    this.wakeWaitingReports();
   }
 
   private async assign(service: string, assignments: KeyAssignment[]): Promise<void> {
@@ -361,9 +352,7 @@
       rangesIndex: state.rangesIndex,
       ranges: state.rangesAssignedSince(report.rangesIndex),
       ...(term.poisonChangedRevision > knownRevision ? {poison: term.poison.export()} : {}),
-      transfers: [...term.transfers]
-        .filter(([, {fromLife}]) => fromLife === target?.life)
-        .map(([transferId, {share}]) => ({transferId, share})),
+      transfers: term.transfers.requestedFrom(target?.life),
     };
   }
 
@@ -501,11 +490,11 @@
   return Number(incarnation.slice(incarnation.lastIndexOf('/') + 1));
 }
 
-function loadOf(targets: readonly ReportedTarget[], incarnation: string): unknown {
+function loadOf(targets: readonly LoadedTarget[], incarnation: string): unknown {
   const target = targets.find((other) => other.life === incarnation);
   if (!target) return undefined;
-  const {offeredRps, meanMs, slots, rateLimit} = target;
-  return {offeredRps, meanMs, slots, rateLimit};
+  const {life, offeredRps, meanMs, slots, rateLimit} = target;
+  return {life, offeredRps: Math.round(offeredRps), meanMs, slots, rateLimit};
 }
 
 /** Whether the target may hold keys and so needs a lease. */
--- a/targets/key-holds/src/departingKeys.ts
+++ b/targets/key-holds/src/departingKeys.ts
@@ -9,6 +9,12 @@
   readonly transferId: number;
 }
 
+/** A request of the leader to move keys that carry a fraction of the target's requests. */
+export interface RequestedTransfer {
+  readonly transferId: number;
+  readonly share: number;
+}
+
 /** A key range that a transfer moves to another target. */
 interface OutgoingKeyRange extends KeyRange {
   readonly transferId: number;
@@ -57,23 +63,19 @@
     );
   }
 
-  /** Selects keys for new transfers and removes transfers that the leader has cancelled or completed. */
-  updateTransfers(
-    transfers: ReadonlyArray<{transferId: number; share: number}>,
-    selectRange: (transfer: {transferId: number; share: number}) => KeyRange | undefined,
-  ): void {
+  /** Removes transfers that the leader has cancelled or completed. Returns those without keys so far. */
+  retainTransfers(transfers: readonly RequestedTransfer[]): RequestedTransfer[] {
     this.transferredRanges = this.transferredRanges.filter(({transferId}) =>
       transfers.some((transfer) => transfer.transferId === transferId),
     );
-    for (const transfer of transfers) {
-      const {transferId} = transfer;
-      if (this.transferredRanges.some((range) => range.transferId === transferId)) continue;
-      // An empty range records that no keys could be selected, so that the transfer is not tried again.
-      this.transferredRanges.push({
-        transferId,
-        ...(selectRange(transfer) ?? {fromKey: 0, toKey: -1}),
-      });
-    }
+    return transfers.filter(
+      ({transferId}) => !this.transferredRanges.some((range) => range.transferId === transferId),
+    );
+  }
+
+  addTransfer(transferId: number, range: KeyRange | undefined): void {
+    // An empty range records that no keys could be selected, so that the transfer is not tried again.
+    this.transferredRanges.push({transferId, ...(range ?? {fromKey: 0, toKey: -1})});
   }
 
   /** Returns the parts of a key range that the target keeps. */
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -2,9 +2,9 @@
 import type {Logger} from '@medlarlane/logger';
 import {PushedGrants} from './calledGrants.js';
 import type {GrantApi} from './calledGrants.js';
-import {KeyLoad} from './keyLoad.js';
+import {KeyDemand} from './keyDemand.js';
 import {OutgoingKeys} from './departingKeys.js';
-import type {ReleasedKeyRange} from './departingKeys.js';
+import type {ReleasedKeyRange, RequestedTransfer} from './departingKeys.js';
 import {overlaps} from './keyRange.js';
 import type {KeyRange} from './keyRange.js';
 import type {TargetNotice} from './targetNotice.js';
@@ -107,6 +107,8 @@
 const UNKNOWN_LIMIT_RPS = 10;
 /** Number of ended incarnations to report; more than can start between two reports that arrive. */
 const MAX_REPORTED_INCARNATIONS = 8;
+/** Maximum number of transfers in a log record; a hot stretch is spread over dozens of targets. */
+const MAX_LOGGED_TRANSFERS = 8;
 
 /** The local target of this daemon: its incarnation, its state and the keys that it may hold. */
 export class HostedTarget {
@@ -132,7 +134,9 @@
   private endedIncarnationIds: string[] = [];
   private hasSuccessors = false;
   private hasHeardLeader = false;
-  private keyLoad: KeyLoad | undefined;
+  private keyDemand: KeyDemand | undefined;
+  /** Transfers of the leader for which no keys have been selected yet. */
+  private requestedTransfers: readonly RequestedTransfer[] = [];
   private readonly pushedGrants: PushedGrants | undefined;
   /** Called after a change that is to be reported to the control leader immediately. */
   onChange: () => void = () => undefined;
@@ -215,13 +219,14 @@
 
   /** Requests per second for the assigned keys, whether admitted or not. */
   get offeredRps(): number {
-    return this.keyLoad?.rateOf(this.assigned) ?? 0;
+    return this.keyDemand?.rateOf(this.assigned) ?? 0;
   }
 
   /** Counts a request for a key. */
   recordRequest(key: number): void {
-    this.keyLoad ??= new KeyLoad({clock: this.opts.clock, keyCount: this.opts.keyCount});
-    this.keyLoad.recordRequest(key);
+    this.keyDemand ??= new KeyDemand({clock: this.opts.clock, keyCount: this.opts.keyCount});
+    this.keyDemand.recordRequest(key);
+    if (this.keyDemand.isNewSurge(this.assigned)) this.onChange();
   }
 
   /** Time until the next grant that includes the key; `undefined` when none is planned. */
@@ -313,6 +318,7 @@
   /** Starts the requests that grant or revoke keys now. Must be called regularly. */
   applyGrantPlan(): void {
     if (!this.pushedGrants || this.ended || this.lastHeartbeatAtMs === -Infinity) return;
+    this.selectForTransfers();
     const {assigned, leaseUntilMs} = this;
     const isHandingOver = this.statements?.isDraining === true && this.hasSuccessors;
     this.pushedGrants.applyPlan({
@@ -393,9 +399,7 @@
       this.leaseUntilMs = Math.max(this.leaseUntilMs, response.sentAtMs + response.leaseMs);
     else if (response.leaseMs === 0) this.leaseUntilMs = -Infinity;
     this.assigned = response.ranges.filter(({ownerLife}) => ownerLife === this.incarnation);
-    this.outgoingKeys.updateTransfers(response.transfers, (transfer) =>
-      this.selectForTransfer(transfer),
-    );
+    this.requestedTransfers = this.outgoingKeys.retainTransfers(response.transfers);
     this.hasSuccessors = response.hasSuccessors;
     this.outgoingKeys.retainAssigned(this.assigned);
     this.applyGrantPlan();
@@ -457,6 +461,7 @@
     this.steadyGrantedUntilMs = -Infinity;
     this.assigned = [];
     this.reportedHolds = [];
+    this.requestedTransfers = [];
     this.outgoingKeys.reset();
   }
 
@@ -476,21 +481,31 @@
     if (isAssigned) this.outgoingKeys.addRelease(keys, handover);
   }
 
-  /** Selects the key range whose load comes closest to the requested fraction of the total. */
-  private selectForTransfer({
-    transferId,
-    share,
-  }: {
-    transferId: number;
-    share: number;
-  }): KeyRange | undefined {
+  /**
+   * Selects the keys of the requested transfers; called when the target can be told, because the loads of the
+   * keys are the better known the later that is.
+   */
+  private selectForTransfers(): void {
+    if (this.requestedTransfers.length === 0) return;
     const keptRanges = this.assigned.flatMap((range) => this.remainingRanges(range));
-    const keys = this.keyLoad?.selectRange(keptRanges, share);
+    const selected = this.keyDemand?.selectRanges(
+      keptRanges,
+      this.requestedTransfers.map(({share}) => share),
+    );
+    this.requestedTransfers.forEach(({transferId}, index) =>
+      this.outgoingKeys.addTransfer(transferId, selected?.[index]),
+    );
     this.opts.logger.info(
-      {life: this.incarnation, transferId, share, ...keys},
-      'Selected keys for a transfer',
+      {
+        life: this.incarnation,
+        transfers: this.requestedTransfers
+          .slice(0, MAX_LOGGED_TRANSFERS)
+          .map((transfer, index) => ({...transfer, ...selected?.[index]})),
+        count: this.requestedTransfers.length,
+      },
+      'Selected keys for transfers',
     );
-    return keys;
+    this.requestedTransfers = [];
   }
 
   private createGrant(): KeyGrant | undefined {
@@ -498,6 +513,7 @@
     const remainingMs = (this.leaseUntilMs - nowMs) * CLOCK_RATE_MARGIN;
     const holdMs = Math.floor(Math.min(MAX_GRANT_MS, this.opts.maxHoldMs, remainingMs));
     if (holdMs < MIN_GRANT_MS) return undefined;
+    this.selectForTransfers();
     const isHandingOver = this.statements?.isDraining === true && this.hasSuccessors;
     const ranges = isHandingOver
       ? []
--- a/targets/key-holds/src/keyLoad.ts
+++ b/targets/key-holds/src/keyLoad.ts
@@ -1,10 +1,14 @@
 import type {Clock} from '@medlarlane/lifecycle';
+import {overlaps, without} from './keyRange.js';
 import type {KeyRange} from './keyRange.js';
+import {narrowestWindow, splitWindow} from './narrowestWindow.js';
 
 export interface KeyLoadOptions {
   readonly clock: Clock;
   /** Keys are the integers in [0, keyCount). */
   readonly keyCount: number;
+  /** Time constant of the decay. */
+  readonly decayTimeMs?: number;
 }
 
 /** Time constant of the decay: short enough to follow a key that becomes hot within seconds. */
@@ -13,8 +17,9 @@
 const MAX_WEIGHT_EXPONENT = 20;
 /** Number of keys in one partial sum. */
 const KEYS_PER_BLOCK = 256;
-/** A selected range may carry this many times the target load, because a hot key cannot be split. */
-const MAX_OVERLOAD_RATIO = 1.6;
+/** Bounds of the load of a stretch that is divided among several transfers. */
+const MIN_STRETCH_RATIO = 0.95;
+const MAX_STRETCH_RATIO = 1.15;
 
 /**
  * Exponentially decaying count of the requests for each key. Instead of decaying the older counts, it
@@ -23,11 +28,13 @@
 export class KeyLoad {
   private readonly counts: Float64Array;
   private readonly blockSums: Float64Array;
+  private readonly decayTimeMs: number;
   private weightOriginMs: number;
 
   constructor(private readonly opts: KeyLoadOptions) {
     this.counts = new Float64Array(opts.keyCount);
     this.blockSums = new Float64Array(Math.ceil(opts.keyCount / KEYS_PER_BLOCK));
+    this.decayTimeMs = opts.decayTimeMs ?? DECAY_TIME_MS;
     this.weightOriginMs = opts.clock.nowMs();
   }
 
@@ -36,7 +43,7 @@
     // Must be called before the sums are computed, because it may rescale all counts.
     const weight = this.currentWeight();
     const counted = ranges.reduce((sum, range) => sum + this.loadOf(range), 0) / weight;
-    return (counted * 1_000) / DECAY_TIME_MS;
+    return (counted * 1_000) / this.decayTimeMs;
   }
 
   recordRequest(key: number): void {
@@ -47,57 +54,37 @@
   }
 
   /**
-   * Selects a key range at one end of one of the ranges whose load comes closest to `fraction` of their
-   * total load; `undefined` when every candidate carries too much load or none.
+   * Selects a key range for each of `fractions` of the total load of `ranges`; `undefined` where no range
+   * carries about that much. Several fractions are parts of one busy stretch if there is one: its parts by
+   * cumulative load are accurate even when only few requests of each key have been counted.
    */
-  selectRange(ranges: readonly KeyRange[], fraction: number): KeyRange | undefined {
+  selectRanges(
+    ranges: readonly KeyRange[],
+    fractions: readonly number[],
+  ): Array<KeyRange | undefined> {
     const totalLoad = ranges.reduce((sum, range) => sum + this.loadOf(range), 0);
-    const targetLoad = totalLoad * fraction;
-    if (targetLoad <= 0) return undefined;
-    let best: KeyRange | undefined;
-    let bestDistance = Infinity;
-    for (const range of ranges) {
-      for (const fromLow of [true, false]) {
-        const candidate = this.growRange(range, targetLoad, {
-          fromLow,
-          mayTakeWholeRange: ranges.length > 1,
-        });
-        const distance = candidate ? Math.abs(candidate.load - targetLoad) : Infinity;
-        if (
-          candidate &&
-          distance < bestDistance &&
-          candidate.load <= targetLoad * MAX_OVERLOAD_RATIO
-        ) {
-          [best, bestDistance] = [candidate.range, distance];
-        }
-      }
-    }
-    return best;
-  }
-
-  /** Extends a key range from one end of a range until it carries the target load. */
-  private growRange(
-    {fromKey, toKey}: KeyRange,
-    targetLoad: number,
-    {fromLow, mayTakeWholeRange}: {fromLow: boolean; mayTakeWholeRange: boolean},
-  ): {range: KeyRange; load: number} | undefined {
-    let load = 0;
-    let size = 0;
-    const length = toKey - fromKey + 1;
-    while (size < (mayTakeWholeRange ? length : length - 1)) {
-      const key = fromLow ? fromKey + size : toKey - size;
-      const next = load + this.counts[key]!;
-      // Stops before a key that would increase the distance from the target load.
-      if (next > targetLoad && next - targetLoad > targetLoad - load) break;
-      load = next;
-      size += 1;
-      if (load >= targetLoad) break;
-    }
-    if (size === 0 || load === 0) return undefined;
-    const range = fromLow
-      ? {fromKey, toKey: fromKey + size - 1}
-      : {fromKey: toKey - size + 1, toKey};
-    return {range, load};
+    const combinedLoad = totalLoad * fractions.reduce((sum, fraction) => sum + fraction, 0);
+    const stretch =
+      fractions.length > 1
+        ? narrowestWindow(this.counts, ranges, combinedLoad, {
+            minLoad: combinedLoad * MIN_STRETCH_RATIO,
+            maxLoad: combinedLoad * MAX_STRETCH_RATIO,
+          })
+        : undefined;
+    const selected = stretch ? splitWindow(this.counts, stretch, fractions) : [];
+    let remaining = [...ranges];
+    const exclude = (taken: KeyRange): void => {
+      remaining = remaining.flatMap((range) =>
+        overlaps(range, taken) ? without(range, taken) : [range],
+      );
+    };
+    selected.forEach(exclude);
+    return fractions.map((fraction, index) => {
+      if (stretch) return selected[index];
+      const range = narrowestWindow(this.counts, remaining, totalLoad * fraction);
+      if (range) exclude(range);
+      return range;
+    });
   }
 
   private loadOf({fromKey, toKey}: KeyRange): number {
@@ -113,13 +100,13 @@
 
   /** Returns the weight of a request that arrives now. */
   private currentWeight(): number {
-    const exponent = (this.opts.clock.nowMs() - this.weightOriginMs) / DECAY_TIME_MS;
+    const exponent = (this.opts.clock.nowMs() - this.weightOriginMs) / this.decayTimeMs;
     if (exponent <= MAX_WEIGHT_EXPONENT) return Math.exp(exponent);
     const scale = Math.exp(-exponent);
     for (const counts of [this.counts, this.blockSums]) {
       for (let index = 0; index < counts.length; index += 1) counts[index]! *= scale;
     }
-    this.weightOriginMs += exponent * DECAY_TIME_MS;
+    this.weightOriginMs += exponent * this.decayTimeMs;
     return 1;
   }
 }
