--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -13,6 +13,7 @@
 import {CallerConnections} from './callerConnections.js';
 import type {PipelinedRequest} from './callerConnections.js';
 import type {PeerClient} from './createPeerClient.js';
+import type {EntryAdmission} from './entryAdmission.js';
 import {endToEndHeaders} from './endToEndHeaders.js';
 import {fingerprintsOf} from './fingerprintsOf.js';
 import type {
@@ -47,6 +48,8 @@
   readonly phase: () => 'open' | 'closing' | 'closed';
   /** Time by which all requests must be answered, because the daemon stops; `Infinity` before. */
   readonly stopDeadlineAtMs?: () => number;
+  /** Refuses what the service as a whole does not admit; without it, only gates refuse. */
+  readonly entryAdmission?: EntryAdmission;
   readonly onResponse?: (outcome: EntryOutcome) => void;
 }
 
@@ -84,6 +87,7 @@
   readonly abort: AbortController;
   readonly attempts: Attempt[];
   route?: Route;
+  deadlineAtMs?: number;
   service?: string;
   key?: number;
 }
@@ -245,6 +249,7 @@
     });
   }
   const deadlineAtMs = Math.min(context.startedAtMs + remainingMs, stopDeadlineAtMs);
+  context.deadlineAtMs = deadlineAtMs;
   // A caller that retries after a refusal has less time left than the route timeout, and the latency
   // target counts from its first attempt.
   const elapsedMs = Math.max(0, route.timeoutMs - remainingMs);
@@ -256,6 +261,12 @@
   const body = await readBody(request, view.configuration.limits.maxBodyBytes);
   const service = view.pickService(route);
   context.service = service;
+  opts.entryAdmission?.assertAdmitted({
+    service,
+    route,
+    key: view.isKeyed(service) ? context.key : undefined,
+    timeLeftMs: remainingMs,
+  });
   opts.retryBudget(service).recordRequest();
   const frame: RequestFrame = {
     method: request.method ?? 'GET',
@@ -419,6 +430,14 @@
     );
   }
   const code = isExpired ? 'DEADLINE_EXCEEDED' : (result?.code ?? 'NO_OWNER');
+  const details = code === 'OVERLOADED' ? returnDetailsOf(opts, context, service) : undefined;
+  if (details) {
+    return refusalResponse(
+      opts,
+      context,
+      new MedlarlaneError(code, undefined, {ran: 'no', details}),
+    );
+  }
   const knownRetryAfterMs = result?.kind === 'refused' ? result.retryAfterMs : undefined;
   const retryAfterMs =
     knownRetryAfterMs ?? RETRY_AFTER_MS[code] ?? opts.view.estimateRetryAfterMs(service);
@@ -429,6 +448,24 @@
   );
 }
 
+/**
+ * Return time by the free capacity of the service; `undefined` if it is unknown, or if the targets of the service
+ * own keys: then only the owner can serve the caller, and its gate states the return time.
+ */
+function returnDetailsOf(
+  {entryAdmission, clock, view}: EntryHandlerOptions,
+  {route, deadlineAtMs}: RequestContext,
+  service: string,
+): Record<string, unknown> | undefined {
+  if (!route || deadlineAtMs === undefined || view.isKeyed(service)) return undefined;
+  const details = entryAdmission?.returnDetails(
+    service,
+    route.priority,
+    deadlineAtMs - clock.nowMs(),
+  );
+  return details && {...details};
+}
+
 function fromTargetResponse({status, headers, body}: TargetResponse): FinalResponse {
   return {status, headers, body};
 }
