--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -54,6 +54,11 @@
    * leader has told it whether its zone is evacuated.
    */
   readonly hasEvacuations?: boolean;
+  /**
+   * Checks the target before it returns to service after an evacuation of its zone; see
+   * `ZoneEvacuation.onZoneRestored`.
+   */
+  readonly onZoneRestored?: (signal: AbortSignal) => Promise<void>;
   readonly callerHeaderCodec: CallerHeaderCodec;
   readonly targetHeaderCodec: TargetHeaderCodec;
   /**
@@ -131,12 +136,17 @@
     awaitsLeader: opts.hasEvacuations === true,
     ...(grantApi ? {grantApi} : {}),
   });
-  const zoneEvacuation = new ZoneEvacuation({
-    availabilityZone: opts.availabilityZone,
-    view,
-    hostedTarget,
-    logger: createComponentLogger('zones', logger),
-  });
+  const zoneEvacuation = disposables.use(
+    new ZoneEvacuation({
+      availabilityZone: opts.availabilityZone,
+      view,
+      hostedTarget,
+      clock,
+      logger: createComponentLogger('zones', logger),
+    }),
+    (evacuation) => evacuation.dispose(),
+  );
+  zoneEvacuation.onZoneRestored = opts.onZoneRestored;
   const targetClient = disposables.use(
     createTargetClient({
       ...opts.targetEndpoint,
