Do not blame requests for the end of a target during an evacuation

Cause: when the power of an evacuated zone is cut, its targets end with requests in flight, and these requests would be quarantined as if they had crashed them. Change: the end of an evacuated target counts as planned, like that of a draining one. Unit test of the hosted target.

--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -142,7 +142,7 @@
   private readonly pushedGrants: PushedGrants | undefined;
   /** Called after a change that is to be reported to the control leader immediately. */
   onChange: () => void = () => undefined;
-  /** Called when an incarnation of the target ended without draining. */
+  /** Called when an incarnation of the target ended without draining and outside an evacuation. */
   onCrash: (incarnation: string) => void = () => undefined;
 
   constructor(private readonly opts: HostedTargetOptions) {
@@ -194,7 +194,10 @@
     return this.evacuated;
   }
 
-  /** Whether the target hands its keys over to others. */
+  /**
+   * Whether the target hands its keys over to others. Its end is then planned and not blamed on the requests
+   * that it was running.
+   */
   private get isLeavingService(): boolean {
     return this.evacuated || this.statements?.isDraining === true;
   }
@@ -405,7 +408,7 @@
     this.grantedUntilMs = -Infinity;
     this.steadyGrantedUntilMs = -Infinity;
     this.opts.logger.info({life: this.incarnation}, 'Target process exited');
-    if (!this.statements?.isDraining) this.onCrash(incarnationOf(this.heartbeat));
+    if (!this.isLeavingService) this.onCrash(incarnationOf(this.heartbeat));
     this.onChange();
   }
 
@@ -473,8 +476,7 @@
       {life: incarnationOf(next), former: previous && incarnationOf(previous)},
       'Target started a new incarnation',
     );
-    if (previous && !this.ended && !this.statements?.isDraining)
-      this.onCrash(incarnationOf(previous));
+    if (previous && !this.ended && !this.isLeavingService) this.onCrash(incarnationOf(previous));
     if (previous)
       this.endedIncarnationIds = [...this.endedIncarnationIds, incarnationOf(previous)].slice(
         -MAX_REPORTED_INCARNATIONS,
--- a/targets/key-holds/test/hostedTarget.test.ts
+++ b/targets/key-holds/test/hostedTarget.test.ts
@@ -258,6 +258,22 @@
     assert.equal(hosted.acceptsRequests, false);
   });
 
+  // Guards against the quarantine of harmless requests when the power of an evacuated zone is cut.
+  it('does not count as crashed when it ends during an evacuation', () => {
+    const {hosted, sendHeartbeat} = startHosted();
+    const crashes: string[] = [];
+    hosted.onCrash = (incarnation) => crashes.push(incarnation);
+    sendHeartbeat({sequence: 1});
+    hosted.setEvacuated(true);
+    hosted.markEnded();
+    sendHeartbeat({sequence: 1, startedAtMs: 2_000});
+    sendHeartbeat({sequence: 1, startedAtMs: 3_000});
+    assert.deepEqual([crashes, hosted.acceptsRequests], [[], false]);
+    hosted.setEvacuated(false);
+    hosted.markEnded();
+    assert.deepEqual(crashes, ['i-1/3000']);
+  });
+
   // Guards against requests to an evacuated target between a restart of its daemon and the first response
   // of the leader.
   it('accepts nothing until the leader was heard if its zone may be evacuated', () => {
