Let a new target get a whole range where load is spread evenly

Cause: the keys of a transfer had to lie in one owned range that carries at least three quarters of the requested part. Where one target owned many evenly loaded ranges none did, so a target that joined or returned got no keys. Change: without such a range, the busy part of the one that carries most is given.

--- a/targets/key-holds/src/narrowestWindow.ts
+++ b/targets/key-holds/src/narrowestWindow.ts
@@ -17,7 +17,8 @@
 /**
  * Returns the narrowest key range within one of `ranges` whose load is close to `targetLoad`, and of several
  * equally narrow ones the one with the closest load. Narrow ranges carry the load with the fewest keys, and
- * each key that changes its owner has a cost. Returns `undefined` if no window is within the bounds.
+ * each key that changes its owner has a cost. If every range carries less, returns the busy part of the one
+ * that carries most, so that evenly spread load can be moved as well. Returns `undefined` if no window fits.
  */
 export function narrowestWindow(
   loads: Float64Array,
@@ -35,9 +36,32 @@
       if (!best || isBetter(window, best, targetLoad)) best = window;
     }
   }
+  best ??= busiestWindow(loads, ranges, bounds.maxLoad);
   return best && {fromKey: best.fromKey, toKey: best.toKey};
 }
 
+/** Returns the busy part of the range that carries most, unless that is more than `maxLoad` or nothing. */
+function busiestWindow(
+  loads: Float64Array,
+  ranges: readonly KeyRange[],
+  maxLoad: number,
+): Window | undefined {
+  let busiest: Window | undefined;
+  for (const {fromKey, toKey} of ranges) {
+    let load = 0;
+    let [first, last] = [toKey, fromKey];
+    for (let key = fromKey; key <= toKey; key += 1) {
+      if (loads[key] === 0) continue;
+      load += loads[key]!;
+      first = Math.min(first, key);
+      last = key;
+    }
+    const isCandidate = load > 0 && load <= maxLoad;
+    if (isCandidate && load > (busiest?.load ?? 0)) busiest = {fromKey: first, toKey: last, load};
+  }
+  return busiest;
+}
+
 /** Splits a window into adjacent parts that carry load in proportion to `weights`; late ones may get none. */
 export function splitWindow(
   loads: Float64Array,
--- a/targets/key-holds/test/keyLoad.test.ts
+++ b/targets/key-holds/test/keyLoad.test.ts
@@ -32,6 +32,28 @@
       assert.ok(load.rateOf(all) < 0.001);
     }
   });
+
+  // Guards against a new target that gets no keys: load that is spread evenly over many ranges has no single
+  // range that carries the requested part.
+  it('selects a whole range if every range carries less than the requested part', () => {
+    const {load} = startLoad();
+    const ranges = Array.from({length: 32}, (_, index) => ({
+      fromKey: index * 2_048,
+      toKey: index * 2_048 + 2_047,
+    }));
+    for (const {fromKey} of ranges) {
+      for (let count = 0; count < 10; count += 1) load.recordRequest(fromKey + 100 * count);
+    }
+    load.recordRequest(4_096 + 50);
+    const [selected] = load.selectRanges(ranges, [0.5]);
+    assert.deepEqual(selected, {fromKey: 4_096, toKey: 4_996});
+  });
+
+  it('selects nothing if a single key carries far more than the requested part', () => {
+    const {load} = startLoad();
+    for (let count = 0; count < 100; count += 1) load.recordRequest(7);
+    assert.deepEqual(load.selectRanges([{fromKey: 0, toKey: 2_047}], [0.3]), [undefined]);
+  });
 });
 
 function startLoad(): {load: KeyLoad; clock: ManualClock} {
