Read the load that targets state and keep the slots of abandoned requests

Cause: a request that was cancelled or timed out freed its slot although the target might still run it, so a target that does not stop such work got more requests than fit. The load header of targets was not read.

Change: Server-Load becomes TargetNotice.load. HeldSlots keeps the slots of cancelled and overdue requests until the target states that it no longer runs them, for their expected work, or for 2 s; only for targets that state their load. The current slowdown travels in TargetLoad and corrects predicted durations and waits while it is younger than 1 s.

--- a/apps/site/src/siteMetrics.ts
+++ b/apps/site/src/siteMetrics.ts
@@ -15,6 +15,12 @@
   readonly configVersion: () => number;
   /** Requests per second that the target accepts; `undefined` if it names no limit. */
   readonly rateLimitRps: () => number | undefined;
+  /** Slots of requests that were given up but that the target may still run. */
+  readonly heldSlots: () => number;
+  /** Factor by which work at the target currently takes longer than usual; `undefined` if unknown. */
+  readonly slowdown: () => number | undefined;
+  /** Requests per second for the keys of the target. */
+  readonly keyRps: () => number;
   /** Time since the last response of a control leader. */
   readonly controlSilentMs: () => number;
 }
@@ -60,6 +66,19 @@
     'Requests per second that the target accepts; NaN if it names no limit.',
     () => sources.rateLimitRps() ?? NaN,
   );
+  gauge(
+    registry,
+    'held_slots',
+    'Slots of requests that were given up but that the target may still run.',
+    sources.heldSlots,
+  );
+  gauge(
+    registry,
+    'target_slowdown_ratio',
+    'Factor by which work currently takes longer than usual; NaN if the target does not state it.',
+    () => sources.slowdown() ?? NaN,
+  );
+  gauge(registry, 'key_requests_rps', 'Requests for the keys of the target.', sources.keyRps);
   gauge(
     registry,
     'config_version',
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -130,7 +130,10 @@
       headerCodec: opts.targetHeaderCodec,
       maxConnections: MAX_TARGET_CONNECTIONS,
       onConnectionRefused: () => void checkTarget(),
-      onNotice: (incarnation, notice) => hostedTarget.recordNotice(incarnation, notice),
+      onNotice: (incarnation, notice) => {
+        hostedTarget.recordNotice(incarnation, notice);
+        if (notice.load) admissionController.recordStatedLoad(incarnation, notice.load);
+      },
     }),
     (client) => client.close(),
   );
@@ -138,6 +141,9 @@
     load: () => admissionController.load,
     configVersion: () => view.configuration.version,
     rateLimitRps: () => hostedTarget.rateLimit?.rps,
+    heldSlots: () => admissionController.heldSlotCount,
+    slowdown: () => hostedTarget.slowdown,
+    keyRps: () => hostedTarget.offeredRps,
     controlSilentMs: () => controlReporter.sinceLastResponseMs,
   });
   const poison = new PoisonTable({reporterId: forwardAddress, clock});
@@ -154,6 +160,7 @@
     poison,
     onResult: (result, durationMs) => metrics.recordTargetRun(result, durationMs),
     onKeyRequest: (key) => hostedTarget.recordRequest(key),
+    slowdown: () => hostedTarget.slowdown,
   });
   const eventLoopLag = new EventLoopLag(disposables);
   const peers = disposables.use(
--- a/routing/admission/src/slotQueue.ts
+++ b/routing/admission/src/slotQueue.ts
@@ -197,7 +197,12 @@
   }
 
   private expectedMs({requestClass}: SlotRequest): number {
-    return this.durationMsByClass.get(requestClass) ?? this.meanMs;
+    return this.typicalDurationMs(requestClass) ?? this.meanMs;
+  }
+
+  /** Smoothed duration of a request of the class at the target; `undefined` until one is known. */
+  typicalDurationMs(requestClass: string): number | undefined {
+    return this.durationMsByClass.get(requestClass);
   }
 
   private countLateAhead(request: SlotRequest): number {
--- a/routing/request-path/src/admissionController.ts
+++ b/routing/request-path/src/admissionController.ts
@@ -4,7 +4,9 @@
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
 import type {PoisonTable} from '@medlarlane/poison';
+import type {StatedLoad} from '@medlarlane/key-holds';
 import {fingerprintsOf} from './fingerprintsOf.js';
+import {HeldSlots} from './heldSlots.js';
 import type {TargetClient} from './createTargetClient.js';
 import type {TargetLoad, Offer, RequestFrame, RunResult} from './messages.js';
 
@@ -32,6 +34,8 @@
   readonly onResult: (result: RunResult, workMs: number) => void;
   /** Called for each request for a key that the target holds. */
   readonly onKeyRequest: (key: number) => void;
+  /** Factor by which work at the target currently takes longer than usual; `undefined` if unknown. */
+  readonly slowdown?: () => number | undefined;
 }
 
 /** A reserved slot, which must be either used by `run` or released by `cancel`. */
@@ -56,6 +60,10 @@
 const MAX_LATE_GRANT_WAIT_MS = 600;
 /** The same if the latency target can still be met afterwards: a heartbeat interval and its delay. */
 const MAX_TIMELY_GRANT_WAIT_MS = 1_000;
+/** Weight of a new sample in `meanSlowdown`; the same as in the smoothed durations of `SlotQueue`. */
+const SLOWDOWN_SMOOTHING = 0.08;
+/** Slowdowns are rounded to hundredths, because they are in each result. */
+const SLOWDOWN_STEPS = 100;
 /** Time reserved for sending the response from the target's daemon back to the caller. */
 const RESPONSE_ALLOWANCE_MS = 5;
 
@@ -65,25 +73,55 @@
   private incarnation = '';
   /** Recent requests without a response, which may have crashed the target. */
   private lostRequests: LostRequest[] = [];
+  private heldSlots: HeldSlots;
+  /** Slowdown that the smoothed durations include. */
+  private meanSlowdown = 1;
+  /** Whether the target states its load, without which slots are not held. */
+  private statesLoad = false;
 
   constructor(private readonly opts: AdmissionControllerOptions) {
     this.queue = new SlotQueue({slots: 1, clock: opts.clock});
+    this.heldSlots = new HeldSlots(opts.clock);
   }
 
   get load(): TargetLoad {
     const {inFlight, waiting, slotCount, meanMs} = this.queue;
     const rateLimitRps = this.opts.rateLimitRps();
+    const {relativeSlowdown} = this;
     return {
       inFlight,
       waiting,
       slots: slotCount,
       meanMs: Math.round(meanMs),
       ...(rateLimitRps === undefined ? {} : {rateLimitRps}),
+      ...(relativeSlowdown === undefined ? {} : {slowdown: relativeSlowdown}),
     };
   }
 
+  /** Requests at the target for which a response is expected. */
   get inFlight(): number {
-    return this.queue.inFlight;
+    return this.queue.inFlight - this.heldSlots.count;
+  }
+
+  /** Slots of requests that were given up but that the target may still run. */
+  get heldSlotCount(): number {
+    return this.heldSlots.count;
+  }
+
+  /** Must be called for each response of the target that states its load. */
+  recordStatedLoad(incarnation: string, {running, waiting}: StatedLoad): void {
+    if (incarnation !== this.incarnation) return;
+    this.statesLoad = true;
+    // The stated load may or may not include the request of the response itself.
+    this.heldSlots.retain(running + waiting - (this.inFlight - 1));
+  }
+
+  /** Factor by which work takes longer now than in the smoothed durations. */
+  private get relativeSlowdown(): number | undefined {
+    const slowdown = this.opts.slowdown?.();
+    return slowdown === undefined
+      ? undefined
+      : Math.round((slowdown / this.meanSlowdown) * SLOWDOWN_STEPS) / SLOWDOWN_STEPS;
   }
 
   /** Refuses all queued requests, because the target accepts no more work. */
@@ -180,6 +218,9 @@
     this.queue.refuseQueued(new MedlarlaneError('NO_TARGET'));
     const {clock, rateLimitRps} = this.opts;
     this.queue = new SlotQueue({slots, clock, rateLimitRps});
+    this.heldSlots = new HeldSlots(clock);
+    this.meanSlowdown = 1;
+    this.statesLoad = false;
   }
 
   private async run(
@@ -214,14 +255,34 @@
     const workMs = clock.nowMs() - startedAtMs;
     const didWork = result.kind === 'answered' || result.kind === 'lost';
     if (result.kind === 'refused') permit.cancel();
-    else permit.release(didWork ? workMs : undefined);
-    if (result.kind === 'answered') queue.recordDuration(offer.route, workMs);
+    else if (queue === this.queue && this.mayStillRun(result)) {
+      this.heldSlots.hold(permit, this.remainingMs(offer, workMs));
+    } else permit.release(didWork ? workMs : undefined);
+    if (result.kind === 'answered') {
+      queue.recordDuration(offer.route, workMs);
+      const slowdown = this.opts.slowdown?.() ?? this.meanSlowdown;
+      this.meanSlowdown += (slowdown - this.meanSlowdown) * SLOWDOWN_SMOOTHING;
+    }
     this.trackForCrash(offer, target, frame, result, startedAtMs);
     this.opts.onResult(result, workMs);
     this.logRun(offer, target, permit, result, workMs);
     return {...result, load: this.load};
   }
 
+  /** Whether the daemon has given up a request that the target may not have stopped. */
+  private mayStillRun(result: RunResult): boolean {
+    const isGivenUp =
+      result.kind === 'lost' && (result.code === 'CANCELLED' || result.code === 'TARGET_TIMEOUT');
+    return isGivenUp && this.statesLoad;
+  }
+
+  /** Expected remaining work. An overdue request may take as long again. */
+  private remainingMs({route}: Offer, workMs: number): number {
+    const typicalMs = this.queue.typicalDurationMs(route) ?? this.queue.meanMs;
+    const expectedMs = typicalMs * (this.relativeSlowdown ?? 1);
+    return workMs < expectedMs ? expectedMs - workMs : expectedMs;
+  }
+
   private trackForCrash(
     {requestId, service}: Offer,
     {life}: CurrentTarget,
--- a/routing/request-path/src/messages.ts
+++ b/routing/request-path/src/messages.ts
@@ -109,6 +109,8 @@
   readonly meanMs: number;
   /** Requests per second that the target accepts; absent if it names no limit. */
   readonly rateLimitRps?: number;
+  /** Factor by which work takes longer now than when `meanMs` was measured; absent if not stated recently. */
+  readonly slowdown?: number;
 }
 
 /**
--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -68,6 +68,8 @@
 const MAX_QUEUE_LOAD_AGE_MS = 100;
 /** The load of a target is valid for the mean duration of a request there, but at least for this time. */
 const MIN_LOAD_VALID_MS = 100;
+/** The speed of a target changes several times per second; an older figure is ignored. */
+const MAX_SLOWDOWN_AGE_MS = 1_000;
 /** Assumed mean duration until a target has reported its load. */
 const INITIAL_MEAN_MS = 50;
 /** A weight of 1 doubles the predicted latency of a fully utilised instance. */
@@ -372,20 +374,28 @@
     return Math.max(MIN_USABLE_SLOTS, Math.min(slots, busySlots));
   }
 
+  /** Mean duration at the instance, corrected by its current speed while that is known. */
+  private currentMeanMs(incarnation: string): number | undefined {
+    const {load, loadAtMs} = this.statsOf(incarnation);
+    if (!load) return undefined;
+    const isCurrent = this.opts.clock.nowMs() - loadAtMs < MAX_SLOWDOWN_AGE_MS;
+    return load.meanMs * (isCurrent ? (load.slowdown ?? 1) : 1);
+  }
+
   private waitMs(entry: InstanceView): number {
-    const {load} = this.statsOf(entry.life);
     const slots = this.usableSlots(entry);
     const ahead = Math.max(0, this.estimateOccupancy(entry.life) + 1 - slots);
-    return (ahead * (load?.meanMs ?? INITIAL_MEAN_MS)) / slots;
+    const meanMs = this.currentMeanMs(entry.life) ?? INITIAL_MEAN_MS;
+    return (ahead * meanMs) / slots;
   }
 
   private predictedMs(entry: InstanceView, defaultMeanMs = INITIAL_MEAN_MS): number {
     const {life, availabilityZone} = entry;
-    const {load, failureRatio} = this.statsOf(life);
+    const {failureRatio} = this.statsOf(life);
     const utilisation = this.estimateOccupancy(life) / this.usableSlots(entry);
     const isCold = (this.coldUntilMs.get(life) ?? 0) > this.opts.clock.nowMs();
     return (
-      (load?.meanMs ?? defaultMeanMs) *
+      (this.currentMeanMs(life) ?? defaultMeanMs) *
       (1 + UTILISATION_WEIGHT * utilisation * utilisation) *
       (1 + FAILURE_WEIGHT * failureRatio) *
       (availabilityZone === this.opts.availabilityZone ? 1 : OTHER_ZONE_FACTOR) *
--- a/routing/request-path/test/admissionController.test.ts
+++ b/routing/request-path/test/admissionController.test.ts
@@ -21,6 +21,8 @@
   callerService: 'desk',
 };
 const FRAME = {method: 'GET', path: '/', headers: [], body: Buffer.alloc(0)};
+/** Duration of a request at the target. */
+const RUN_MS = 50;
 const ANSWERED: RunResult = {
   kind: 'answered',
   answer: {status: 200, headers: [], body: Buffer.alloc(0)},
@@ -84,7 +86,9 @@
     const admitted = controller.admit(OFFER, new AbortController().signal);
     await new Promise((resolve) => setImmediate(resolve));
     await clock.advance(380);
-    await (await admitted).run(FRAME, new AbortController().signal);
+    const running = (await admitted).run(FRAME, new AbortController().signal);
+    await clock.advance(RUN_MS);
+    await running;
     assert.ok(deadlinesLeftMs[0]! <= OFFER.deadlineLeftMs - 380, `${deadlinesLeftMs[0]} ms left`);
   });
 
@@ -98,8 +102,65 @@
   });
 });
 
-function startController(dueInMs: number | undefined) {
+describe('AdmissionController with a target that states its load', () => {
+  const STATED = {running: 0, waiting: 0, slots: 2};
+
+  // Guards against a target that gets more requests than fit while it still runs cancelled ones.
+  it('keeps the slot of a cancelled request until the expected work has passed', async () => {
+    const {controller, clock, run} = startController(0, {isPending: true});
+    const {settle} = await run();
+    controller.recordStatedLoad('a/1', STATED);
+    settle({kind: 'lost', code: 'CANCELLED'});
+    await clock.advance(0);
+    assert.deepEqual([controller.inFlight, controller.load.inFlight], [0, 1]);
+    await clock.advance(2_000);
+    assert.equal(controller.load.inFlight, 0);
+  });
+
+  it('keeps the slot of an overdue request, but none if the target states no load', async () => {
+    for (const [statesLoad, held] of [
+      [true, 1],
+      [false, 0],
+    ] as const) {
+      const {controller, clock, run} = startController(0, {isPending: true});
+      const {settle} = await run();
+      if (statesLoad) controller.recordStatedLoad('a/1', STATED);
+      await clock.advance(1_200);
+      settle({kind: 'lost', code: 'TARGET_TIMEOUT'});
+      await clock.advance(0);
+      assert.equal(controller.load.inFlight, held);
+    }
+  });
+
+  // Guards against capacity that stays unused after a target has stopped cancelled work at once.
+  it('releases the slot when the target states that it no longer runs the request', async () => {
+    const {controller, clock, run} = startController(0, {isPending: true});
+    const [cancelled] = [await run(), await run()];
+    controller.recordStatedLoad('a/1', STATED);
+    cancelled.settle({kind: 'lost', code: 'CANCELLED'});
+    await clock.advance(0);
+    controller.recordStatedLoad('a/1', {...STATED, running: 2});
+    assert.equal(controller.load.inFlight, 2);
+    controller.recordStatedLoad('a/1', {...STATED, running: 0});
+    assert.equal(controller.load.inFlight, 1);
+  });
+
+  // Guards against a prediction that counts a slowdown twice, which the measured durations already include.
+  it('reports how much slower it is now than in its measured durations', async () => {
+    const {controller, clock, speed, run} = startController(0);
+    assert.equal(controller.load.slowdown, undefined);
+    speed.slowdown = 2;
+    assert.equal(controller.load.slowdown, 2);
+    for (let count = 0; count < 60; count += 1) await (await run()).result;
+    await clock.advance(0);
+    assert.ok(controller.load.slowdown! < 1.1, `${controller.load.slowdown}`);
+  });
+});
+
+function startController(dueInMs: number | undefined, {isPending = false} = {}) {
   const clock = new ManualClock();
+  const speed: {slowdown: number | undefined} = {slowdown: undefined};
+  const settlers: Array<(result: RunResult) => void> = [];
   const targetState = {ended: false};
   /** Deadline left for each request that was sent to the target. */
   const deadlinesLeftMs: number[] = [];
@@ -110,7 +171,8 @@
     client: {
       run: ({deadlineLeftMs}: {deadlineLeftMs: number}) => {
         deadlinesLeftMs.push(deadlineLeftMs);
-        return Promise.resolve(ANSWERED);
+        if (isPending) return new Promise((resolve) => settlers.push(resolve));
+        return clock.sleep(RUN_MS).then(() => ANSWERED);
       },
     } as unknown as TargetClient,
     target: () =>
@@ -123,6 +185,15 @@
     poison: new PoisonTable({reporterId: 'd', clock}),
     onResult: () => undefined,
     onKeyRequest: () => undefined,
+    slowdown: () => speed.slowdown,
   });
-  return {controller, clock, targetState, deadlinesLeftMs};
+  /** Admits and sends a request. */
+  const run = async () => {
+    const {signal} = new AbortController();
+    const admission = await controller.admit(OFFER, signal);
+    const result = admission.run(FRAME, signal);
+    await clock.advance(isPending ? 0 : RUN_MS);
+    return {result, settle: settlers.at(-1)!};
+  };
+  return {controller, clock, speed, run, targetState, deadlinesLeftMs};
 }
--- a/routing/request-path/test/siteView.test.ts
+++ b/routing/request-path/test/siteView.test.ts
@@ -45,6 +45,22 @@
     assert.equal(pickMany(slow, 100).get('near') ?? 0, 0);
   });
 
+  // Guards against requests to targets that other workloads slow down at the moment.
+  it('prefers the target that is faster now as long as the figures are recent', async () => {
+    const {view, clock} = startView(['near-1', 'near-2']);
+    for (const [life, slowdown] of [
+      ['near-1', 2.5],
+      ['near-2', 1],
+    ] as const) {
+      view.recordSent(life);
+      const load = {inFlight: 0, waiting: 0, slots: 10, meanMs: 100, slowdown};
+      view.recordResult(life, {kind: 'refused', code: 'CANCELLED', load});
+    }
+    assert.equal(pickMany(view, 100).get('near-1') ?? 0, 0);
+    await clock.advance(1_100);
+    assert.ok(pickMany(view, 100).get('near-1')! > 20, 'uses outdated figures');
+  });
+
   it('offers a request to recently refusing instances only as a last resort', () => {
     const {view} = startView(['near', 'far-1']);
     view.recordSent('near');
--- a/routing/request-path/test/targetClient.test.ts
+++ b/routing/request-path/test/targetClient.test.ts
@@ -235,6 +235,20 @@
     assert.equal(await client.probeListener(500), 'no');
   });
 
+  // Guards against further requests on a connection on which a hung target responds to none.
+  it('closes the connection of an overdue response', async () => {
+    let connections = 0;
+    let closed = 0;
+    const client = await startTarget(disposables, (socket, id) => {
+      connections += 1;
+      socket.once('close', () => (closed += 1));
+      if (id !== 'hung') socket.write(head(id, 'Content-Length: 2') + 'ok');
+    });
+    assert.equal(describeResult(await run(client, 'hung')), 'lost TARGET_TIMEOUT');
+    assert.equal(describeResult(await run(client, 'r2')), 'answered 200 ok');
+    assert.deepEqual([connections, closed], [2, 1]);
+  });
+
   it('closes the connection if the request is cancelled', async () => {
     let closed = false;
     const client = await startTarget(disposables, (socket) => {
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -288,6 +288,11 @@
     return this.statements?.rateLimit;
   }
 
+  /** Factor by which work currently takes longer than usual; `undefined` when not stated recently. */
+  get slowdown(): number | undefined {
+    return this.statements?.slowdown;
+  }
+
   /**
    * Requests per second that may be sent to the target; `undefined` without a limit. A restarted daemon
    * starts cautiously until the target or the leader has told it whether there is a limit.
--- a/targets/key-holds/src/index.ts
+++ b/targets/key-holds/src/index.ts
@@ -1,4 +1,4 @@
-export type {TargetNotice} from './targetNotice.js';
+export type {StatedLoad, TargetNotice} from './targetNotice.js';
 export {HostedTarget} from './hostedTarget.js';
 export {KeyLoad} from './keyLoad.js';
 export type {KeyLoadOptions} from './keyLoad.js';
--- a/targets/key-holds/src/targetNotice.ts
+++ b/targets/key-holds/src/targetNotice.ts
@@ -4,4 +4,15 @@
   readonly rateLimitRps: number | undefined;
   /** Whether the target is about to leave. */
   readonly isLeaving: boolean;
+  /** Absent if the target does not state its load. */
+  readonly load?: StatedLoad;
+}
+
+/** The load that a target states in a response. */
+export interface StatedLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** Factor by which work currently takes longer than usual; absent if the target does not state it. */
+  readonly slowdown?: number;
 }
--- a/targets/key-holds/src/targetStatements.ts
+++ b/targets/key-holds/src/targetStatements.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
+import {SlowdownEstimate} from './slowdownEstimate.js';
 import type {TargetNotice} from './targetNotice.js';
 
 /** How the daemon learned that its target drains. */
@@ -21,6 +22,7 @@
   private noticeAtMs = -Infinity;
   private limitedSinceMs: number | undefined;
   private drainStartedAtMs: number | undefined;
+  private readonly slowdownEstimate: SlowdownEstimate;
 
   constructor(
     private readonly opts: {
@@ -29,7 +31,14 @@
       readonly drainMs: number;
       readonly logger: Logger;
     },
-  ) {}
+  ) {
+    this.slowdownEstimate = new SlowdownEstimate(opts.clock);
+  }
+
+  /** Factor by which work currently takes longer than usual; `undefined` when not stated recently. */
+  get slowdown(): number | undefined {
+    return this.slowdownEstimate.current;
+  }
 
   /** Whether a response has stated anything, also that there is no limit. */
   get hasNotice(): boolean {
@@ -54,7 +63,8 @@
   }
 
   /** Records a notice. Returns whether a drain or a limit has started or a limit has ended. */
-  recordNotice(notice: TargetNotice): boolean {
+  recordNotice({load, ...notice}: TargetNotice): boolean {
+    if (load?.slowdown !== undefined) this.slowdownEstimate.record(load.slowdown);
     const {clock, logger, incarnation} = this.opts;
     const before = this.notice;
     const isFirst = !this.hasNotice;
