--- a/apps/site/src/siteMetrics.ts
+++ b/apps/site/src/siteMetrics.ts
@@ -19,6 +19,12 @@
   readonly rateLimitRps: () => number | undefined;
   /** Time for which the target stays cold. */
   readonly coldLeftMs: () => number;
+  /** Slots of requests that were given up but that the target may still run. */
+  readonly heldSlots: () => number;
+  /** Factor by which work at the target currently takes longer than usual; `undefined` if unknown. */
+  readonly slowdown: () => number | undefined;
+  /** Requests per second for the keys of the target. */
+  readonly keyRps: () => number;
   /** Time since the last response of a control leader. */
   readonly controlSilentMs: () => number;
   /** Whether the target next to this daemon is out of service because of an evacuation. */
@@ -85,6 +91,19 @@
     'Time for which the target stays cold.',
     () => sources.coldLeftMs() / 1_000,
   );
+  gauge(
+    registry,
+    'held_slots',
+    'Slots of requests that were given up but that the target may still run.',
+    sources.heldSlots,
+  );
+  gauge(
+    registry,
+    'target_slowdown_ratio',
+    'Factor by which work currently takes longer than usual; NaN if the target does not state it.',
+    () => sources.slowdown() ?? NaN,
+  );
+  gauge(registry, 'key_requests_rps', 'Requests for the keys of the target.', sources.keyRps);
   gauge(
     registry,
     'config_version',
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -176,7 +176,10 @@
       headerCodec: opts.targetHeaderCodec,
       maxConnections: MAX_TARGET_CONNECTIONS,
       onConnectionRefused: () => void checkTarget(),
-      onNotice: (incarnation, notice) => hostedTarget.recordNotice(incarnation, notice),
+      onNotice: (incarnation, notice) => {
+        hostedTarget.recordNotice(incarnation, notice);
+        if (notice.load) admissionController.recordStatedLoad(incarnation, notice.load);
+      },
     }),
     (client) => client.close(),
   );
@@ -198,6 +201,9 @@
     configVersion: () => view.configuration.version,
     rateLimitRps: () => hostedTarget.rateLimit?.rps,
     coldLeftMs: () => hostedTarget.coldLeftMs,
+    heldSlots: () => admissionController.heldSlotCount,
+    slowdown: () => hostedTarget.slowdown,
+    keyRps: () => hostedTarget.offeredRps,
     controlSilentMs: () => controlReporter.sinceLastResponseMs,
     isEvacuated: () => hostedTarget.isEvacuated,
     evacuatedZoneCount: () => zoneEvacuation.zoneCount,
@@ -221,6 +227,7 @@
     },
     onKeyRequest: (key) => hostedTarget.recordRequest(key),
     demandMeter,
+    slowdown: () => hostedTarget.slowdown,
   });
   const healthChecks = new HealthChecks({
     clock,
--- a/targets/key-holds/src/index.ts
+++ b/targets/key-holds/src/index.ts
@@ -1,4 +1,4 @@
-export type {ColdBound, TargetNotice} from './targetNotice.js';
+export type {ColdBound, StatedLoad, TargetNotice} from './targetNotice.js';
 export {HostedTarget} from './hostedTarget.js';
 export {KeyLoad} from './keyLoad.js';
 export type {KeyLoadOptions} from './keyLoad.js';
