--- a/routing/request-path/src/index.ts
+++ b/routing/request-path/src/index.ts
@@ -19,5 +19,6 @@
   TargetHeaderCodec,
   CallerHeaderCodec,
 } from './messages.js';
+export {MemoryBudget} from './memoryBudget.js';
 export {OfferPlan} from './offerPlan.js';
 export type {PlannedOffer} from './offerPlan.js';
