Stream large responses with a bounded window on each hop

Each daemon on the path read a response whole before it passed it on. Callers waited for the last byte at every hop, a few large responses filled the memory of a small instance, and a caller that read nothing kept its response in memory without a time limit.

Responses of a known length above 16 KiB are passed on as they are received, once their head proves that the target sent them. Every hop holds about 64 KiB: the socket of the target is paused, the peer protocol (version 3) has chunks with credit that wait behind short messages, and the socket of the caller is awaited. The last bytes are written only after the end was confirmed; otherwise the connection is destroyed. Bodies, streams and send queues count against the memory budget; above half of it new downloads are refused. Bytes that follow a refused protocol version in the same read are no longer handled.

--- a/apps/site/src/siteMetrics.ts
+++ b/apps/site/src/siteMetrics.ts
@@ -1,5 +1,5 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
-import type {EntryOutcome, RunResult, TargetLoad} from '@medlarlane/request-path';
+import type {EntryOutcome, MemoryBudget, RunResult, TargetLoad} from '@medlarlane/request-path';
 
 export interface SiteMetrics {
   /** Records a finished request of a caller. */
@@ -17,6 +17,7 @@
   readonly rateLimitRps: () => number | undefined;
   /** Time since the last response of a control leader. */
   readonly controlSilentMs: () => number;
+  readonly memoryBudget: MemoryBudget;
 }
 
 /** Upper bounds of the latency histograms; 20 ms is the latency objective for one hop. */
@@ -72,6 +73,25 @@
     'Time since the last response of a control leader.',
     () => sources.controlSilentMs() / 1_000,
   );
+  const {memoryBudget} = sources;
+  gauge(
+    registry,
+    'held_bytes',
+    'Bytes of requests, responses and send queues in memory.',
+    () => memoryBudget.heldBytes,
+  );
+  gauge(
+    registry,
+    'open_streams',
+    'Large responses that are being received or written.',
+    () => memoryBudget.readerCount,
+  );
+  gauge(
+    registry,
+    'memory_cut_offs',
+    'Responses cut off since the start because the memory budget was exceeded.',
+    () => memoryBudget.cutOffCount,
+  );
   return {
     recordRequest: ({route, status, durationMs, attempts}) => {
       requests.inc({route, status: String(status), offers: String(attempts)});
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -11,6 +11,7 @@
   createPeerClient,
   createTargetClient,
   EventLoopLag,
+  MemoryBudget,
   SiteView,
   startOfferListener,
 } from '@medlarlane/request-path';
@@ -55,6 +56,8 @@
    * keys.
    */
   readonly grantCodec?: GrantCodec;
+  /** Memory of this process; `undefined` if it is not limited. */
+  readonly memoryBytes?: number | undefined;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -124,9 +127,14 @@
     keyCount: KEY_COUNT,
     ...(grantApi ? {grantApi} : {}),
   });
+  const memoryBudget = new MemoryBudget({
+    processBytes: opts.memoryBytes,
+    onCutOff: (usage) => logger.warn(usage, 'Slow readers cut off, memory budget exceeded'),
+  });
   const targetClient = disposables.use(
     createTargetClient({
       ...opts.targetEndpoint,
+      memoryBudget,
       headerCodec: opts.targetHeaderCodec,
       maxConnections: MAX_TARGET_CONNECTIONS,
       onConnectionRefused: () => void checkTarget(),
@@ -139,6 +147,7 @@
     configVersion: () => view.configuration.version,
     rateLimitRps: () => hostedTarget.rateLimit?.rps,
     controlSilentMs: () => controlReporter.sinceLastResponseMs,
+    memoryBudget,
   });
   const poison = new PoisonTable({reporterId: forwardAddress, clock});
   let isPoisonReported = true;
@@ -157,9 +166,10 @@
   });
   const eventLoopLag = new EventLoopLag(disposables);
   const peers = disposables.use(
-    createPeerClient({logger: createComponentLogger('peers', logger)}),
+    createPeerClient({logger: createComponentLogger('peers', logger), memoryBudget}),
     (client) => client.close(),
   );
+  memoryBudget.addQueue(() => peers.heldBytes ?? 0);
   const budgets = new RetryBudgets(opts);
   const entryHandler = createEntryHandler({
     view,
@@ -179,6 +189,7 @@
     },
     stopDeadlineAtMs: () => stopDeadlineAtMs - LAST_RESPONSE_MS,
     onResponse: (outcome) => metrics.recordRequest(outcome),
+    memoryBudget,
   });
   const rpc = disposables.use(createRpcClient(), (client) => client.close());
   const applyConfiguration = (next: SiteConfiguration): void => {
@@ -256,7 +267,9 @@
     admissionController,
     logger,
     lagMs: () => eventLoopLag.lagMs,
+    memoryBudget,
   });
+  memoryBudget.addQueue(() => offerListener.heldBytes);
   controlReporter.start();
   disposables.add(() => controlReporter.stop());
   /**
@@ -309,7 +322,7 @@
       await waitUntil(() => admissionController.inFlight === 0);
       isClosed = true;
       callerListener.stopAccepting();
-      await waitUntil(() => entryHandler.inFlight === 0);
+      await waitUntil(() => entryHandler.inFlight === 0 && offerListener.openStreams === 0);
       logger.info({inFlight: entryHandler.inFlight}, 'Daemon closing');
       callerListener.closeAll();
       await offerListener.close();
--- a/protocol/peer-rpc/src/messageSocket.ts
+++ b/protocol/peer-rpc/src/messageSocket.ts
@@ -40,6 +40,8 @@
   private readonly incompleteMessages = new Map<number, Buffer[]>();
   private unparsedBytes: Buffer = EMPTY_BUFFER;
   private lastStreamId = UNFRAGMENTED_STREAM_ID;
+  private unsentBytes = 0;
+  private incompleteBytes = 0;
   private failure: Error | undefined;
   private isEnding = false;
 
@@ -62,9 +64,21 @@
       return;
     }
     this.lastStreamId += 1;
-    // The encoder reuses its buffer for the next message.
-    this.sendQueue.push({streamId: this.lastStreamId, bytes: bytes.slice(), sentBytes: 0});
-    this.flushSendQueue();
+    this.enqueue(this.lastStreamId, bytes);
+  }
+
+  /**
+   * Sends a message that fits into one fragment once the socket has room for it, so that short messages
+   * are not delayed. Such messages keep their order.
+   */
+  sendWhenWritable(message: unknown): void {
+    if (this.socket.destroyed || this.isEnding) return;
+    this.enqueue(UNFRAGMENTED_STREAM_ID, this.encoder.encodeSharedRef(message));
+  }
+
+  /** Bytes that wait to be sent or for the rest of their message. */
+  get heldBytes(): number {
+    return this.unsentBytes + this.incompleteBytes + this.socket.writableLength;
   }
 
   /** Closes the connection after all messages have been written. */
@@ -77,12 +91,20 @@
     this.socket.destroy();
   }
 
+  private enqueue(streamId: number, bytes: Uint8Array): void {
+    // The encoder reuses its buffer for the next message.
+    this.sendQueue.push({streamId, bytes: bytes.slice(), sentBytes: 0});
+    this.unsentBytes += bytes.length;
+    this.flushSendQueue();
+  }
+
   private flushSendQueue(): void {
     while (this.sendQueue.length > 0 && !this.socket.writableNeedDrain) {
       const message = this.sendQueue.shift()!;
       const {streamId, bytes, sentBytes} = message;
       const fragment = bytes.subarray(sentBytes, sentBytes + MAX_FRAGMENT_BYTES);
       message.sentBytes += fragment.length;
+      this.unsentBytes -= fragment.length;
       const hasMore = message.sentBytes < bytes.length;
       this.writeFragment(
         streamId,
@@ -106,7 +128,7 @@
     let input =
       this.unparsedBytes.length === 0 ? bytes : Buffer.concat([this.unparsedBytes, bytes]);
     try {
-      while (input.length >= FRAGMENT_HEADER_BYTES) {
+      while (input.length >= FRAGMENT_HEADER_BYTES && !this.socket.destroyed) {
         const flaggedLength = input.readUInt32BE(0);
         const length = (flaggedLength & ~MORE_FLAG) >>> 0;
         if (length > MAX_FRAGMENT_BYTES) throw new Error('Fragment is too long');
@@ -126,6 +148,7 @@
     if (streamId === UNFRAGMENTED_STREAM_ID) return this.opts.onMessage(decode(fragment));
     const fragments = this.incompleteMessages.get(streamId) ?? [];
     fragments.push(fragment);
+    this.incompleteBytes += fragment.length;
     if (fragments.length * MAX_FRAGMENT_BYTES > MAX_MESSAGE_BYTES)
       throw new Error('Message is too long');
     if (hasMore) {
@@ -133,6 +156,7 @@
       return;
     }
     this.incompleteMessages.delete(streamId);
+    for (const {length} of fragments) this.incompleteBytes -= length;
     this.opts.onMessage(decode(Buffer.concat(fragments)));
   }
 }
--- a/protocol/peer-rpc/src/peerMessages.ts
+++ b/protocol/peer-rpc/src/peerMessages.ts
@@ -1,7 +1,7 @@
 import {MedlarlaneError} from '@medlarlane/errors';
 
 /** Incremented with each change that older daemons cannot decode. */
-export const PEER_PROTOCOL_VERSION = 2;
+export const PEER_PROTOCOL_VERSION = 3;
 
 /**
  * Message type, the first field of each message. The second field is the exchange id, chosen by the
@@ -23,8 +23,19 @@
   /** Requests a `pong`, to check that the connection is alive. */
   ping: 7,
   pong: 8,
+  /** The next bytes of a large response, whose head was the result of the exchange. */
+  chunk: 9,
+  /** End of a large response, with a flag that is true only if all of its bytes were sent. */
+  chunkEnd: 10,
+  /** Number of bytes of a large response that the receiver has passed on. */
+  chunkCredit: 11,
 } as const;
 
+/** Bytes of a large response that may be sent before the first `chunkCredit`. */
+export const CHUNK_WINDOW_BYTES = 65_536;
+/** Maximum length of the bytes in a `chunk`, so that the message fits into one fragment. */
+export const MAX_CHUNK_BYTES = 8_128;
+
 export interface PeerMessage {
   readonly operation: number;
   readonly exchangeId: number;
--- a/protocol/peer-rpc/test/messageSocket.test.ts
+++ b/protocol/peer-rpc/test/messageSocket.test.ts
@@ -55,6 +55,25 @@
     assert.deepEqual(received[0], [2, 'short']);
   });
 
+  it('are not blocked by chunks of large responses, which keep their order', async () => {
+    const {sender, receiverSocket, received} = await connectPair(disposables);
+    receiverSocket.pause();
+    for (let chunk = 0; chunk < 1_000; chunk += 1) {
+      sender.sendWhenWritable([chunk, Buffer.alloc(8_128)]);
+    }
+    assert.ok(sender.heldBytes > 1_000_000);
+    sender.send([-1, 'short']);
+    receiverSocket.resume();
+    await waitFor(() => received.length === 1_001);
+    const numbers = received.map(([number]) => number as number);
+    assert.ok(numbers.indexOf(-1) < 900);
+    assert.deepEqual(
+      numbers.filter((number) => number >= 0),
+      Array.from({length: 1_000}, (_, index) => index),
+    );
+    assert.equal(sender.heldBytes, 0);
+  });
+
   it('cannot be received after invalid bytes, which close the connection', async () => {
     const {senderSocket, closed} = await connectPair(disposables);
     senderSocket.write('GET / HTTP/1.1\r\n\r\n');
--- a/routing/request-path/src/admissionController.ts
+++ b/routing/request-path/src/admissionController.ts
@@ -7,6 +7,7 @@
 import {fingerprintsOf} from './fingerprintsOf.js';
 import type {TargetClient} from './createTargetClient.js';
 import type {TargetLoad, Offer, RequestFrame, RunResult} from './messages.js';
+import {ResponseStream} from './responseStream.js';
 
 /** The local target of this daemon as described by its heartbeats. */
 export interface CurrentTarget {
@@ -40,6 +41,16 @@
   cancel(): void;
 }
 
+/** A request that was passed to the target. */
+interface StartedRun {
+  readonly offer: Offer;
+  readonly target: CurrentTarget;
+  readonly frame: RequestFrame;
+  readonly permit: SlotPermit;
+  readonly queue: SlotQueue;
+  readonly startedAtMs: number;
+}
+
 interface LostRequest {
   readonly requestId: string;
   readonly life: string;
@@ -211,7 +222,25 @@
     } catch (thrown) {
       result = {kind: 'refused', code: toMedlarlaneError(thrown).code};
     }
-    const workMs = clock.nowMs() - startedAtMs;
+    const finish = (finalResult: RunResult): void =>
+      this.finishRun({offer, target, frame, permit, queue, startedAtMs}, finalResult);
+    if (result.kind === 'answered' && result.answer.body instanceof ResponseStream) {
+      const head = result;
+      // The target is busy with the request until its last byte was read.
+      result.answer.body.onSourceEnd((end) =>
+        finish(end === 'complete' ? head : brokenResult(signal)),
+      );
+    } else {
+      finish(result);
+    }
+    return {...result, load: this.load};
+  }
+
+  private finishRun(
+    {offer, target, frame, permit, queue, startedAtMs}: StartedRun,
+    result: RunResult,
+  ): void {
+    const workMs = this.opts.clock.nowMs() - startedAtMs;
     const didWork = result.kind === 'answered' || result.kind === 'lost';
     if (result.kind === 'refused') permit.cancel();
     else permit.release(didWork ? workMs : undefined);
@@ -219,7 +248,6 @@
     this.trackForCrash(offer, target, frame, result, startedAtMs);
     this.opts.onResult(result, workMs);
     this.logRun(offer, target, permit, result, workMs);
-    return {...result, load: this.load};
   }
 
   private trackForCrash(
@@ -270,3 +298,8 @@
     );
   }
 }
+
+/** Result of a large response that ended early. */
+function brokenResult({aborted}: AbortSignal): RunResult {
+  return {kind: 'lost', code: aborted ? 'CANCELLED' : 'TARGET_FAILED'};
+}
--- a/routing/request-path/src/callerConnections.ts
+++ b/routing/request-path/src/callerConnections.ts
@@ -13,6 +13,11 @@
   waitForStart(): boolean | Promise<boolean>;
   /** Resolves once all earlier responses have been written, or the connection is lost. */
   waitForTurn(): void | Promise<void>;
+  /**
+   * Returns whether the response may be streamed: it is this request's turn, and no other started
+   * request would lose its response if the stream breaks. No other request is started until then.
+   */
+  tryStream(): boolean;
   /**
    * Decides whether the response to this request closes the connection. With `mustClose`, no further
    * request is read, and the response to the last request that was started closes the connection.
@@ -69,6 +74,7 @@
 class CallerConnection {
   private readonly pending: PendingRequest[] = [];
   private isClosing = false;
+  private isStreaming = false;
   private unreadCount = 0;
 
   constructor(private readonly socket: Socket) {
@@ -100,10 +106,17 @@
     return this.isClosing && this.pending.at(-1) === request;
   }
 
+  tryStream(request: PendingRequest): boolean {
+    const isAlone = this.isFirst(request) && this.pending[1]?.isStarted !== true;
+    if (isAlone) this.isStreaming = true;
+    return isAlone;
+  }
+
   remove(request: PendingRequest): void {
     const index = this.pending.indexOf(request);
     if (index < 0) return;
     this.pending.splice(index, 1);
+    if (index === 0) this.isStreaming = false;
     // The last response may have been written before the close was decided.
     if (this.isClosing && this.pending.length === 0) this.socket.destroySoon();
     this.pending[0]?.giveTurn();
@@ -121,6 +134,7 @@
 
   /** Starts requests in order; only safe requests run at the same time. */
   private startNext(): void {
+    if (this.isStreaming) return;
     let startedCount = 0;
     for (const request of [...this.pending]) {
       if (!request.isStarted) {
@@ -185,6 +199,10 @@
     return new Promise((resolve) => (this.turnListener = resolve));
   }
 
+  tryStream(): boolean {
+    return !this.isDisconnected && this.connection.tryStream(this);
+  }
+
   decideClose(mustClose: boolean): boolean {
     return this.connection.decideClose(this, mustClose);
   }
--- a/routing/request-path/src/createPeerClient.ts
+++ b/routing/request-path/src/createPeerClient.ts
@@ -1,6 +1,7 @@
 import net from 'node:net';
 import type {Logger} from '@medlarlane/logger';
 import {
+  CHUNK_WINDOW_BYTES,
   MessageSocket,
   PEER_OPERATION,
   PEER_PROTOCOL_VERSION,
@@ -8,8 +9,10 @@
 } from '@medlarlane/peer-rpc';
 import type {PeerMessage} from '@medlarlane/peer-rpc';
 import {splitAddress} from '@medlarlane/rpc';
-import {encodeOffer} from './messages.js';
+import {MemoryBudget} from './memoryBudget.js';
+import {encodeOffer, streamedBodyLength} from './messages.js';
 import type {Offer, RequestFrame, RunResult} from './messages.js';
+import {ResponseStream} from './responseStream.js';
 
 export interface PeerRequest {
   readonly address: string;
@@ -21,6 +24,8 @@
 }
 
 export interface PeerClient {
+  /** Bytes in the send queues of all connections. */
+  readonly heldBytes?: number;
   /** Offers a request to the daemon at `address`, which runs it once it is admitted. */
   run(request: PeerRequest): Promise<RunResult>;
   close(): void;
@@ -47,6 +52,9 @@
 const CHECK_INTERVAL_MS = 50;
 /** Larger bodies are only sent after a slot was reserved, so that refusals cost no bandwidth. */
 const MAX_INLINE_BODY_BYTES = 2_048;
+/** Credit is returned in steps, which cost a message each, long before the window is used up. */
+const CREDIT_STEP_BYTES = CHUNK_WINDOW_BYTES / 4;
+const LOST: RunResult = {kind: 'lost', code: 'PEER_FAILED'};
 /** TCP keep-alive, which detects dead peers on idle connections. */
 const KEEP_ALIVE_MS = 10_000;
 
@@ -54,11 +62,23 @@
   readonly request: PeerRequest;
   /** Whether the request has been sent and may therefore have run. */
   sent: boolean;
+  /** Set once the head of a large response was received; the exchange then lasts until its end. */
+  stream?: ResponseStream;
+  /** Returns the result. */
+  resolve(result: RunResult): void;
+  /** Ends the exchange, with the result unless a stream was already returned. */
   settle(result: RunResult): void;
 }
 
 /** Creates the client for requests to other daemons, with one connection per daemon. */
-export function createPeerClient({logger}: {logger: Logger}): PeerClient {
+export function createPeerClient({
+  logger,
+  memoryBudget = new MemoryBudget(),
+}: {
+  logger: Logger;
+  /** Counts the large responses being received; by default, the client has a budget of its own. */
+  memoryBudget?: MemoryBudget;
+}): PeerClient {
   /** Addresses whose last connection was lost. */
   const lostAddresses = new Set<string>();
   const connections = new Map<string, PeerConnection>();
@@ -81,6 +101,7 @@
   };
   const connect = (address: string): PeerConnection => {
     const connection = new PeerConnection(address, {
+      memoryBudget,
       onConnect: () => {
         if (lostAddresses.delete(address)) logger.info({address}, 'Peer connection restored');
       },
@@ -98,6 +119,9 @@
     return connection;
   };
   return {
+    get heldBytes() {
+      return [...openConnections].reduce((sum, {heldBytes}) => sum + heldBytes, 0);
+    },
     run: (request) => {
       startCheckTimer();
       return (connections.get(request.address) ?? connect(request.address)).start(request);
@@ -130,6 +154,7 @@
   constructor(
     address: string,
     private readonly opts: {
+      readonly memoryBudget: MemoryBudget;
       readonly onConnect: () => void;
       /** Called when the connection accepts no new requests. */
       readonly onLost: (lossDetails: {silentMs: number; waiting: number; reason: string}) => void;
@@ -163,9 +188,11 @@
       const exchange: Exchange = {
         request,
         sent: includesRequest,
+        resolve,
         settle: (result) => {
           this.exchanges.delete(id);
           signal.removeEventListener('abort', onAbort);
+          exchange.stream?.finish('broken');
           resolve(result);
           if (this.isUnresponsive && this.exchanges.size === 0) this.close();
         },
@@ -181,6 +208,10 @@
     });
   }
 
+  get heldBytes(): number {
+    return this.messages.heldBytes;
+  }
+
   /** Whether any request is pending. */
   get hasPendingRequests(): boolean {
     return this.exchanges.size > 0;
@@ -219,10 +250,38 @@
       exchange.sent = true;
       this.messages.send([PEER_OPERATION.request, id, ...frameFields(exchange.request.frame)]);
     } else if (operation === PEER_OPERATION.result) {
-      exchange.settle(fields[0] as RunResult);
+      const result = fields[0] as RunResult;
+      const lengthBytes = streamedBodyLength(result);
+      if (lengthBytes === undefined) exchange.settle(result);
+      else this.openStream(id, exchange, result, lengthBytes);
+    } else if (operation === PEER_OPERATION.chunk) {
+      if (fields[0] instanceof Uint8Array) exchange.stream?.push(fields[0]);
+    } else if (operation === PEER_OPERATION.chunkEnd) {
+      exchange.stream?.finish(fields[0] === true ? 'complete' : 'broken');
+      exchange.settle(LOST);
     }
   }
 
+  /** Returns a large response as a stream whose chunks follow on the connection. */
+  private openStream(id: number, exchange: Exchange, head: RunResult, lengthBytes: number): void {
+    if (head.kind !== 'answered' || exchange.stream) return;
+    let uncreditedBytes = 0;
+    const body = new ResponseStream({
+      lengthBytes,
+      budget: this.opts.memoryBudget,
+      onTaken: (bytes) => {
+        uncreditedBytes += bytes;
+        if (uncreditedBytes < CREDIT_STEP_BYTES) return;
+        this.messages.send([PEER_OPERATION.chunkCredit, id, uncreditedBytes]);
+        uncreditedBytes = 0;
+      },
+      onCancel: () => this.abandon(id, 'CANCELLED'),
+    });
+    exchange.stream = body;
+    const {status, headers} = head.answer;
+    exchange.resolve({...head, answer: {status, headers, body}});
+  }
+
   private abandon(id: number, code: 'CANCELLED' | 'PEER_FAILED'): void {
     const exchange = this.exchanges.get(id);
     if (!exchange) return;
--- a/routing/request-path/src/createTargetClient.ts
+++ b/routing/request-path/src/createTargetClient.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import type {TargetNotice} from '@medlarlane/key-holds';
+import {CHUNK_WINDOW_BYTES} from '@medlarlane/peer-rpc';
 import {readMessageBody} from '@medlarlane/rpc';
 import {endToEndHeaders} from './endToEndHeaders.js';
 import type {
@@ -10,6 +11,9 @@
   TargetHeaderCodec,
   TargetResponseFields,
 } from './messages.js';
+import {MemoryBudget} from './memoryBudget.js';
+import type {MemoryHold} from './memoryBudget.js';
+import {MIN_STREAMED_BYTES, ResponseStream} from './responseStream.js';
 
 export interface TargetClientOptions {
   readonly host: string;
@@ -17,6 +21,8 @@
   readonly headerCodec: TargetHeaderCodec;
   /** Maximum number of connections to the target. */
   readonly maxConnections: number;
+  /** Counts the responses being read; by default, the client has a budget of its own. */
+  readonly memoryBudget?: MemoryBudget;
   /** Called when a connection was refused, which usually means that the target no longer listens. */
   readonly onConnectionRefused?: () => void;
   /** Called with what the incarnation states about itself, for each response to a request. */
@@ -44,10 +50,14 @@
 const MAX_IDLE_MS = 800;
 /** Maximum size of a response; a target that sends more is faulty. */
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
-/** Limit for all responses being read; on the smallest instances a process may use 250 MB in total. */
-const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
+/** Responses with more headers are not streamed, because the head must fit into one fragment. */
+const MAX_STREAMED_HEADER_CHARS = 4_096;
+/** Failure responses are not streamed, because the request may be repeated. */
+const FIRST_RETRYABLE_STATUS = 500;
 /** Maximum number of interim responses (1xx) to a request; a target that sends more is faulty. */
 const MAX_INTERIM_RESPONSES = 16;
+const NO_BODY = Buffer.alloc(0);
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const OK_STATUS = 200;
 /** Status of a response whose sender is not the addressed instance or does not own the key. */
 const MISDIRECTED_STATUS = 421;
@@ -66,9 +76,9 @@
     timeout: MAX_IDLE_MS,
     maxSockets: opts.maxConnections,
   });
-  const memoryLimiter = new ResponseMemoryLimiter();
+  const memoryBudget = opts.memoryBudget ?? new MemoryBudget();
   return {
-    run: (run) => sendRequest(agent, memoryLimiter, opts, run),
+    run: (run) => sendRequest(agent, memoryBudget, opts, run),
     probeListener: (timeoutMs) => probeConnection(agent, opts, timeoutMs),
     close: () => agent.destroy(),
   };
@@ -90,20 +100,21 @@
   }
 }
 
-/** Limits the memory used by responses being read, even if targets send endless data. */
-class ResponseMemoryLimiter {
-  private bufferedBytes = 0;
-
-  /** Counts the body of a response until it ends, and calls `onExcess` when the limit is exceeded. */
-  track(response: http.IncomingMessage, onExcess: () => void): void {
-    let readBytes = 0;
-    response.on('data', (chunk: Buffer) => {
-      readBytes += chunk.length;
-      this.bufferedBytes += chunk.length;
-      if (this.bufferedBytes > MAX_BUFFERED_BYTES) onExcess();
-    });
-    response.once('close', () => (this.bufferedBytes -= readBytes));
-  }
+/**
+ * Counts the bytes of a response that is read into memory, and calls `onExcess` when the budget is
+ * exceeded, even if a target sends endless data.
+ */
+function countBufferedBytes(
+  response: http.IncomingMessage,
+  budget: MemoryBudget,
+  onExcess: () => void,
+): void {
+  let hold: MemoryHold | undefined;
+  response.on('data', (chunk: Buffer) => {
+    hold ??= budget.open({isReader: false, onCut: onExcess});
+    hold.add(chunk.length);
+  });
+  response.once('close', () => hold?.close());
 }
 
 function destroySocket(this: Socket): void {
@@ -112,7 +123,7 @@
 
 function sendRequest(
   agent: http.Agent,
-  memoryLimiter: ResponseMemoryLimiter,
+  memoryBudget: MemoryBudget,
   {host, port, headerCodec, onConnectionRefused, onNotice}: TargetClientOptions,
   run: Parameters<TargetClient['run']>[0],
 ): Promise<RunResult> {
@@ -143,9 +154,14 @@
       if (!socket.connecting) isConnected = true;
       else socket.once('connect', () => (isConnected = true));
     });
-    const settle = (result: RunResult): void => {
+    let stream: ResponseStream | undefined;
+    const stopWatching = (): void => {
       clearTimeout(timer);
       signal.removeEventListener('abort', onAbort);
+    };
+    const settle = (result: RunResult): void => {
+      stopWatching();
+      stream?.finish('broken');
       resolve(result);
     };
     const settleAndDestroy = (result: RunResult): void => {
@@ -175,12 +191,21 @@
       const isFromTarget =
         fields.requestId === offer.requestId && response.statusCode !== MISDIRECTED_STATUS;
       if (isFromTarget) onNotice?.(offer.life, fields.notice);
-      memoryLimiter.track(response, fail);
+      const lengthBytes = streamedLength(frame, response);
+      const head =
+        lengthBytes === undefined ? undefined : classifyResponse(fields, offer, response);
+      if (lengthBytes !== undefined && head?.kind === 'answered') {
+        stream = openStream(response, lengthBytes, memoryBudget, () => request.destroy());
+        stream.onSourceEnd(stopWatching);
+        resolve({...head, answer: {...head.answer, body: stream}});
+        return;
+      }
+      countBufferedBytes(response, memoryBudget, fail);
       const bodyPromise = hasExplicitLength(response.headers)
         ? readMessageBody(response, MAX_RESPONSE_BYTES)
         : readUntilClose(response);
       bodyPromise.then((body) => {
-        const result = classifyResponse(fields, offer, response, body);
+        const result = withBody(classifyResponse(fields, offer, response), body);
         settle(result);
         // The connection may already be back in the pool, and further data on it cannot be trusted.
         if (result.kind === 'lost') connection?.destroy();
@@ -222,7 +247,6 @@
   {requestId, notExecuted, sealed}: TargetResponseFields,
   offer: Offer,
   response: http.IncomingMessage,
-  body: Buffer,
 ): RunResult {
   const status = response.statusCode ?? 0;
   // A target that rejects a request early does not know its ID yet.
@@ -235,10 +259,54 @@
   }
   return {
     kind: 'answered',
-    answer: {status, headers: endToEndHeaders(response.rawHeaders), body},
+    answer: {status, headers: endToEndHeaders(response.rawHeaders), body: NO_BODY},
   };
 }
 
+function withBody(result: RunResult, body: Uint8Array): RunResult {
+  return result.kind === 'answered' ? {...result, answer: {...result.answer, body}} : result;
+}
+
+/** Returns the length of a response that can be streamed. */
+function streamedLength(
+  {method}: RequestFrame,
+  {statusCode = 0, headers, rawHeaders}: http.IncomingMessage,
+): number | undefined {
+  const lengthBytes = Number(headers['content-length']);
+  const isBodiless = method === 'HEAD' || BODILESS_STATUSES.has(statusCode);
+  if (!(lengthBytes > MIN_STREAMED_BYTES) || isBodiless) return undefined;
+  // The end of a chunked response must be known first.
+  if (headers['transfer-encoding'] !== undefined) return undefined;
+  const headerChars = rawHeaders.reduce((sum, text) => sum + text.length, 0);
+  const canStream = statusCode < FIRST_RETRYABLE_STATUS && headerChars <= MAX_STREAMED_HEADER_CHARS;
+  return canStream ? lengthBytes : undefined;
+}
+
+/** Passes a response on as it is received, and pauses its connection while the window is full. */
+function openStream(
+  response: http.IncomingMessage,
+  lengthBytes: number,
+  budget: MemoryBudget,
+  onCancel: () => void,
+): ResponseStream {
+  const stream = new ResponseStream({
+    lengthBytes,
+    budget,
+    onCancel,
+    onTaken: () => {
+      if (response.isPaused() && stream.untakenBytes < CHUNK_WINDOW_BYTES) response.resume();
+    },
+  });
+  response.on('data', (chunk: Buffer) => {
+    stream.push(chunk);
+    if (stream.untakenBytes >= CHUNK_WINDOW_BYTES) response.pause();
+  });
+  response.on('end', () => stream.finish(response.complete ? 'complete' : 'broken'));
+  response.on('error', () => stream.finish('broken'));
+  response.on('close', () => stream.finish('broken'));
+  return stream;
+}
+
 function probeConnection(
   agent: http.Agent,
   {host, port}: TargetClientOptions,
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -22,6 +22,11 @@
   RunResult,
   TargetResponse,
 } from './messages.js';
+import {writeBody, writeStream} from './callerWriter.js';
+import {MemoryBudget} from './memoryBudget.js';
+import type {MemoryHold} from './memoryBudget.js';
+import {collectStream, ResponseStream} from './responseStream.js';
+import type {StreamEnd} from './responseStream.js';
 import type {InstanceView, SiteView} from './siteView.js';
 import {OfferPlan} from './offerPlan.js';
 import {waitForSocketPoll} from './waitForSocketPoll.js';
@@ -48,6 +53,13 @@
   /** Time by which all requests must be answered, because the daemon stops; `Infinity` before. */
   readonly stopDeadlineAtMs?: () => number;
   readonly onResponse?: (outcome: EntryOutcome) => void;
+  /** Counts the bytes of bodies; by default, the handler has a budget of its own. */
+  readonly memoryBudget?: MemoryBudget;
+}
+
+/** The options with their defaults. */
+interface EntryOptions extends EntryHandlerOptions {
+  readonly memoryBudget: MemoryBudget;
 }
 
 /** Outcome of a caller's request, for metrics. */
@@ -83,6 +95,9 @@
   readonly lagMs: number;
   readonly abort: AbortController;
   readonly attempts: Attempt[];
+  readonly pipelined: PipelinedRequest;
+  /** Counts the body of the request, if there is one. */
+  bodyHold?: MemoryHold;
   route?: Route;
   service?: string;
   key?: number;
@@ -101,7 +116,7 @@
 interface FinalResponse {
   readonly status: number;
   readonly headers: readonly string[];
-  readonly body: Uint8Array;
+  readonly body: Uint8Array | ResponseStream;
   readonly code?: ErrorCode;
 }
 
@@ -137,11 +152,14 @@
 };
 /** A starting daemon needs about a second to receive its configuration. */
 const NO_CONFIGURATION_RETRY_MS = 500;
+/** Maximum size of a response that cannot be streamed to its caller, as for responses without a length. */
+const MAX_COLLECTED_BYTES = 32 * 1024 * 1024;
 /** With less time left, an attempt has no chance of a response before the deadline. */
 const MIN_ATTEMPT_MS = 10;
 
 /** Creates the handler for callers' requests: routing, target selection, attempts and response. */
-export function createEntryHandler(opts: EntryHandlerOptions): EntryHandler {
+export function createEntryHandler(options: EntryHandlerOptions): EntryHandler {
+  const opts = {...options, memoryBudget: options.memoryBudget ?? new MemoryBudget()};
   const connections = new CallerConnections();
   let inFlight = 0;
   return {
@@ -163,6 +181,9 @@
       inFlight += 1;
       try {
         await handle(opts, request, response, pipelined, abort);
+      } catch (err) {
+        opts.logger.error({err}, 'Response cannot be written');
+        request.socket.destroy();
       } finally {
         inFlight -= 1;
       }
@@ -171,7 +192,7 @@
 }
 
 async function handle(
-  opts: EntryHandlerOptions,
+  opts: EntryOptions,
   request: http.IncomingMessage,
   response: http.ServerResponse,
   pipelined: PipelinedRequest,
@@ -188,6 +209,7 @@
     lagMs,
     abort,
     attempts: [],
+    pipelined,
     ...(key === undefined ? {} : {key}),
   };
   const mayStart = pipelined.waitForStart();
@@ -195,17 +217,24 @@
   const finalResponse = await processRequest(opts, context, timeLeftMs).catch((thrown: unknown) =>
     refusalResponse(opts, context, toMedlarlaneError(thrown)),
   );
+  context.bodyHold?.close();
   await pipelined.waitForTurn();
   const durationMs = clock.nowMs() - context.startedAtMs;
   const {isDisconnected} = pipelined;
-  if (!isDisconnected) writeResponse(opts, request, response, pipelined, finalResponse);
-  logResponse(opts, context, finalResponse, {isDisconnected, durationMs});
+  const streamEnd = isDisconnected
+    ? undefined
+    : writeResponse(opts, request, response, pipelined, finalResponse);
   opts.onResponse?.({
     route: context.route?.name ?? '',
     status: isDisconnected ? 499 : finalResponse.status,
     durationMs,
     attempts: context.attempts.length,
   });
+  logResponse(opts, context, finalResponse, {
+    isDisconnected,
+    durationMs,
+    ...(streamEnd ? {streamEnd: await streamEnd} : {}),
+  });
   await pipelined.waitUntilFinished(response);
 }
 
@@ -216,7 +245,7 @@
 }
 
 async function processRequest(
-  opts: EntryHandlerOptions,
+  opts: EntryOptions,
   context: RequestContext,
   timeLeftMs: number | undefined,
 ): Promise<FinalResponse> {
@@ -253,7 +282,10 @@
   const mayHaveWaited = lagMs > POLL_AGAIN_LAG_MS || isFirstRequest(request.socket);
   if (mayHaveWaited) await waitForSocketPoll();
   if (context.abort.signal.aborted) throw new MedlarlaneError('CANCELLED', undefined, {ran: 'no'});
-  const body = await readBody(request, view.configuration.limits.maxBodyBytes);
+  if (route.kind === 'download' && opts.memoryBudget.isTight) {
+    throw new MedlarlaneError('OVERLOADED', 'Daemon holds too many bytes for large responses');
+  }
+  const body = await readBody(opts, context);
   const service = view.pickService(route);
   context.service = service;
   opts.retryBudget(service).recordRequest();
@@ -269,10 +301,17 @@
   if (remainingNowMs <= 0) throw new MedlarlaneError('DEADLINE_EXCEEDED', undefined, {ran: 'no'});
   // Aborts all pending waits at the deadline; requests not sent by then are known not to have run.
   const timer = setTimeout(() => context.abort.abort(DEADLINE_PASSED), remainingNowMs);
-  return runAttempts(opts, context, route, service, frame, {
-    latencyTargetAtMs,
-    deadlineAtMs,
-  }).finally(() => clearTimeout(timer));
+  let stream: ResponseStream | undefined;
+  try {
+    const times = {latencyTargetAtMs, deadlineAtMs};
+    const finalResponse = await runAttempts(opts, context, route, service, frame, times);
+    if (finalResponse.body instanceof ResponseStream) stream = finalResponse.body;
+    return finalResponse;
+  } finally {
+    // The deadline also applies to a large response that is still being received.
+    if (stream) stream.onSourceEnd(() => clearTimeout(timer));
+    else clearTimeout(timer);
+  }
 }
 
 const usedConnections = new WeakSet<Socket>();
@@ -284,7 +323,7 @@
 }
 
 async function runAttempts(
-  opts: EntryHandlerOptions,
+  opts: EntryOptions,
   context: RequestContext,
   route: Route,
   service: string,
@@ -307,7 +346,7 @@
     }
     if (executionCount > 0 && !opts.retryBudget(service).tryConsume()) break;
     const offerOptions = {...times, isFinal: nextOffer.isFinal};
-    const result = await sendOffer(
+    const result = await sendOfferAndCollect(
       opts,
       context,
       route,
@@ -340,8 +379,20 @@
   return last.kind === 'lost' ? last : next;
 }
 
+/** Sends an offer, and reads a large response into memory unless it can be streamed to the caller. */
+async function sendOfferAndCollect(...args: Parameters<typeof sendOffer>): Promise<RunResult> {
+  const [{memoryBudget}, {pipelined}] = args;
+  const result = await sendOffer(...args);
+  if (result.kind !== 'answered' || !(result.answer.body instanceof ResponseStream)) return result;
+  if (pipelined.tryStream()) return result;
+  const body = await collectStream(result.answer.body, memoryBudget, MAX_COLLECTED_BYTES);
+  return body
+    ? {...result, answer: {...result.answer, body}}
+    : {kind: 'lost', code: 'TARGET_FAILED'};
+}
+
 async function sendOffer(
-  opts: EntryHandlerOptions,
+  opts: EntryOptions,
   context: RequestContext,
   route: Route,
   service: string,
@@ -403,7 +454,7 @@
 }
 
 function toFinalResponse(
-  opts: EntryHandlerOptions,
+  opts: EntryOptions,
   context: RequestContext,
   service: string,
   result: RunResult | undefined,
@@ -444,7 +495,7 @@
 };
 
 function refusalResponse(
-  opts: EntryHandlerOptions,
+  opts: EntryOptions,
   context: RequestContext,
   error: MedlarlaneError,
 ): FinalResponse {
@@ -465,21 +516,28 @@
 }
 
 function writeResponse(
-  opts: EntryHandlerOptions,
+  opts: EntryOptions,
   request: http.IncomingMessage,
   response: http.ServerResponse,
   pipelined: PipelinedRequest,
   {status, headers, body}: FinalResponse,
-): void {
+): Promise<StreamEnd> | undefined {
   const mustClose = opts.phase() !== 'open' || !request.complete;
   if (pipelined.decideClose(mustClose)) response.shouldKeepAlive = false;
   const bodiless = request.method === 'HEAD' || status === 204 || status === 304;
-  const length = bodiless ? [] : ['Content-Length', String(body.length)];
+  const lengthBytes = body instanceof ResponseStream ? body.lengthBytes : body.length;
+  const length = bodiless ? [] : ['Content-Length', String(lengthBytes)];
   response.writeHead(status, [...headers, ...length] as unknown as http.OutgoingHttpHeaders);
-  response.end(bodiless ? undefined : body);
+  if (body instanceof ResponseStream) return writeStream(response, body);
+  writeBody(response, bodiless ? undefined : body, opts.memoryBudget);
+  return undefined;
 }
 
-async function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Buffer> {
+async function readBody(
+  {view, memoryBudget}: EntryOptions,
+  context: RequestContext,
+): Promise<Buffer> {
+  const {request} = context;
   const {headers} = request;
   const isEmpty =
     headers['transfer-encoding'] === undefined && (headers['content-length'] ?? '0') === '0';
@@ -487,8 +545,11 @@
     request.resume();
     return NO_BODY;
   }
+  const hold = memoryBudget.open({isReader: false});
+  context.bodyHold = hold;
+  request.on('data', (chunk: Buffer) => hold.add(chunk.length));
   try {
-    return await readMessageBody(request, maxBytes);
+    return await readMessageBody(request, view.configuration.limits.maxBodyBytes);
   } catch (cause) {
     const tooLarge = (cause as {code?: string}).code === 'BODY_TOO_LARGE';
     throw new MedlarlaneError(tooLarge ? 'REQUEST_TOO_LARGE' : 'CANCELLED', undefined, {
@@ -502,7 +563,11 @@
   {logger, view}: EntryHandlerOptions,
   context: RequestContext,
   {status, code}: FinalResponse,
-  {isDisconnected, durationMs}: {isDisconnected: boolean; durationMs: number},
+  {
+    isDisconnected,
+    durationMs,
+    streamEnd,
+  }: {isDisconnected: boolean; durationMs: number; streamEnd?: StreamEnd},
 ): void {
   logger.info(
     {
@@ -515,6 +580,7 @@
       attempts: context.attempts,
       status: isDisconnected ? undefined : status,
       code,
+      streamEnd,
       durationMs: Math.round(durationMs),
     },
     isDisconnected ? 'Caller disconnected' : 'Request completed',
--- a/routing/request-path/src/index.ts
+++ b/routing/request-path/src/index.ts
@@ -20,5 +20,7 @@
   CallerHeaderCodec,
 } from './messages.js';
 export {MemoryBudget} from './memoryBudget.js';
+export {ResponseStream} from './responseStream.js';
+export type {StreamEnd, StreamReader} from './responseStream.js';
 export {OfferPlan} from './offerPlan.js';
 export type {PlannedOffer} from './offerPlan.js';
--- a/routing/request-path/src/messages.ts
+++ b/routing/request-path/src/messages.ts
@@ -2,6 +2,7 @@
 import type {TargetNotice} from '@medlarlane/key-holds';
 import {MedlarlaneError} from '@medlarlane/errors';
 import type {ErrorCode} from '@medlarlane/errors';
+import type {ResponseStream} from './responseStream.js';
 
 /** The properties of a request that the daemon of a target needs for its admission decision. */
 export interface Offer {
@@ -94,11 +95,11 @@
   readonly body: Uint8Array;
 }
 
-/** The complete response of a target. */
+/** The response of a target, whose body is either complete or still being received. */
 export interface TargetResponse {
   readonly status: number;
   readonly headers: readonly string[];
-  readonly body: Uint8Array;
+  readonly body: Uint8Array | ResponseStream;
 }
 
 /** Load of a target as measured by its daemon, included in each result. */
@@ -125,6 +126,20 @@
     }
   | {readonly kind: 'lost'; readonly code: ErrorCode; readonly load?: TargetLoad};
 
+/** Encodes a result whose body is sent in chunks: its length takes the place of the body. */
+export function encodeStreamHead(result: RunResult, {lengthBytes}: ResponseStream): unknown {
+  if (result.kind !== 'answered') return result;
+  const {status, headers} = result.answer;
+  return {...result, answer: {status, headers, lengthBytes}};
+}
+
+/** Returns the length of the body that follows in chunks; `undefined` if the result is complete. */
+export function streamedBodyLength(result: RunResult): number | undefined {
+  if (result.kind !== 'answered') return undefined;
+  const {lengthBytes} = result.answer as {lengthBytes?: unknown};
+  return typeof lengthBytes === 'number' ? lengthBytes : undefined;
+}
+
 /** What the headers of a target's response say. */
 export interface TargetResponseFields {
   readonly requestId: string | undefined;
--- a/routing/request-path/src/startOfferListener.ts
+++ b/routing/request-path/src/startOfferListener.ts
@@ -10,8 +10,11 @@
   parsePeerMessage,
 } from '@medlarlane/peer-rpc';
 import type {PeerMessage} from '@medlarlane/peer-rpc';
-import {OFFER_FIELD_COUNT, decodeFrame, decodeOffer} from './messages.js';
+import {ChunkSender} from './chunkSender.js';
+import {OFFER_FIELD_COUNT, decodeFrame, decodeOffer, encodeStreamHead} from './messages.js';
 import type {RequestFrame, RunResult} from './messages.js';
+import type {MemoryBudget} from './memoryBudget.js';
+import {ResponseStream} from './responseStream.js';
 import {waitForSocketPoll} from './waitForSocketPoll.js';
 import type {SlotReservation, AdmissionController} from './admissionController.js';
 
@@ -23,10 +26,16 @@
   readonly logger: Logger;
   /** Current event loop lag in milliseconds. */
   readonly lagMs: () => number;
+  /** Counts the bodies of requests. */
+  readonly memoryBudget?: MemoryBudget;
 }
 
 export interface OfferListener {
   readonly address: string;
+  /** Number of large responses that are not sent completely yet. */
+  readonly openStreams: number;
+  /** Bytes in the send queues of all connections. */
+  readonly heldBytes: number;
   close(): Promise<void>;
 }
 
@@ -44,6 +53,8 @@
   readonly abort: AbortController;
   /** Called with the request after its offer was admitted; absent if the offer already included it. */
   onRequest?: (frame: RequestFrame) => void;
+  /** Sends the response, if it is large. */
+  sender?: ChunkSender;
 }
 
 /**
@@ -63,6 +74,12 @@
   const {address, port} = server.address() as AddressInfo;
   return {
     address: `${address}:${port}`,
+    get openStreams() {
+      return sumOf(connections.values(), ({openStreams}) => openStreams);
+    },
+    get heldBytes() {
+      return sumOf(connections.values(), ({heldBytes}) => heldBytes);
+    },
     close: async () => {
       server.close();
       for (const connection of connections.values()) connection.closeGracefully();
@@ -75,10 +92,17 @@
   };
 }
 
+function sumOf<T>(items: Iterable<T>, valueOf: (item: T) => number): number {
+  let sum = 0;
+  for (const item of items) sum += valueOf(item);
+  return sum;
+}
+
 /** A connection from another daemon. */
 class OfferConnection {
   private readonly exchanges = new Map<number, Exchange>();
   private readonly messages: MessageSocket;
+  private streamCount = 0;
   private readonly handlers: Readonly<Record<number, (message: PeerMessage) => void>> = {
     [PEER_OPERATION.hello]: ({exchangeId: version}) => this.checkVersion(version),
     [PEER_OPERATION.offer]: (message) => void this.serve(message),
@@ -86,6 +110,10 @@
       this.exchanges.get(exchangeId)?.onRequest?.(decodeFrame(fields)),
     [PEER_OPERATION.cancel]: ({exchangeId}) =>
       this.exchanges.get(exchangeId)?.abort.abort(CALLER_DISCONNECTED),
+    [PEER_OPERATION.chunkCredit]: ({exchangeId, fields}) => {
+      const bytes = Number(fields[0]);
+      if (bytes > 0) this.exchanges.get(exchangeId)?.sender?.addCredit(bytes);
+    },
     [PEER_OPERATION.ping]: () => this.messages.send([PEER_OPERATION.pong, 0]),
   };
 
@@ -110,6 +138,14 @@
     this.messages.end();
   }
 
+  get openStreams(): number {
+    return this.streamCount;
+  }
+
+  get heldBytes(): number {
+    return this.messages.heldBytes;
+  }
+
   private get peer(): string | undefined {
     return this.socket.remoteAddress;
   }
@@ -128,6 +164,7 @@
     const {signal} = this.openExchange(exchangeId);
     let reservation: SlotReservation | undefined;
     let result: RunResult;
+    const hold = this.opts.memoryBudget?.open({isReader: false});
     try {
       const lagMs = this.opts.lagMs();
       const offer = decodeOffer(fields, {waitedMs: lagMs});
@@ -137,6 +174,7 @@
       const frame = includesRequest
         ? decodeFrame(fields.slice(OFFER_FIELD_COUNT))
         : await this.fetchRequest(exchangeId);
+      if (frame.body.length > 0) hold?.add(frame.body.length);
       if (!includesRequest && this.opts.lagMs() > POLL_AGAIN_LAG_MS) await waitForSocketPoll();
       if (signal.aborted) throw cancelled();
       result = await reservation.run(frame, signal);
@@ -146,10 +184,43 @@
       if (error.code === 'INTERNAL') logger.warn({err: error}, '[gate] Offer failed');
       result = toRefusedResult(error, admissionController);
     }
+    hold?.close();
+    if (result.kind === 'answered' && result.answer.body instanceof ResponseStream) {
+      this.sendStream(exchangeId, signal, result, result.answer.body);
+      return;
+    }
     this.exchanges.delete(exchangeId);
     if (!signal.aborted) this.messages.send([PEER_OPERATION.result, exchangeId, result]);
   }
 
+  /** Sends the head of a large response as the result of the exchange, and then its body in chunks. */
+  private sendStream(
+    exchangeId: number,
+    signal: AbortSignal,
+    result: RunResult,
+    stream: ResponseStream,
+  ): void {
+    const exchange = this.exchanges.get(exchangeId);
+    if (!exchange || signal.aborted) {
+      this.exchanges.delete(exchangeId);
+      stream.cancel();
+      return;
+    }
+    this.streamCount += 1;
+    this.messages.send([PEER_OPERATION.result, exchangeId, encodeStreamHead(result, stream)]);
+    const sender = new ChunkSender({
+      exchangeId,
+      messages: this.messages,
+      stream,
+      onDone: () => {
+        this.streamCount -= 1;
+        this.exchanges.delete(exchangeId);
+      },
+    });
+    exchange.sender = sender;
+    signal.addEventListener('abort', () => sender.stop(), {once: true});
+  }
+
   private openExchange(exchangeId: number): AbortController {
     const abort = new AbortController();
     this.exchanges.set(exchangeId, {abort});
--- a/routing/request-path/test/admissionController.test.ts
+++ b/routing/request-path/test/admissionController.test.ts
@@ -4,7 +4,7 @@
 import {ManualClock} from '@medlarlane/lifecycle';
 import {silentLogger} from '@medlarlane/logger';
 import {PoisonTable} from '@medlarlane/poison';
-import {AdmissionController} from '@medlarlane/request-path';
+import {AdmissionController, MemoryBudget, ResponseStream} from '@medlarlane/request-path';
 import type {Offer, RunResult, TargetClient} from '@medlarlane/request-path';
 
 const OFFER: Offer = {
@@ -96,9 +96,26 @@
     assert.equal(result.kind, 'refused');
     assert.equal(controller.inFlight, 0);
   });
+
+  it('keeps the slot until the last byte of a large response was read', async () => {
+    const body = new ResponseStream({
+      lengthBytes: 20_000,
+      budget: new MemoryBudget(),
+      onTaken: () => undefined,
+      onCancel: () => undefined,
+    });
+    const result: RunResult = {kind: 'answered', answer: {status: 200, headers: [], body}};
+    const {controller} = startController(0, result);
+    const admission = await controller.admit(OFFER, new AbortController().signal);
+    await admission.run(FRAME, new AbortController().signal);
+    assert.equal(controller.inFlight, 1);
+    body.push(Buffer.alloc(20_000));
+    body.finish('complete');
+    assert.equal(controller.inFlight, 0);
+  });
 });
 
-function startController(dueInMs: number | undefined) {
+function startController(dueInMs: number | undefined, result = ANSWERED) {
   const clock = new ManualClock();
   const targetState = {ended: false};
   /** Deadline left for each request that was sent to the target. */
@@ -110,7 +127,7 @@
     client: {
       run: ({deadlineLeftMs}: {deadlineLeftMs: number}) => {
         deadlinesLeftMs.push(deadlineLeftMs);
-        return Promise.resolve(ANSWERED);
+        return Promise.resolve(result);
       },
     } as unknown as TargetClient,
     target: () =>
--- a/routing/request-path/test/peerClient.test.ts
+++ b/routing/request-path/test/peerClient.test.ts
@@ -6,7 +6,7 @@
 import {MedlarlaneError} from '@medlarlane/errors';
 import {DisposableStore} from '@medlarlane/lifecycle';
 import {silentLogger} from '@medlarlane/logger';
-import {MessageSocket, PEER_OPERATION} from '@medlarlane/peer-rpc';
+import {MessageSocket, PEER_OPERATION, PEER_PROTOCOL_VERSION} from '@medlarlane/peer-rpc';
 import {createPeerClient, startOfferListener} from '@medlarlane/request-path';
 import type {
   Offer,
@@ -52,7 +52,7 @@
       assert.deepEqual(peer.frames.map(withTextBody), [withTextBody(FRAME)]);
       assert.equal(result.kind, 'answered');
       if (result.kind !== 'answered') return;
-      assert.equal(Buffer.from(result.answer.body).toString(), 'answer');
+      assert.equal(Buffer.from(result.answer.body as Uint8Array).toString(), 'answer');
       assert.deepEqual(result.answer.headers, ['x-b', '2']);
     });
   }
@@ -198,7 +198,23 @@
     const body = Buffer.alloc(16_000_000, 5);
     const peer = await startPeer(disposables, {lastAnswer: body});
     const result = await send(peer, {idempotent: false});
-    assert.ok(result.kind === 'answered' && body.equals(Buffer.from(result.answer.body)));
+    assert.ok(
+      result.kind === 'answered' && body.equals(Buffer.from(result.answer.body as Uint8Array)),
+    );
+  });
+
+  it('is refused as not run by a daemon of another protocol version', async () => {
+    const peer = await startPeer(disposables, {});
+    const socket = net.connect(Number(peer.address.split(':')[1]), '127.0.0.1');
+    const messages = new MessageSocket(socket, {
+      onMessage: () => undefined,
+      onClose: () => undefined,
+    });
+    messages.send([PEER_OPERATION.hello, PEER_PROTOCOL_VERSION - 1]);
+    const offer = ['r1', 'desk', 't/1', 'walls', 1, 400, 900, false, 7, 'log', 1_000];
+    messages.send([PEER_OPERATION.offer, 1, ...offer]);
+    await once(socket, 'close');
+    assert.equal(peer.offers.length, 0);
   });
 
   it('is refused immediately if no daemon listens at the address', async () => {
--- a/routing/request-path/test/targetClient.test.ts
+++ b/routing/request-path/test/targetClient.test.ts
@@ -256,7 +256,7 @@
 
 function describeResult(result: RunResult): string {
   return result.kind === 'answered'
-    ? `answered ${result.answer.status} ${Buffer.from(result.answer.body).toString()}`
+    ? `answered ${result.answer.status} ${Buffer.from(result.answer.body as Uint8Array).toString()}`
     : `${result.kind} ${result.code}`;
 }
 
