--- a/bench/src/registry.ts
+++ b/bench/src/registry.ts
@@ -12,6 +12,7 @@
 import {planCost} from './planCost.js';
 import {queueOrderBench} from './queueOrderBench.js';
 import {relayLatencyBench, relayThroughputBench} from './relayBench.js';
+import {responseStreamBench} from './responseStreamBench.js';
 import {restartRecoveryBench} from './restartRecoveryBench.js';
 import {stateMemory} from './stateMemory.js';
 
@@ -62,6 +63,11 @@
     description: 'Latency that one and two daemons add to that of bare relays',
     run: () => relayLatencyBench(),
   },
+  'response-stream': {
+    kind: 'timed',
+    description: 'Time to first byte and held bytes of large responses, buffered and streamed',
+    run: () => responseStreamBench(),
+  },
   'queue-order': {
     kind: 'timed',
     description: 'Waits under first-come and under shortest-predicted-first order',
--- a/routing/request-path/src/memoryBudget.ts
+++ b/routing/request-path/src/memoryBudget.ts
@@ -40,6 +40,7 @@
   private readonly readers = new Set<CountedHold>();
   private readonly queues: Array<() => number> = [];
   private countedBytes = 0;
+  private peakBytes = 0;
   private queuedBytes = 0;
   private queuesReadAtMs = -Infinity;
   private cutCount = 0;
@@ -65,6 +66,13 @@
     return this.countedBytes + this.queuedBytes;
   }
 
+  /** Returns the maximum of the bytes in holds, without queues, since the last call. */
+  takePeakBytes(): number {
+    const peakBytes = this.peakBytes;
+    this.peakBytes = this.countedBytes;
+    return peakBytes;
+  }
+
   /** Whether large responses should be refused, because half of the budget is used. */
   get isTight(): boolean {
     return this.heldBytes > this.limitBytes * TIGHT_FRACTION;
@@ -92,6 +100,7 @@
   private count(hold: CountedHold, bytes: number): void {
     this.countedBytes += bytes;
     if (bytes <= 0) return;
+    this.peakBytes = Math.max(this.peakBytes, this.countedBytes);
     while (this.heldBytes > this.limitBytes) {
       const isOwnFault = !hold.opts.isReader && hold.opts.onCut !== undefined;
       const victim = isOwnFault ? hold : this.slowestReader();
