--- a/apps/site/src/siteMetrics.ts
+++ b/apps/site/src/siteMetrics.ts
@@ -1,5 +1,5 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
-import type {EntryOutcome, RunResult, TargetLoad} from '@medlarlane/request-path';
+import type {EntryOutcome, MemoryBudget, RunResult, TargetLoad} from '@medlarlane/request-path';
 
 export interface SiteMetrics {
   /** Records a finished request of a caller. */
@@ -30,6 +30,7 @@
   /** Whether the target next to this daemon is out of service because of an evacuation. */
   readonly isEvacuated: () => boolean;
   readonly evacuatedZoneCount: () => number;
+  readonly memoryBudget: MemoryBudget;
 }
 
 /** Upper bounds of the latency histograms; 20 ms is the latency objective for one hop. */
@@ -123,6 +124,25 @@
     () => (sources.isEvacuated() ? 1 : 0),
   );
   gauge(registry, 'evacuated_zones', 'Evacuated availability zones.', sources.evacuatedZoneCount);
+  const {memoryBudget} = sources;
+  gauge(
+    registry,
+    'held_bytes',
+    'Bytes of requests, responses and send queues in memory.',
+    () => memoryBudget.heldBytes,
+  );
+  gauge(
+    registry,
+    'open_streams',
+    'Large responses that are being received or written.',
+    () => memoryBudget.readerCount,
+  );
+  gauge(
+    registry,
+    'memory_cut_offs',
+    'Responses cut off since the start because the memory budget was exceeded.',
+    () => memoryBudget.cutOffCount,
+  );
   return {
     recordRequest: ({route, status, durationMs, attempts}) => {
       requests.inc({route, status: String(status), offers: String(attempts)});
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -13,6 +13,7 @@
   createTargetClient,
   EntryAdmission,
   EventLoopLag,
+  MemoryBudget,
   SiteView,
   startOfferListener,
 } from '@medlarlane/request-path';
@@ -61,11 +62,6 @@
    * leader has told it whether its zone is evacuated.
    */
   readonly hasEvacuations?: boolean;
-  /**
-   * Checks the target before it returns to service after an evacuation of its zone; see
-   * `ZoneEvacuation.onZoneRestored`.
-   */
-  readonly onZoneRestored?: (signal: AbortSignal) => Promise<void>;
   readonly callerHeaderCodec: CallerHeaderCodec;
   readonly targetHeaderCodec: TargetHeaderCodec;
   /**
@@ -73,6 +69,8 @@
    * keys.
    */
   readonly grantCodec?: GrantCodec;
+  /** Memory of this process; `undefined` if it is not limited. */
+  readonly memoryBytes?: number | undefined;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -87,11 +85,6 @@
   readonly metrics: SiteMetrics;
   /** Whether callers may send requests to this daemon. */
   readonly isReady: boolean;
-  /**
-   * Must be called when the evacuation of this daemon's zone has been withdrawn: the target counts as cold
-   * until a health check or heartbeat says that it is not.
-   */
-  onZoneRestored(): void;
   /**
    * Stops accepting requests, waits for requests in flight and closes, all within about `graceMs`. Requests
    * that are still accepted meanwhile get a response by then.
@@ -169,10 +162,19 @@
     }),
     (evacuation) => evacuation.dispose(),
   );
-  zoneEvacuation.onZoneRestored = opts.onZoneRestored;
+  // Targets of a zone may have become cold while it was evacuated.
+  zoneEvacuation.onZoneRestored = () => {
+    hostedTarget.assumeCold('evacuation');
+    return healthChecks.check('zone-restored');
+  };
+  const memoryBudget = new MemoryBudget({
+    processBytes: opts.memoryBytes,
+    onCutOff: (usage) => logger.warn(usage, 'Slow readers cut off, memory budget exceeded'),
+  });
   const targetClient = disposables.use(
     createTargetClient({
       ...opts.targetEndpoint,
+      memoryBudget,
       headerCodec: opts.targetHeaderCodec,
       maxConnections: MAX_TARGET_CONNECTIONS,
       onConnectionRefused: () => void checkTarget(),
@@ -207,6 +209,7 @@
     controlSilentMs: () => controlReporter.sinceLastResponseMs,
     isEvacuated: () => hostedTarget.isEvacuated,
     evacuatedZoneCount: () => zoneEvacuation.zoneCount,
+    memoryBudget,
   });
   const poison = new PoisonTable({reporterId: forwardAddress, clock});
   let isPoisonReported = true;
@@ -242,9 +245,10 @@
   });
   const eventLoopLag = new EventLoopLag(disposables);
   const peers = disposables.use(
-    createPeerClient({logger: createComponentLogger('peers', logger)}),
+    createPeerClient({logger: createComponentLogger('peers', logger), memoryBudget}),
     (client) => client.close(),
   );
+  memoryBudget.addQueue(() => peers.heldBytes ?? 0);
   const budgets = new RetryBudgets(opts);
   const entryHandler = createEntryHandler({
     view,
@@ -265,6 +269,7 @@
     stopDeadlineAtMs: () => stopDeadlineAtMs - LAST_RESPONSE_MS,
     entryAdmission: new EntryAdmission({view, demandMeter, serviceLevels}),
     onResponse: (outcome) => metrics.recordRequest(outcome),
+    memoryBudget,
   });
   const rpc = disposables.use(createRpcClient(), (client) => client.close());
   const applyConfiguration = (next: SiteConfiguration): void => {
@@ -355,7 +360,9 @@
     admissionController,
     logger,
     lagMs: () => eventLoopLag.lagMs,
+    memoryBudget,
   });
+  memoryBudget.addQueue(() => offerListener.heldBytes);
   controlReporter.start();
   disposables.add(() => controlReporter.stop());
   /**
@@ -392,10 +399,6 @@
     get isReady() {
       return !isStopping && view.hasConfiguration;
     },
-    onZoneRestored: () => {
-      hostedTarget.assumeCold('evacuation');
-      void healthChecks.check('zone-restored');
-    },
     stop: async (graceMs) => {
       isStopping = true;
       controlReporter.reportNow();
@@ -413,7 +416,7 @@
       await waitUntil(() => admissionController.inFlight === 0);
       isClosed = true;
       callerListener.stopAccepting();
-      await waitUntil(() => entryHandler.inFlight === 0);
+      await waitUntil(() => entryHandler.inFlight === 0 && offerListener.openStreams === 0);
       logger.info({inFlight: entryHandler.inFlight}, 'Daemon closing');
       callerListener.closeAll();
       await offerListener.close();
--- a/routing/request-path/src/admissionController.ts
+++ b/routing/request-path/src/admissionController.ts
@@ -9,6 +9,7 @@
 import {HeldSlots} from './heldSlots.js';
 import type {TargetClient} from './createTargetClient.js';
 import type {TargetLoad, Offer, RequestFrame, RunResult} from './messages.js';
+import {ResponseStream} from './responseStream.js';
 
 /** The local target of this daemon as described by its heartbeats. */
 export interface CurrentTarget {
@@ -48,6 +49,16 @@
   cancel(): void;
 }
 
+/** A request that was passed to the target. */
+interface StartedRun {
+  readonly offer: Offer;
+  readonly target: CurrentTarget;
+  readonly frame: RequestFrame;
+  readonly permit: SlotPermit;
+  readonly queue: SlotQueue;
+  readonly startedAtMs: number;
+}
+
 interface LostRequest {
   readonly requestId: string;
   readonly life: string;
@@ -281,7 +292,25 @@
     } catch (thrown) {
       result = {kind: 'refused', code: toMedlarlaneError(thrown).code};
     }
-    const workMs = clock.nowMs() - startedAtMs;
+    const finish = (finalResult: RunResult): void =>
+      this.finishRun({offer, target, frame, permit, queue, startedAtMs}, finalResult);
+    if (result.kind === 'answered' && result.answer.body instanceof ResponseStream) {
+      const head = result;
+      // The target is busy with the request until its last byte was read.
+      result.answer.body.onSourceEnd((end) =>
+        finish(end === 'complete' ? head : brokenResult(signal)),
+      );
+    } else {
+      finish(result);
+    }
+    return {...result, load: this.load};
+  }
+
+  private finishRun(
+    {offer, target, frame, permit, queue, startedAtMs}: StartedRun,
+    result: RunResult,
+  ): void {
+    const workMs = this.opts.clock.nowMs() - startedAtMs;
     const didWork = result.kind === 'answered' || result.kind === 'lost';
     this.opts.demandMeter?.recordEnd(
       didWork ? {priority: offer.priority, heldMs: workMs} : undefined,
@@ -298,7 +327,6 @@
     this.trackForCrash(offer, target, frame, result, startedAtMs);
     this.opts.onResult(result, workMs);
     this.logRun(offer, target, permit, result, workMs);
-    return {...result, load: this.load};
   }
 
   /** Whether the daemon has given up a request that the target may not have stopped. */
@@ -363,3 +391,8 @@
     );
   }
 }
+
+/** Result of a large response that ended early. */
+function brokenResult({aborted}: AbortSignal): RunResult {
+  return {kind: 'lost', code: aborted ? 'CANCELLED' : 'TARGET_FAILED'};
+}
--- a/routing/request-path/src/index.ts
+++ b/routing/request-path/src/index.ts
@@ -22,5 +22,8 @@
   TargetHeaderCodec,
   CallerHeaderCodec,
 } from './messages.js';
+export {MemoryBudget} from './memoryBudget.js';
+export {ResponseStream} from './responseStream.js';
+export type {StreamEnd, StreamReader} from './responseStream.js';
 export {OfferPlan} from './offerPlan.js';
 export type {PlannedOffer} from './offerPlan.js';
--- a/routing/request-path/test/admissionController.test.ts
+++ b/routing/request-path/test/admissionController.test.ts
@@ -4,7 +4,7 @@
 import {ManualClock} from '@medlarlane/lifecycle';
 import {silentLogger} from '@medlarlane/logger';
 import {PoisonTable} from '@medlarlane/poison';
-import {AdmissionController} from '@medlarlane/request-path';
+import {AdmissionController, MemoryBudget, ResponseStream} from '@medlarlane/request-path';
 import type {Offer, RunResult, TargetClient} from '@medlarlane/request-path';
 
 const OFFER: Offer = {
@@ -100,6 +100,23 @@
     assert.equal(result.kind, 'refused');
     assert.equal(controller.inFlight, 0);
   });
+
+  it('keeps the slot until the last byte of a large response was read', async () => {
+    const body = new ResponseStream({
+      lengthBytes: 20_000,
+      budget: new MemoryBudget(),
+      onTaken: () => undefined,
+      onCancel: () => undefined,
+    });
+    const result: RunResult = {kind: 'answered', answer: {status: 200, headers: [], body}};
+    const {controller} = startController(0, {immediateResult: result});
+    const admission = await controller.admit(OFFER, new AbortController().signal);
+    await admission.run(FRAME, new AbortController().signal);
+    assert.equal(controller.inFlight, 1);
+    body.push(Buffer.alloc(20_000));
+    body.finish('complete');
+    assert.equal(controller.inFlight, 0);
+  });
 });
 
 describe('AdmissionController with a target that states its load', () => {
@@ -157,7 +174,10 @@
   });
 });
 
-function startController(dueInMs: number | undefined, {isPending = false} = {}) {
+function startController(
+  dueInMs: number | undefined,
+  {isPending = false, immediateResult}: {isPending?: boolean; immediateResult?: RunResult} = {},
+) {
   const clock = new ManualClock();
   const speed: {slowdown: number | undefined} = {slowdown: undefined};
   const settlers: Array<(result: RunResult) => void> = [];
@@ -171,6 +191,7 @@
     client: {
       run: ({deadlineLeftMs}: {deadlineLeftMs: number}) => {
         deadlinesLeftMs.push(deadlineLeftMs);
+        if (immediateResult) return Promise.resolve(immediateResult);
         if (isPending) return new Promise((resolve) => settlers.push(resolve));
         return clock.sleep(RUN_MS).then(() => ANSWERED);
       },
