Report the demand of services near their capacity and return the sums

Cause: no daemon knows the demand and the free capacity of a whole service.

Change: DemandMeter measures the requests of callers at each entry and the work that ends at each gate. A report contains them while its own gate has 0.85 of its slots busy, or while the leader wants them because another gate has. The leader returns sums of services above 0.85 of their slots, at most once in 400 ms to a daemon, and holds reports for at most 400 ms meanwhile. Otherwise reports and responses are unchanged. ServiceLevels takes the sums; a gauge and a log line (at most one per second and service) show the levels.

--- a/apps/site/src/siteMetrics.ts
+++ b/apps/site/src/siteMetrics.ts
@@ -12,6 +12,8 @@
 
 export interface DaemonMetricSources {
   readonly load: () => TargetLoad;
+  /** Admission levels below 1 by service and priority. */
+  readonly admissionLevels: () => Iterable<{service: string; priority: number; level: number}>;
   readonly configVersion: () => number;
   /** Requests per second that the target accepts; `undefined` if it names no limit. */
   readonly rateLimitRps: () => number | undefined;
@@ -53,6 +55,18 @@
   });
   gauge(registry, 'in_flight', 'Requests at the target.', () => sources.load().inFlight);
   gauge(registry, 'waiting', 'Requests that wait for a slot.', () => sources.load().waiting);
+  new Gauge({
+    name: 'medlarlane_site_admission_level',
+    help: 'Fraction of the requests that this daemon admits; absent while it admits all.',
+    labelNames: ['service', 'priority'],
+    registers,
+    collect() {
+      this.reset();
+      for (const {service, priority, level} of sources.admissionLevels()) {
+        this.set({service, priority: String(priority)}, level);
+      }
+    },
+  });
   gauge(registry, 'slots', 'Slots of the target.', () => sources.load().slots);
   gauge(
     registry,
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -1,3 +1,4 @@
+import {DemandMeter, ServiceLevels} from '@medlarlane/admission';
 import {MedlarlaneError} from '@medlarlane/errors';
 import {createGrantClient, HostedTarget} from '@medlarlane/key-holds';
 import type {GrantCodec} from '@medlarlane/key-holds';
@@ -17,7 +18,7 @@
 import type {CallerHeaderCodec, CurrentTarget, TargetHeaderCodec} from '@medlarlane/request-path';
 import {PoisonTable} from '@medlarlane/poison';
 import {createRpcClient} from '@medlarlane/rpc';
-import {decodeConfiguration} from '@medlarlane/site-control';
+import {decodeConfiguration, decodeSums} from '@medlarlane/site-control';
 import type {ReportRequest, ReportResponse} from '@medlarlane/site-control';
 import type {SiteConfiguration} from '@medlarlane/site-config';
 import {ControlReporter} from '@medlarlane/site-link';
@@ -89,6 +90,8 @@
  */
 const READINESS_PROPAGATION_MS = 2_600;
 const STOP_POLL_INTERVAL_MS = 50;
+/** Time for which demand is reported after the leader asked for it; longer than two reports take. */
+const DEMAND_WANTED_MS = 1_500;
 /** Time before the end of a stop for the last responses of targets, which end at their deadline. */
 const LAST_RESPONSE_MS = 150;
 /** Maximum number of connections to the target; leaves connections free for its other callers. */
@@ -134,8 +137,21 @@
     }),
     (client) => client.close(),
   );
+  const demandMeter = new DemandMeter(clock);
+  const serviceLevels = new ServiceLevels({
+    clock,
+    logger: createComponentLogger('admission', logger),
+  });
+  let demandWantedUntilMs = -Infinity;
+  const measuredDemand = (): Pick<ReportRequest, 'demand'> => {
+    const {usableSlots} = admissionController;
+    const isReported =
+      clock.nowMs() < demandWantedUntilMs || demandMeter.isNearCapacity(usableSlots);
+    return isReported ? {demand: demandMeter.report(usableSlots)} : {};
+  };
   const metrics = createDaemonMetrics({
     load: () => admissionController.load,
+    admissionLevels: () => serviceLevels.list(),
     configVersion: () => view.configuration.version,
     rateLimitRps: () => hostedTarget.rateLimit?.rps,
     controlSilentMs: () => controlReporter.sinceLastResponseMs,
@@ -154,6 +170,7 @@
     poison,
     onResult: (result, durationMs) => metrics.recordTargetRun(result, durationMs),
     onKeyRequest: (key) => hostedTarget.recordRequest(key),
+    demandMeter,
   });
   const eventLoopLag = new EventLoopLag(disposables);
   const peers = disposables.use(
@@ -192,6 +209,8 @@
     if (sentAtMs > crashedAtMs) isPoisonReported = true;
     if (response.configuration) applyConfiguration(decodeConfiguration(response.configuration));
     budgets.setDaemonCount(response.daemonCount);
+    if (response.isDemandWanted) demandWantedUntilMs = clock.nowMs() + DEMAND_WANTED_MS;
+    serviceLevels.update((response.demand ?? []).map(decodeSums), response.daemonCount);
     view.updateInstances(response);
     if (response.poison) poison.merge(response.poison);
     for (const [service, changedRanges] of response.ranges) {
@@ -230,6 +249,7 @@
       endedLives: [...hostedTarget.endedIncarnations],
       released: [...hostedTarget.released],
       ...(isPoisonReported ? {} : {poison: poison.export()}),
+      ...measuredDemand(),
       stopping: isStopping,
     }),
     onResponse: handleReportResponse,
--- a/control/site-control/src/index.ts
+++ b/control/site-control/src/index.ts
@@ -4,11 +4,13 @@
   ReportRequest,
   ReportResponse,
   ReportedTarget,
+  ServiceSums,
   TargetState,
   TransferRequest,
 } from './reports.js';
 export {joinRequestSchema, MemberManager} from './memberManager.js';
 export type {JoinRequest, MemberManagerOptions} from './memberManager.js';
+export {decodeSums, ServiceDemandTable} from './serviceDemand.js';
 export {SiteControl} from './siteControl.js';
 export type {SiteControlOptions} from './siteControl.js';
 export {KEY_LEASE_MS, KeyLeaseTable} from './keyLeaseTable.js';
--- a/control/site-control/src/reports.ts
+++ b/control/site-control/src/reports.ts
@@ -1,5 +1,6 @@
 import {decode, encode} from '@msgpack/msgpack';
 import {z} from 'zod';
+import {MAX_REPORTED_PRIORITIES, MAX_REPORTED_SERVICES} from '@medlarlane/admission';
 import {poisonExportSchema} from '@medlarlane/poison';
 import {siteConfigurationSchema} from '@medlarlane/site-config';
 import type {SiteConfiguration} from '@medlarlane/site-config';
@@ -41,6 +42,32 @@
   transferId: z.int(),
 });
 
+/** Priority and two rates of its requests. */
+const ratesSchema = z
+  .array(z.tuple([z.int(), z.number(), z.number()]))
+  .max(MAX_REPORTED_PRIORITIES);
+
+const demandSchema = z.object({
+  /** Mean number of slots in use at the target, and slots that its rate limit permits to use. */
+  busySlots: z.number(),
+  usableSlots: z.number(),
+  /** Requests that ended at the target: completed per second and mean number of slots they held. */
+  gate: ratesSchema,
+  /** Requests of callers at this daemon by service: new and returned after a refusal, per second. */
+  entries: z.array(z.tuple([z.string(), ratesSchema])).max(MAX_REPORTED_SERVICES),
+});
+
+/** Sums over all daemons for a service near its capacity, in hundredths. */
+const serviceSumsSchema = z.tuple([
+  z.string(),
+  z.object({
+    usableSlots: z.int(),
+    busySlots: z.int(),
+    /** Priority, new, returned and completed requests per second, and slots held by completed ones. */
+    byPriority: z.array(z.tuple([z.int(), z.int(), z.int(), z.int(), z.int()])),
+  }),
+]);
+
 /** Report that a daemon sends to the control leader a few times per second. */
 export const reportRequestSchema = z.object({
   /** Address at which the daemon accepts forwarded requests; identifies the daemon. */
@@ -60,6 +87,8 @@
   released: z.array(releasedRangeSchema),
   /** Requests in flight at target crashes; present when there are new ones. */
   poison: poisonExportSchema.optional(),
+  /** Present while the target is near its capacity or the leader wants it. */
+  demand: demandSchema.optional(),
   /** Whether the daemon is shutting down and accepts no new requests. */
   stopping: z.boolean(),
 });
@@ -105,6 +134,10 @@
   poison: poisonExportSchema.optional(),
   /** Key transfers requested from the daemon's target. */
   transfers: z.array(transferRequestSchema),
+  /** True while a gate is near its capacity: the next reports should contain the demand. */
+  isDemandWanted: z.boolean().optional(),
+  /** Sums of the services near their capacity; absent if there are none. */
+  demand: z.array(serviceSumsSchema).optional(),
 });
 
 export function encodeConfiguration(configuration: SiteConfiguration): Uint8Array<ArrayBuffer> {
@@ -116,6 +149,17 @@
   return siteConfigurationSchema.parse(decode(bytes));
 }
 
+export type ServiceSums = z.infer<typeof serviceSumsSchema>;
+
+/** Demand and completed work of one priority of a service, summed over all daemons. */
+export interface PrioritySum {
+  readonly priority: number;
+  newRps: number;
+  returnedRps: number;
+  completedRps: number;
+  busySlots: number;
+}
+
 export type TargetState = z.infer<typeof targetStateSchema>;
 export type ReportedTarget = z.infer<typeof reportedTargetSchema>;
 export type ReportRequest = z.infer<typeof reportRequestSchema>;
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -13,6 +13,7 @@
 import {planTransfers, usableFractionOf} from './planTransfers.js';
 import type {Transfer} from './planTransfers.js';
 import {encodeConfiguration} from './reports.js';
+import {DEMAND_INTERVAL_MS, ServiceDemandTable} from './serviceDemand.js';
 import type {ReportedTarget, ReportRequest, ReportResponse} from './reports.js';
 
 export interface SiteControlOptions {
@@ -34,6 +35,7 @@
   readonly leases: KeyLeaseTable;
   readonly directory: InstanceDirectory;
   readonly sessions: Map<string, DaemonSession>;
+  readonly demand: ServiceDemandTable;
   readonly firstReadyAtMs: Map<string, number>;
   /** Owners whose keys a proposed command reassigns; their leases are not renewed until it is applied. */
   readonly reassigning: Set<string>;
@@ -111,7 +113,9 @@
     this.acceptReport(term, report);
     await this.commitReleases(term, report);
     if (!this.hasUpdates(term, report) && report.waitMs > 0) {
-      await this.waitForUpdates(Math.min(report.waitMs, KEY_LEASE_MS));
+      // While demand is wanted, sums are sent as often as they may be.
+      const maxWaitMs = term.demand.isWanted ? DEMAND_INTERVAL_MS : KEY_LEASE_MS;
+      await this.waitForUpdates(Math.min(report.waitMs, maxWaitMs));
     }
     return this.buildResponse(this.requireTerm(), report);
   }
@@ -145,12 +149,14 @@
     }
     if (this.currentTerm?.term !== replica.term) {
       logger.info({term: replica.term}, 'Leadership term started');
+      const sessions = new Map<string, DaemonSession>();
       this.currentTerm = {
         term: replica.term,
         startedAtMs: clock.nowMs(),
         leases: new KeyLeaseTable(clock),
         directory: new InstanceDirectory(),
-        sessions: new Map(),
+        sessions,
+        demand: new ServiceDemandTable(clock, sessions),
         firstReadyAtMs: new Map(),
         reassigning: new Set(),
         transfers: new Map(),
@@ -171,6 +177,7 @@
     const {forwardAddress, target} = report;
     const previousReport = term.sessions.get(forwardAddress)?.report;
     term.sessions.set(forwardAddress, {report, reportedAtMs: clock.nowMs()});
+    term.demand.accept(report);
     for (const incarnation of report.endedLives) term.leases.markEnded(incarnation);
     if (report.poison) {
       term.poison.merge(report.poison);
@@ -348,6 +355,7 @@
     const {target} = report;
     const hasLease = target && needsLease(target) && !term.reassigning.has(target.life);
     if (hasLease) term.leases.renew(target.life);
+    const sums = term.demand.sumsFor(report.forwardAddress);
     return {
       leaderTerm: term.term,
       leaseMs: hasLease ? KEY_LEASE_MS : 0,
@@ -364,6 +372,8 @@
       transfers: [...term.transfers]
         .filter(([, {fromLife}]) => fromLife === target?.life)
         .map(([transferId, {share}]) => ({transferId, share})),
+      ...(term.demand.isWanted ? {isDemandWanted: true} : {}),
+      ...(sums.length > 0 ? {demand: sums} : {}),
     };
   }
 
@@ -385,6 +395,7 @@
       if (nowMs - reportedAtMs < INSTANCE_RETENTION_MS) continue;
       term.sessions.delete(forwardAddress);
       term.directory.remove(forwardAddress);
+      term.demand.remove(forwardAddress);
     }
   }
 
--- a/control/site-control/test/siteControl.test.ts
+++ b/control/site-control/test/siteControl.test.ts
@@ -77,6 +77,39 @@
     );
   });
 
+  // Guards against reports that grow while nothing is near its capacity, and against a hot owner that
+  // makes callers of the whole service be refused.
+  it('returns sums only while a service is near its capacity, at most once in 400 ms', async () => {
+    const {control, report, clock} = startControl();
+    const send = (name: string, busySlots?: number, waitMs = 0) =>
+      control.report(
+        report({
+          forwardAddress: name,
+          waitMs,
+          target: target({life: `${name}/1`, slots: 8}),
+          ...(busySlots === undefined ? {} : {demand: demandOf(busySlots)}),
+        }),
+      );
+    const atRest = await send('a', 3);
+    assert.deepEqual([atRest.isDemandWanted, atRest.demand], [undefined, undefined]);
+    const oneHot = [await send('b'), await send('a', 8)][1]!;
+    assert.deepEqual([oneHot.isDemandWanted, oneHot.demand], [true, undefined]);
+    await clock.advance(500);
+    const [service, sums] = [await send('b', 7.5), await send('a', 8)][1]!.demand![0]!;
+    assert.equal(service, 'wallboard');
+    assert.deepEqual(sums, {
+      usableSlots: 1_600,
+      busySlots: 1_550,
+      byPriority: [
+        [0, 10_000, 1_000, 4_000, 600],
+        [2, 0, 0, 200, 200],
+      ],
+    });
+    assert.equal((await send('a', 8)).demand, undefined);
+    await clock.advance(1_600);
+    assert.equal((await send('a')).isDemandWanted, undefined);
+  });
+
   it('reassigns the keys of an owner at once when a later incarnation runs at its daemon', async () => {
     const {control, report, state, clock, apply} = startControl();
     apply({kind: 'changeConfiguration', change: KEYED_SERVICE});
@@ -255,3 +288,15 @@
     ...fields,
   };
 }
+
+function demandOf(busySlots: number): NonNullable<ReportRequest['demand']> {
+  return {
+    busySlots,
+    usableSlots: 8,
+    gate: [
+      [0, 20, 3],
+      [2, 1, 1],
+    ],
+    entries: [['wallboard', [[0, 50, 5]]]],
+  };
+}
--- a/routing/request-path/src/admissionController.ts
+++ b/routing/request-path/src/admissionController.ts
@@ -1,5 +1,5 @@
 import {SlotQueue} from '@medlarlane/admission';
-import type {SlotPermit} from '@medlarlane/admission';
+import type {DemandMeter, SlotPermit} from '@medlarlane/admission';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
@@ -32,6 +32,8 @@
   readonly onResult: (result: RunResult, workMs: number) => void;
   /** Called for each request for a key that the target holds. */
   readonly onKeyRequest: (key: number) => void;
+  /** Measures the work of the target for the admission levels of its service. */
+  readonly demandMeter?: DemandMeter;
 }
 
 /** A reserved slot, which must be either used by `run` or released by `cancel`. */
@@ -56,6 +58,7 @@
 const MAX_LATE_GRANT_WAIT_MS = 600;
 /** The same if the latency target can still be met afterwards: a heartbeat interval and its delay. */
 const MAX_TIMELY_GRANT_WAIT_MS = 1_000;
+const MS_PER_S = 1_000;
 /** Time reserved for sending the response from the target's daemon back to the caller. */
 const RESPONSE_ALLOWANCE_MS = 5;
 
@@ -82,6 +85,12 @@
     };
   }
 
+  /** Slots that the rate limit of the target keeps busy, at most all. */
+  get usableSlots(): number {
+    const {slots, meanMs, rateLimitRps = Infinity} = this.load;
+    return Math.min(slots, (rateLimitRps * meanMs) / MS_PER_S);
+  }
+
   get inFlight(): number {
     return this.queue.inFlight;
   }
@@ -135,9 +144,13 @@
       maxWaitMs: offer.maxWaitMs,
       signal,
     });
+    this.opts.demandMeter?.recordStart();
     return {
       run: (frame, runSignal) => this.run(offer, target, frame, permit, deadlineAtMs, runSignal),
-      cancel: () => permit.cancel(),
+      cancel: () => {
+        this.opts.demandMeter?.recordEnd();
+        permit.cancel();
+      },
     };
   }
 
@@ -213,6 +226,9 @@
     }
     const workMs = clock.nowMs() - startedAtMs;
     const didWork = result.kind === 'answered' || result.kind === 'lost';
+    this.opts.demandMeter?.recordEnd(
+      didWork ? {priority: offer.priority, heldMs: workMs} : undefined,
+    );
     if (result.kind === 'refused') permit.cancel();
     else permit.release(didWork ? workMs : undefined);
     if (result.kind === 'answered') queue.recordDuration(offer.route, workMs);
