Refuse at the entry what the service as a whole does not admit

Cause: in an overload of a whole service, each request took up to four hops to be refused, whatever its priority, and the return times of gates did not know the capacity of the other gates.

Change: the entry applies the level of the service before any hop. Callers with less than 0.9 of the route's timeout left count as returning and go first. A request for a key is admitted regardless of the level while the last load of its owner shows a free slot; a hot owner alone does not change the level. While sums are fresh, overload refusals state a reserved return time, or none if no capacity will be free.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -11,6 +11,7 @@
   createEntryHandler,
   createPeerClient,
   createTargetClient,
+  EntryAdmission,
   EventLoopLag,
   SiteView,
   startOfferListener,
@@ -195,6 +196,7 @@
       return isStopping || callerListener.isOverConnectionLimit ? 'closing' : 'open';
     },
     stopDeadlineAtMs: () => stopDeadlineAtMs - LAST_RESPONSE_MS,
+    entryAdmission: new EntryAdmission({view, demandMeter, serviceLevels}),
     onResponse: (outcome) => metrics.recordRequest(outcome),
   });
   const rpc = disposables.use(createRpcClient(), (client) => client.close());
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -10,6 +10,7 @@
 import {isIdempotent} from '@medlarlane/site-config';
 import type {Route} from '@medlarlane/site-config';
 import type {PeerClient} from './createPeerClient.js';
+import type {EntryAdmission} from './entryAdmission.js';
 import {endToEndHeaders} from './endToEndHeaders.js';
 import {fingerprintsOf} from './fingerprintsOf.js';
 import type {
@@ -44,6 +45,8 @@
   readonly phase: () => 'open' | 'closing' | 'closed';
   /** Time by which all requests must be answered, because the daemon stops; `Infinity` before. */
   readonly stopDeadlineAtMs?: () => number;
+  /** Refuses what the service as a whole does not admit; without it, only gates refuse. */
+  readonly entryAdmission?: EntryAdmission;
   readonly onResponse?: (outcome: EntryOutcome) => void;
 }
 
@@ -76,6 +79,7 @@
   readonly abort: AbortController;
   readonly attempts: Attempt[];
   route?: Route;
+  deadlineAtMs?: number;
   service?: string;
   key?: number;
 }
@@ -229,6 +233,7 @@
     });
   }
   const deadlineAtMs = Math.min(context.startedAtMs + remainingMs, stopDeadlineAtMs);
+  context.deadlineAtMs = deadlineAtMs;
   // A caller that retries after a refusal has less time left than the route timeout, and the latency
   // target counts from its first attempt.
   const elapsedMs = Math.max(0, route.timeoutMs - remainingMs);
@@ -240,6 +245,12 @@
   const body = await readBody(request, view.configuration.limits.maxBodyBytes);
   const service = view.pickService(route);
   context.service = service;
+  opts.entryAdmission?.assertAdmitted({
+    service,
+    route,
+    key: view.isKeyed(service) ? context.key : undefined,
+    timeLeftMs: remainingMs,
+  });
   opts.retryBudget(service).recordRequest();
   const frame: RequestFrame = {
     method: request.method ?? 'GET',
@@ -401,6 +412,14 @@
     );
   }
   const code = isExpired ? 'DEADLINE_EXCEEDED' : (result?.code ?? 'NO_OWNER');
+  const details = code === 'OVERLOADED' ? returnDetailsOf(opts, context, service) : undefined;
+  if (details) {
+    return refusalResponse(
+      opts,
+      context,
+      new MedlarlaneError(code, undefined, {ran: 'no', details}),
+    );
+  }
   const knownRetryAfterMs = result?.kind === 'refused' ? result.retryAfterMs : undefined;
   const retryAfterMs =
     knownRetryAfterMs ?? RETRY_AFTER_MS[code] ?? opts.view.estimateRetryAfterMs(service);
@@ -411,6 +430,21 @@
   );
 }
 
+/** Return time by the free capacity of the service; `undefined` if only the gate knows its own. */
+function returnDetailsOf(
+  {entryAdmission, clock}: EntryHandlerOptions,
+  {route, deadlineAtMs}: RequestContext,
+  service: string,
+): Record<string, unknown> | undefined {
+  if (!route || deadlineAtMs === undefined) return undefined;
+  const details = entryAdmission?.returnDetails(
+    service,
+    route.priority,
+    deadlineAtMs - clock.nowMs(),
+  );
+  return details && {...details};
+}
+
 function fromTargetResponse({status, headers, body}: TargetResponse): FinalResponse {
   return {status, headers, body};
 }
--- a/routing/request-path/src/index.ts
+++ b/routing/request-path/src/index.ts
@@ -1,3 +1,5 @@
+export {EntryAdmission} from './entryAdmission.js';
+export type {EntryAdmissionOptions, EntryRequest} from './entryAdmission.js';
 export {createEntryHandler} from './entryHandler.js';
 export type {EntryHandler, EntryHandlerOptions, EntryOutcome} from './entryHandler.js';
 export {EventLoopLag} from './eventLoopLag.js';
--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -355,12 +355,26 @@
     return assumeRefusalUntilMs > this.opts.clock.nowMs() ? refusal : undefined;
   }
 
+  /** Whether the last load of the owner of the key is current and shows a free slot. */
+  hasFreeOwner(service: string, key: number): boolean {
+    const owner = this.ownerOf(service, key);
+    const load = owner && this.currentLoad(owner.life);
+    if (!load) return false;
+    return load.waiting === 0 && this.estimateOccupancy(owner.life) < this.usableSlots(owner);
+  }
+
+  private currentLoad(incarnation: string): TargetLoad | undefined {
+    const {load, loadAtMs} = this.statsOf(incarnation);
+    if (!load) return undefined;
+    const ageMs = this.opts.clock.nowMs() - loadAtMs;
+    return ageMs < Math.max(MIN_LOAD_VALID_MS, load.meanMs) ? load : undefined;
+  }
+
   /** Estimates the number of requests at the instance. An outdated load is ignored. */
   private estimateOccupancy(incarnation: string): number {
-    const {load, loadAtMs, outstanding, sentSinceLoad} = this.statsOf(incarnation);
-    const isCurrent =
-      load && this.opts.clock.nowMs() - loadAtMs < Math.max(MIN_LOAD_VALID_MS, load.meanMs);
-    return isCurrent ? load.inFlight + load.waiting + sentSinceLoad : outstanding;
+    const {outstanding, sentSinceLoad} = this.statsOf(incarnation);
+    const load = this.currentLoad(incarnation);
+    return load ? load.inFlight + load.waiting + sentSinceLoad : outstanding;
   }
 
   /** Slots that the target can use: those that its rate limit keeps busy, by Little's law. */
--- a/routing/request-path/test/entryHandler.test.ts
+++ b/routing/request-path/test/entryHandler.test.ts
@@ -4,10 +4,11 @@
 import net from 'node:net';
 import type {AddressInfo} from 'node:net';
 import {after, describe, it} from 'node:test';
+import {DemandMeter, ServiceLevels} from '@medlarlane/admission';
 import {DisposableStore, systemClock} from '@medlarlane/lifecycle';
 import {silentLogger} from '@medlarlane/logger';
 import {PoisonTable} from '@medlarlane/poison';
-import {createEntryHandler, SiteView} from '@medlarlane/request-path';
+import {createEntryHandler, EntryAdmission, SiteView} from '@medlarlane/request-path';
 import type {
   CallerHeaderCodec,
   Offer,
@@ -191,6 +192,34 @@
     assert.ok(Number(headers['retry-after']) > 0);
   });
 
+  // Guards against hops and slots spent on requests that the service as a whole cannot serve.
+  it('refuses what the service does not admit before any hop, without a return time', async () => {
+    const entry = await startEntry(disposables, {results: [answered(200)], busyFraction: 1});
+    const responses = await Promise.all([entry.send({}), entry.send({}), entry.send({})]);
+    assert.deepEqual(
+      responses.map(({status}) => status),
+      [503, 503, 503],
+    );
+    assert.deepEqual(
+      responses.map(({headers}) => headers['retry-after']),
+      [undefined, undefined, undefined],
+    );
+    assert.equal(entry.offers.length, 0);
+  });
+
+  it('refuses nothing because of the level while the service has free slots', async () => {
+    const entry = await startEntry(disposables, {results: [answered(200)], busyFraction: 0.84});
+    assert.equal((await entry.send({})).status, 200);
+  });
+
+  it('admits a request for a key whose owner has a free slot in a full service', async () => {
+    const results = [{...answered(200), load: {inFlight: 1, waiting: 0, slots: 4, meanMs: 900}}];
+    const entry = await startEntry(disposables, {results, keyed: true, busyFraction: 1});
+    entry.recordLoad('b/1', results[0]!);
+    assert.equal((await entry.send({'x-key': '70'})).status, 200);
+    assert.equal((await entry.send({'x-key': '20'})).status, 503);
+  });
+
   it('finds no route for another host', async () => {
     const entry = await startEntry(disposables, {results: []});
     const {status} = await entry.send({host: 'other.example'});
@@ -217,6 +246,8 @@
     lagMs?: number;
     /** Whether offers without a result wait for a slot until they are aborted. */
     neverSent?: boolean;
+    /** Busy slots of the service, which needs more than it has for requests of priority 0. */
+    busyFraction?: number;
   },
 ) {
   const view = new SiteView({clock: systemClock, availabilityZone: 'a'});
@@ -264,6 +295,15 @@
     {fromKey: 50, toKey: 99, ownerLife: 'b/1'},
   ]);
   const offers: Offer[] = [];
+  const serviceLevels = new ServiceLevels({clock: systemClock, logger: silentLogger});
+  if (opts.busyFraction !== undefined) {
+    const busySlots = 100 * opts.busyFraction;
+    const urgent = {priority: 0, newRps: 200, returnedRps: 0, completedRps: 99, busySlots};
+    const own = {priority: 1, newRps: 5, returnedRps: 0, completedRps: 1, busySlots: 1};
+    const demand = {usableSlots: 100, busySlots, byPriority: [urgent, own]};
+    serviceLevels.update([['wallboard', demand]], 1);
+  }
+  const demandMeter = new DemandMeter(systemClock);
   const handler = createEntryHandler({
     view,
     clock: systemClock,
@@ -282,6 +322,7 @@
     admissionController: {} as AdmissionController,
     forwardAddress: 'self:1',
     callerService: 'desk',
+    entryAdmission: new EntryAdmission({view, serviceLevels, demandMeter}),
     poison: new PoisonTable({reporterId: 'test'}),
     retryBudget: () => opts.budget ?? budget,
     phase: () => 'open',
@@ -310,5 +351,9 @@
     await once(response, 'end');
     return {status: response.statusCode, headers: response.headers};
   };
-  return {send, offers, port};
+  const recordLoad = (life: string, result: RunResult): void => {
+    view.recordSent(life);
+    view.recordResult(life, result);
+  };
+  return {send, offers, port, recordLoad};
 }
