Leave services with one priority and gates of keyed services their return times

Change: sums with one priority have no effect. For keyed services, refusals of the owner's gate keep their own return time, because only the owner can serve the caller.

--- a/routing/admission/src/serviceAdmission.ts
+++ b/routing/admission/src/serviceAdmission.ts
@@ -71,6 +71,11 @@
   }
 
   update({usableSlots, busySlots, byPriority}: ServiceDemand): void {
+    // Requests of one priority have no more urgent ones to yield to: the gates decide about them.
+    if (byPriority.length < 2) {
+      this.reset();
+      return;
+    }
     const nowMs = this.clock.nowMs();
     const sinceUpdateMs = nowMs - this.updatedAtMs;
     const effect = effectOf(busySlots, usableSlots);
@@ -154,6 +159,11 @@
     return (this.states.get(priority)?.workS ?? 0) * 1_000;
   }
 
+  private reset(): void {
+    this.states.clear();
+    this.updatedAtMs = -Infinity;
+  }
+
   private stateOf(priority: number): PriorityState {
     const known = this.states.get(priority);
     if (known) return known;
--- a/routing/admission/test/serviceAdmission.test.ts
+++ b/routing/admission/test/serviceAdmission.test.ts
@@ -66,6 +66,12 @@
     assert.deepEqual(admission.levels, []);
   });
 
+  it('leaves requests of one priority only to the gates', async () => {
+    const {admission, run} = startService();
+    await run([{...LONG, rps: 400}]);
+    assert.deepEqual([admission.levels, admission.isActive], [[], false]);
+  });
+
   it('admits callers that return before new ones of their class', async () => {
     const {admission, run} = startService();
     await run([LOOKUP, EXPORT, {...LONG, rps: 90}]);
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -430,13 +430,16 @@
   );
 }
 
-/** Return time by the free capacity of the service; `undefined` if only the gate knows its own. */
+/**
+ * Return time by the free capacity of the service; `undefined` if it is unknown, or if the targets of the service
+ * own keys: then only the owner can serve the caller, and its gate states the return time.
+ */
 function returnDetailsOf(
-  {entryAdmission, clock}: EntryHandlerOptions,
+  {entryAdmission, clock, view}: EntryHandlerOptions,
   {route, deadlineAtMs}: RequestContext,
   service: string,
 ): Record<string, unknown> | undefined {
-  if (!route || deadlineAtMs === undefined) return undefined;
+  if (!route || deadlineAtMs === undefined || view.isKeyed(service)) return undefined;
   const details = entryAdmission?.returnDetails(
     service,
     route.priority,
