Apply the level of a service only while its gates refuse requests

Cause: the level refused a burst of a class with a late latency target that the queues of the gates would have served in time.

Change: gates report requests that they refuse finally; the level grows from no effect at none to its full effect at 1% of them.

--- a/control/site-control/src/reports.ts
+++ b/control/site-control/src/reports.ts
@@ -51,8 +51,10 @@
   /** Mean number of slots in use at the target, and slots that its rate limit permits to use. */
   busySlots: z.number(),
   usableSlots: z.number(),
-  /** Requests that ended at the target: completed per second and mean number of slots they held. */
-  gate: ratesSchema,
+  /** By priority: completed per second, mean number of slots that those held, refused per second. */
+  gate: z
+    .array(z.tuple([z.int(), z.number(), z.number(), z.number()]))
+    .max(MAX_REPORTED_PRIORITIES),
   /** Requests of callers at this daemon by service: new and returned after a refusal, per second. */
   entries: z.array(z.tuple([z.string(), ratesSchema])).max(MAX_REPORTED_SERVICES),
 });
@@ -63,8 +65,8 @@
   z.object({
     usableSlots: z.int(),
     busySlots: z.int(),
-    /** Priority, new, returned and completed requests per second, and slots held by completed ones. */
-    byPriority: z.array(z.tuple([z.int(), z.int(), z.int(), z.int(), z.int()])),
+    /** Priority, new, returned and completed requests/s, slots held by completed ones, refused requests/s. */
+    byPriority: z.array(z.tuple([z.int(), z.int(), z.int(), z.int(), z.int(), z.int()])),
   }),
 ]);
 
@@ -158,6 +160,7 @@
   returnedRps: number;
   completedRps: number;
   busySlots: number;
+  refusedRps: number;
 }
 
 export type TargetState = z.infer<typeof targetStateSchema>;
--- a/control/site-control/src/serviceDemand.ts
+++ b/control/site-control/src/serviceDemand.ts
@@ -82,10 +82,11 @@
     // A gate without demand in its report was not near its capacity.
     service.usableSlots += demand?.usableSlots ?? target.slots;
     service.busySlots += demand?.busySlots ?? 0;
-    for (const [priority, completedRps, busySlots] of demand?.gate ?? []) {
+    for (const [priority, completedRps, busySlots, refusedRps] of demand?.gate ?? []) {
       const sum = sumOf(service, priority);
       sum.completedRps += completedRps;
       sum.busySlots += busySlots;
+      sum.refusedRps += refusedRps;
     }
   }
   for (const [name, rates] of demand?.entries ?? []) {
@@ -108,7 +109,7 @@
 function sumOf({byPriority}: Totals, priority: number): PrioritySum {
   const known = byPriority.get(priority);
   if (known) return known;
-  const added = {priority, newRps: 0, returnedRps: 0, completedRps: 0, busySlots: 0};
+  const added = {priority, newRps: 0, returnedRps: 0, completedRps: 0, busySlots: 0, refusedRps: 0};
   byPriority.set(priority, added);
   return added;
 }
@@ -127,6 +128,7 @@
         toHundredths(sum.returnedRps),
         toHundredths(sum.completedRps),
         toHundredths(sum.busySlots),
+        toHundredths(sum.refusedRps),
       ]),
   };
 }
@@ -137,12 +139,13 @@
   {usableSlots: number; busySlots: number; byPriority: PrioritySum[]},
 ] {
   const byPriority = sums.byPriority.map(
-    ([priority, newRps, returnedRps, completedRps, busySlots]): PrioritySum => ({
+    ([priority, newRps, returnedRps, completedRps, busySlots, refusedRps]): PrioritySum => ({
       priority,
       newRps: newRps / HUNDREDTHS,
       returnedRps: returnedRps / HUNDREDTHS,
       completedRps: completedRps / HUNDREDTHS,
       busySlots: busySlots / HUNDREDTHS,
+      refusedRps: refusedRps / HUNDREDTHS,
     }),
   );
   const {usableSlots, busySlots} = sums;
--- a/control/site-control/test/siteControl.test.ts
+++ b/control/site-control/test/siteControl.test.ts
@@ -101,8 +101,8 @@
       usableSlots: 1_600,
       busySlots: 1_550,
       byPriority: [
-        [0, 10_000, 1_000, 4_000, 600],
-        [2, 0, 0, 200, 200],
+        [0, 10_000, 1_000, 4_000, 600, 0],
+        [2, 0, 0, 200, 200, 100],
       ],
     });
     assert.equal((await send('a', 8)).demand, undefined);
@@ -294,8 +294,8 @@
     busySlots,
     usableSlots: 8,
     gate: [
-      [0, 20, 3],
-      [2, 1, 1],
+      [0, 20, 3, 0],
+      [2, 1, 1, 0.5],
     ],
     entries: [['wallboard', [[0, 50, 5]]]],
   };
--- a/routing/admission/src/demandMeter.ts
+++ b/routing/admission/src/demandMeter.ts
@@ -4,8 +4,13 @@
 
 /** Rates of one priority of requests that a daemon accepted as entry. */
 export type EntryRates = [priority: number, newRps: number, returnedRps: number];
-/** Rates of one priority of requests that ended at the target of a daemon. */
-export type GateRates = [priority: number, completedRps: number, busySlots: number];
+/** Rates of one priority of requests that ended at the target of a daemon or were refused by its gate. */
+export type GateRates = [
+  priority: number,
+  completedRps: number,
+  busySlots: number,
+  refusedRps: number,
+];
 
 /** Demand that a daemon has measured, in the form in which it is reported. */
 export interface DemandReport {
@@ -22,6 +27,7 @@
 /** Bounds of a report. The least urgent priorities and the services with the fewest requests are left out. */
 export const MAX_REPORTED_PRIORITIES = 8;
 export const MAX_REPORTED_SERVICES = 8;
+const GATE_COUNTERS = ['completed', 'heldMs', 'refused'] as const;
 /** Smaller rates are not reported. */
 const MIN_RPS = 0.01;
 
@@ -32,7 +38,7 @@
 /** Measures the requests that a daemon accepts from callers and the work that ends at its target. */
 export class DemandMeter {
   private readonly entries = new Map<string, Counters<'new' | 'returned'>>();
-  private readonly gate: Counters<'completed' | 'heldMs'> = {byPriority: new Map()};
+  private readonly gate: Counters<'completed' | 'heldMs' | 'refused'> = {byPriority: new Map()};
   private inFlight = 0;
   private meanInFlight = 0;
   private updatedAtMs = -Infinity;
@@ -59,11 +65,16 @@
     this.inFlight -= 1;
     if (!work) return;
     const nowMs = this.clock.nowMs();
-    const rates = ratesOf(this.gate, work.priority, ['completed', 'heldMs']);
+    const rates = ratesOf(this.gate, work.priority, GATE_COUNTERS);
     rates.completed.record(nowMs);
     rates.heldMs.record(nowMs, work.heldMs);
   }
 
+  /** Records a request that the gate refused although no other target would be tried. */
+  recordRefused(priority: number): void {
+    ratesOf(this.gate, priority, GATE_COUNTERS).refused.record(this.clock.nowMs());
+  }
+
   isNearCapacity(usableSlots: number): boolean {
     this.integrate();
     return this.meanInFlight >= usableSlots * NEAR_CAPACITY_FRACTION;
@@ -75,9 +86,10 @@
     return {
       busySlots: round(this.meanInFlight),
       usableSlots: round(usableSlots),
-      gate: bounded(this.gate, ({completed, heldMs}) => [
+      gate: bounded(this.gate, ({completed, heldMs, refused}) => [
         round(completed.at(nowMs)),
         round(heldMs.at(nowMs) / MS_PER_S),
+        round(refused.at(nowMs)),
       ]),
       entries: [...this.entries]
         .map(([service, counters]): [string, EntryRates[]] => [
@@ -116,13 +128,13 @@
   return rates;
 }
 
-function bounded<T extends string>(
+function bounded<T extends string, R extends [number, ...number[]]>(
   {byPriority}: Counters<T>,
-  read: (rates: Record<T, DecayingRate>) => [number, number],
-): Array<[number, number, number]> {
+  read: (rates: Record<T, DecayingRate>) => R,
+): Array<[number, ...R]> {
   return [...byPriority]
-    .map(([priority, rates]): [number, number, number] => [priority, ...read(rates)])
-    .filter(([, first, second]) => first >= MIN_RPS || second >= MIN_RPS)
+    .map(([priority, rates]): [number, ...R] => [priority, ...read(rates)])
+    .filter(([, ...rates]) => rates.some((rate) => rate >= MIN_RPS))
     .sort(([a], [b]) => a - b)
     .slice(0, MAX_REPORTED_PRIORITIES);
 }
--- a/routing/admission/src/serviceAdmission.ts
+++ b/routing/admission/src/serviceAdmission.ts
@@ -12,6 +12,8 @@
   readonly completedRps: number;
   /** Mean number of slots that completed requests held. */
   readonly busySlots: number;
+  /** Requests per second that gates refused although no other target would be tried. */
+  readonly refusedRps: number;
 }
 
 export interface ServiceDemand {
@@ -38,6 +40,8 @@
 export const NEAR_CAPACITY_FRACTION = 0.85;
 /** The level has full effect from this fraction of busy slots; in between, its effect grows linearly. */
 const FULL_EFFECT_FRACTION = 0.95;
+/** Share of refused requests from which the level has full effect. */
+const FULL_EFFECT_REFUSED_SHARE = 0.01;
 /**
  * Demand is admitted up to this multiple of the slots, because targets with less than their share of the
  * requests would otherwise idle. Gates refuse what does not fit.
@@ -78,7 +82,7 @@
     }
     const nowMs = this.clock.nowMs();
     const sinceUpdateMs = nowMs - this.updatedAtMs;
-    const effect = effectOf(busySlots, usableSlots);
+    const effect = Math.min(effectOf(busySlots, usableSlots), refusalEffectOf(byPriority));
     const meanWorkS = meanWork(byPriority);
     let freeSlots = usableSlots * OVERCOMMIT;
     let usualSlots = 0;
@@ -188,6 +192,17 @@
   return Math.min(1, Math.max(0, (busySlots / usableSlots - NEAR_CAPACITY_FRACTION) / span));
 }
 
+/**
+ * 0 while the queues of the gates take all requests: a short burst of a class with a late latency target
+ * is served in time from them.
+ */
+function refusalEffectOf(byPriority: readonly PriorityDemand[]): number {
+  const refusedRps = byPriority.reduce((sum, demand) => sum + demand.refusedRps, 0);
+  const completedRps = byPriority.reduce((sum, demand) => sum + demand.completedRps, 0);
+  if (refusedRps <= 0) return 0;
+  return Math.min(1, refusedRps / (refusedRps + completedRps) / FULL_EFFECT_REFUSED_SHARE);
+}
+
 function workOf({busySlots, completedRps}: PriorityDemand): number | undefined {
   return completedRps > 0 && busySlots > 0 ? busySlots / completedRps : undefined;
 }
--- a/routing/admission/test/serviceAdmission.test.ts
+++ b/routing/admission/test/serviceAdmission.test.ts
@@ -135,7 +135,15 @@
         const ranSlots = Math.min(admittedSlots, slots - busySlots);
         busySlots += ranSlots;
         const completedRps = ranSlots / workS;
-        return {priority, newRps: rps, returnedRps: 0, completedRps, busySlots: ranSlots};
+        const refusedRps = (admittedSlots - ranSlots) / workS;
+        return {
+          priority,
+          newRps: rps,
+          returnedRps: 0,
+          completedRps,
+          busySlots: ranSlots,
+          refusedRps,
+        };
       });
       await clock.advance(INTERVAL_MS);
       admission.update({usableSlots: slots, busySlots, byPriority});
--- a/routing/request-path/src/admissionController.ts
+++ b/routing/request-path/src/admissionController.ts
@@ -135,7 +135,7 @@
     const target = this.requireTarget(offer);
     this.switchIncarnation(target);
     if (offer.key !== undefined) this.opts.onKeyRequest(offer.key);
-    const permit = await this.queue.acquire({
+    const acquired = this.queue.acquire({
       requestClass: offer.route,
       priority: offer.priority,
       latencyTargetAtMs: offeredAtMs + offer.targetLeftMs,
@@ -144,6 +144,13 @@
       maxWaitMs: offer.maxWaitMs,
       signal,
     });
+    const permit = await acquired.catch((thrown: unknown) => {
+      // Other offers are only tried at this target in the hope of a free slot.
+      if (offer.acceptLate && toMedlarlaneError(thrown).code === 'OVERLOADED') {
+        this.opts.demandMeter?.recordRefused(offer.priority);
+      }
+      throw thrown;
+    });
     this.opts.demandMeter?.recordStart();
     return {
       run: (frame, runSignal) => this.run(offer, target, frame, permit, deadlineAtMs, runSignal),
--- a/routing/request-path/test/entryHandler.test.ts
+++ b/routing/request-path/test/entryHandler.test.ts
@@ -298,8 +298,22 @@
   const serviceLevels = new ServiceLevels({clock: systemClock, logger: silentLogger});
   if (opts.busyFraction !== undefined) {
     const busySlots = 100 * opts.busyFraction;
-    const urgent = {priority: 0, newRps: 200, returnedRps: 0, completedRps: 99, busySlots};
-    const own = {priority: 1, newRps: 5, returnedRps: 0, completedRps: 1, busySlots: 1};
+    const urgent = {
+      priority: 0,
+      newRps: 200,
+      returnedRps: 0,
+      completedRps: 99,
+      busySlots,
+      refusedRps: 9,
+    };
+    const own = {
+      priority: 1,
+      newRps: 5,
+      returnedRps: 0,
+      completedRps: 1,
+      busySlots: 1,
+      refusedRps: 1,
+    };
     const demand = {usableSlots: 100, busySlots, byPriority: [urgent, own]};
     serviceLevels.update([['wallboard', demand]], 1);
   }
