Compare served shares once for each priority when a queue is reviewed

Cause: with long queues, the review of waiting requests compared the served shares of each pair of requests.

Change: shares are compared once for each priority, and not at all without late requests of a higher priority.

--- a/routing/admission/src/slotQueue.ts
+++ b/routing/admission/src/slotQueue.ts
@@ -215,7 +215,8 @@
 
   /** Slots that requests of this priority may use at the moment. */
   private slotsFor({priority}: SlotRequest): number {
-    return priority <= HIGHEST_PRIORITY ? this.slots : this.slots - this.unusedHeadroom;
+    const isUnlimited = priority <= HIGHEST_PRIORITY || this.highestPriorityAtMs === -Infinity;
+    return isUnlimited ? this.slots : this.slots - this.unusedHeadroom;
   }
 
   private hasSlotFor(request: SlotRequest): boolean {
@@ -243,9 +244,10 @@
     if (!request.acceptLate) return false;
     const freeFraction = 1 - this.precedingRps(request, nowMs) / this.capacityRps;
     if (freeFraction < MIN_FREE_FRACTION) return false;
-    const timelyAhead = this.waiters.filter(
+    const timelyAhead = countByPriority(
+      this.waiters,
       (waiter) => !this.isServedWorse(request, waiter),
-    ).length;
+    );
     const waitMs =
       this.predictedWaitMs(timelyAhead, request) +
       this.predictedWaitMs(ahead, request) / freeFraction;
@@ -263,7 +265,9 @@
 
   /** Number of late requests of higher priorities that run before timely requests of this one. */
   private countLateAbove(request: SlotRequest): number {
-    return this.lateWaiters.filter((waiter) => this.isServedWorse(waiter, request)).length;
+    const [first] = this.lateWaiters;
+    if (!first || first.priority >= request.priority) return 0;
+    return countByPriority(this.lateWaiters, (waiter) => this.isServedWorse(waiter, request));
   }
 
   /**
@@ -475,6 +479,24 @@
   return a.priority < b.priority || (a.priority === b.priority && a.deadlineAtMs < b.deadlineAtMs);
 }
 
+/**
+ * Counts the waiters for which `matches` holds. The list is sorted by priority, on which alone the result
+ * depends, so that `matches` is called once for each priority.
+ */
+function countByPriority(list: readonly Waiter[], matches: (waiter: Waiter) => boolean): number {
+  let count = 0;
+  let priority: number | undefined;
+  let isMatch = false;
+  for (const waiter of list) {
+    if (waiter.priority !== priority) {
+      priority = waiter.priority;
+      isMatch = matches(waiter);
+    }
+    if (isMatch) count += 1;
+  }
+  return count;
+}
+
 /** Inserts into a list that is sorted by `precedes`. */
 function insert(
   list: Waiter[],
