Scale transfers to the demand at their selection and pause fine corrections

Cause: a surge is underestimated when its transfers are planned, so the source kept up to 2.4 times its capacity; small corrections right after a move paused about 5% of the requests again.

Change: the daemon of the source raises the requested shares to the demand when it selects the keys.

--- a/apps/site/test/hotKeys.test.ts
+++ b/apps/site/test/hotKeys.test.ts
@@ -10,9 +10,9 @@
 const HOT_FRACTION = 0.4;
 const ONSET_WATCHED_MS = 4_500;
 /** Of the requests in the watched time; 0.73 to 0.78 with one range in a transfer and a fixed cooldown. */
-const MIN_SERVED_FRACTION = 0.79;
+const MIN_SERVED_FRACTION = 0.83;
 /** Hot stretches are at most 0.3% of all keys; before, 0.9% to 3.6% of all keys moved. */
-const MAX_MOVED_SHARE = 0.008;
+const MAX_MOVED_SHARE = 0.005;
 
 describe('A fleet of 53 targets', () => {
   // Guards against a stretch of adjacent keys that overloads its few owners for seconds.
@@ -33,11 +33,11 @@
     const before = fleet.movedKeys;
     fleet.addTargets(1);
     await fleet.run(4_000);
-    const keys = fleet.keysOf(TARGETS);
+    const keys = fleet.heldKeysOf(TARGETS);
     const movedShare = (fleet.movedKeys - before) / KEY_COUNT;
     test.diagnostic(JSON.stringify({newcomerKeys: keys, movedShare}));
     await fleet.stop();
-    assert.ok(keys > 0, 'the newcomer owns no keys');
+    assert.ok(keys > 0, 'the newcomer holds no keys');
     assert.ok(movedShare < 0.03, `${movedShare} of all keys moved`);
   });
 
--- a/apps/site/test/keyFleet.ts
+++ b/apps/site/test/keyFleet.ts
@@ -120,8 +120,10 @@
     for (let index = 0; index < count; index += 1) this.addTarget();
   }
 
-  keysOf(index: number): number {
-    return this.owners.filter((owner) => owner === `t${index}/1`).length;
+  /** Number of keys for which a target has been granted requests. */
+  heldKeysOf(index: number): number {
+    const {held} = this.members[index]!;
+    return held.reduce((sum, {fromKey, toKey}) => sum + toKey - fromKey + 1, 0);
   }
 
   /** Advances the fleet and returns the measures of each step. */
--- a/control/site-control/src/planTransfers.ts
+++ b/control/site-control/src/planTransfers.ts
@@ -11,6 +11,8 @@
   readonly rateLimit?: {readonly rps: number; readonly ageMs: number} | undefined;
   /** Whether keys of the target are being moved, or were just now, so that it gives none away. */
   readonly isSettling?: boolean;
+  /** Whether keys of the target were moved recently, so that it gives more away only if overloaded. */
+  readonly hasMovedKeys?: boolean;
 }
 
 /** A request to move keys from `fromLife` to `toLife` that carry `share` of the requests to `fromLife`. */
@@ -85,7 +87,7 @@
       const deviationRps = Math.sqrt(source.offeredRps / (2 * LOAD_DECAY_S));
       return (
         !givers.has(source.life) &&
-        utilisation > MIN_SOURCE_UTILISATION &&
+        utilisation > (source.hasMovedKeys ? OVERLOADED_UTILISATION : MIN_SOURCE_UTILISATION) &&
         utilisation - meanUtilisation > MIN_UTILISATION_DIFFERENCE &&
         excessRps(source) > MIN_EXCESS_DEVIATIONS * deviationRps
       );
--- a/control/site-control/src/transferLedger.ts
+++ b/control/site-control/src/transferLedger.ts
@@ -23,6 +23,11 @@
 const SOURCE_SETTLING_MS = 400;
 /** Time after an assignment until the new owner has served the keys long enough to measure their load. */
 const DESTINATION_SETTLING_MS = 1_000;
+/**
+ * Moved keys are not served for up to three heartbeats, and hot stretches last 4 to 5 s, so correcting the rest
+ * of an imbalance right after a move costs more requests than it gains.
+ */
+const MOVED_RECENTLY_MS = 4_000;
 /** Time constant of the measured loads, in which they include the load of newly assigned keys. */
 const LOAD_DECAY_MS = 1_500;
 
@@ -80,7 +85,7 @@
       }
     }
     this.completed = this.completed.filter(
-      ({completedAtMs}) => nowMs - completedAtMs < 2 * LOAD_DECAY_MS,
+      ({completedAtMs}) => nowMs - completedAtMs < MOVED_RECENTLY_MS,
     );
   }
 
@@ -92,6 +97,7 @@
       addedRps.set(life, (addedRps.get(life) ?? 0) + rps);
     };
     const settling = new Set<string>();
+    const moved = new Set(this.completed.flatMap(({fromLife, toLife}) => [fromLife, toLife]));
     for (const {fromLife, toLife, movedRps} of this.pending.values()) {
       settling.add(fromLife).add(toLife);
       add(fromLife, -movedRps);
@@ -107,6 +113,7 @@
       ...target,
       offeredRps: Math.max(0, target.offeredRps + (addedRps.get(target.life) ?? 0)),
       isSettling: settling.has(target.life),
+      hasMovedKeys: moved.has(target.life),
     }));
   }
 }
--- a/routing/request-path/test/targetSpeed.test.ts
+++ b/routing/request-path/test/targetSpeed.test.ts
@@ -21,7 +21,7 @@
 
 describe('31 targets of different speed, a fifth of them slowed down up to 3 times', () => {
   // Guards against a selection that serves fewer short calls in time with the figure than without it, at about
-  // 96% of the capacity. Each daemon hears from a target less than once a second, so the gain is small.
+  // 96% of the capacity. Each daemon hears from a target less than once a second, so no gain is expected.
   it('serve as many calls in time when they state their speed', async (test) => {
     const shares = [];
     for (const statesSpeed of [false, true]) {
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -107,6 +107,8 @@
 const UNKNOWN_LIMIT_RPS = 10;
 /** Number of ended incarnations to report; more than can start between two reports that arrive. */
 const MAX_REPORTED_INCARNATIONS = 8;
+/** Smaller shares are moved for a lasting imbalance, in which a higher demand is a fluctuation. */
+const MIN_SCALED_SHARE = 0.5;
 /** Maximum number of transfers in a log record; a hot stretch is spread over dozens of targets. */
 const MAX_LOGGED_TRANSFERS = 8;
 
@@ -137,6 +139,8 @@
   private keyDemand: KeyDemand | undefined;
   /** Transfers of the leader for which no keys have been selected yet. */
   private requestedTransfers: readonly RequestedTransfer[] = [];
+  /** Demand for the assigned keys when these transfers were requested. */
+  private rpsAtRequest = 0;
   private readonly pushedGrants: PushedGrants | undefined;
   /** Called after a change that is to be reported to the control leader immediately. */
   onChange: () => void = () => undefined;
@@ -404,7 +408,9 @@
       this.leaseUntilMs = Math.max(this.leaseUntilMs, response.sentAtMs + response.leaseMs);
     else if (response.leaseMs === 0) this.leaseUntilMs = -Infinity;
     this.assigned = response.ranges.filter(({ownerLife}) => ownerLife === this.incarnation);
+    const isFirstRequest = this.requestedTransfers.length === 0;
     this.requestedTransfers = this.outgoingKeys.retainTransfers(response.transfers);
+    if (isFirstRequest && this.requestedTransfers.length > 0) this.rpsAtRequest = this.offeredRps;
     this.hasSuccessors = response.hasSuccessors;
     this.outgoingKeys.retainAssigned(this.assigned);
     this.applyGrantPlan();
@@ -493,9 +499,10 @@
   private selectForTransfers(): void {
     if (this.requestedTransfers.length === 0) return;
     const keptRanges = this.assigned.flatMap((range) => this.remainingRanges(range));
+    const factor = this.shareFactor();
     const selected = this.keyDemand?.selectRanges(
       keptRanges,
-      this.requestedTransfers.map(({share}) => share),
+      this.requestedTransfers.map(({share}) => share * factor),
     );
     this.requestedTransfers.forEach(({transferId}, index) =>
       this.outgoingKeys.addTransfer(transferId, selected?.[index]),
@@ -507,12 +514,25 @@
           .slice(0, MAX_LOGGED_TRANSFERS)
           .map((transfer, index) => ({...transfer, ...selected?.[index]})),
         count: this.requestedTransfers.length,
+        factor,
       },
       'Selected keys for transfers',
     );
     this.requestedTransfers = [];
   }
 
+  /**
+   * Factor for the requested shares. If demand has risen since the request, the leader underestimated it, and
+   * the target is to keep the load that it was meant to keep, not the same part of the higher load.
+   */
+  private shareFactor(): number {
+    const requestedShare = this.requestedTransfers.reduce((sum, {share}) => sum + share, 0);
+    const nowRps = this.offeredRps;
+    if (requestedShare < MIN_SCALED_SHARE || nowRps <= this.rpsAtRequest) return 1;
+    const keptRps = this.rpsAtRequest * (1 - requestedShare);
+    return Math.max(1, (1 - keptRps / nowRps) / requestedShare);
+  }
+
   private createGrant(): KeyGrant | undefined {
     const nowMs = this.opts.clock.nowMs();
     const remainingMs = (this.leaseUntilMs - nowMs) * CLOCK_RATE_MARGIN;
