Start cold and recovering targets slowly

Cause: a target that became cold or failed got all its slots at once, whatever its responses said.

Change: PaceController finds from the responses how many requests at a time the target takes: from a quarter of the slots, doubling while durations are usual, by one while the target itself is slow, less when durations rise with the level and on failures. It begins when the target becomes cold or after three failures in a row and ends after a good round with all slots. SlotQueue and its predictions use the level and rate; pacedSlots tells the entries.

--- a/apps/site/src/siteMetrics.ts
+++ b/apps/site/src/siteMetrics.ts
@@ -56,6 +56,12 @@
   gauge(registry, 'in_flight', 'Requests at the target.', () => sources.load().inFlight);
   gauge(registry, 'waiting', 'Requests that wait for a slot.', () => sources.load().waiting);
   gauge(registry, 'slots', 'Slots of the target.', () => sources.load().slots);
+  gauge(
+    registry,
+    'paced_slots',
+    'Slots in use while the target starts slowly or recovers, else all slots.',
+    () => sources.load().pacedSlots ?? sources.load().slots,
+  );
   gauge(
     registry,
     'rate_limit_rps',
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -171,6 +171,7 @@
     holdsKey: (key) => hostedTarget.holdsKey(key),
     rateLimitRps: () => hostedTarget.permittedRps,
     maxPerSecond: () => hostedTarget.coldBound?.maxPerSecond,
+    isCold: () => hostedTarget.coldBound !== undefined,
     grantDueInMs: (key) => hostedTarget.grantDueInMs(key),
     poison,
     onResult: (result, durationMs) => {
--- a/routing/admission/src/slotQueue.ts
+++ b/routing/admission/src/slotQueue.ts
@@ -1,6 +1,7 @@
 import {MedlarlaneError} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
 import {RateLimiter} from './rateLimiter.js';
+import type {PaceController} from './paceController.js';
 import type {SendWindow} from './sendWindow.js';
 
 export interface SlotQueueOptions {
@@ -10,6 +11,8 @@
   readonly rateLimitRps?: () => number | undefined;
   /** Bounds the requests that arrive at the target in any one second; may outlive the queue. */
   readonly sendWindow?: SendWindow | undefined;
+  /** Limits the slots in use and the rate of a starting or recovering target. */
+  readonly pace?: PaceController | undefined;
   readonly clock: Clock;
 }
 
@@ -77,6 +80,7 @@
   private readonly clock: Clock;
   private readonly rateLimiter: RateLimiter;
   private readonly sendWindow: SendWindow | undefined;
+  private readonly pace: PaceController | undefined;
   /** Latest time for which a refused caller was asked to return under the rate limit. */
   private lastReturnAtMs = -Infinity;
   /** Requests that can meet their latency target, by priority and then by latency target. */
@@ -99,10 +103,15 @@
     this.clock = opts.clock;
     this.rateLimiter = new RateLimiter({
       clock: opts.clock,
-      rateLimitRps: opts.rateLimitRps ?? (() => undefined),
+      rateLimitRps: () => {
+        const paceRps = opts.pace?.rateRps ?? Infinity;
+        const limitRps = opts.rateLimitRps?.();
+        return paceRps === Infinity ? limitRps : Math.min(paceRps, limitRps ?? Infinity);
+      },
       sendWindow: opts.sendWindow,
     });
     this.sendWindow = opts.sendWindow;
+    this.pace = opts.pace;
   }
 
   get inFlight(): number {
@@ -117,6 +126,10 @@
     return this.slots;
   }
 
+  private get usableSlots(): number {
+    return Math.min(this.slots, this.pace?.concurrency ?? Infinity);
+  }
+
   /** Smoothed duration of a request at the target over all request classes. */
   get meanMs(): number {
     // Until as many samples exist as there are slots, the age of running requests is a better lower bound.
@@ -136,7 +149,7 @@
     if (request.deadlineAtMs <= nowMs) return Promise.reject(expired());
     if (this.sampleCount === 0) this.smoothedDurationMs = this.initialDurationMs(request, nowMs);
     if (
-      this.inFlightCount < this.slots &&
+      this.inFlightCount < this.usableSlots &&
       this.waiters.length === 0 &&
       this.rateLimiter.tryTake()
     ) {
@@ -184,11 +197,11 @@
 
   /** Requests per second that the slots and the rate limit permit. */
   private get capacityRps(): number {
-    return Math.min((this.slots * MS_PER_S) / this.meanMs, this.rateLimiter.rateRps);
+    return Math.min((this.usableSlots * MS_PER_S) / this.meanMs, this.rateLimiter.rateRps);
   }
 
   private predictedWaitMs(ahead: number): number {
-    const slotWaitMs = ((ahead + 1) * this.meanMs) / this.slots;
+    const slotWaitMs = ((ahead + 1) * this.meanMs) / this.usableSlots;
     return Math.max(slotWaitMs, this.rateLimiter.timeUntilMs(ahead + 1));
   }
 
@@ -293,7 +306,7 @@
   }
 
   private dispatch(): void {
-    while (this.inFlightCount < this.slots) {
+    while (this.inFlightCount < this.usableSlots) {
       const waiter = this.waiters[0] ?? this.lateWaiters[0];
       if (!waiter || !this.rateLimiter.tryTake()) return;
       this.remove(waiter, this.grant(waiter.enqueuedAtMs));
--- a/routing/request-path/src/admissionController.ts
+++ b/routing/request-path/src/admissionController.ts
@@ -1,5 +1,5 @@
-import {SendWindow, SlotQueue} from '@medlarlane/admission';
-import type {SlotPermit} from '@medlarlane/admission';
+import {ClassDurations, PaceController, SendWindow, SlotQueue} from '@medlarlane/admission';
+import type {PaceChange, SlotPermit} from '@medlarlane/admission';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
@@ -28,6 +28,8 @@
   readonly rateLimitRps: () => number | undefined;
   /** Requests that may arrive at the target in any one second; `undefined` while there is no bound. */
   readonly maxPerSecond?: () => number | undefined;
+  /** Whether the target is cold, so that it is to be used slowly at first. */
+  readonly isCold?: () => boolean;
   /** Expected time until the key is granted to the target; `undefined` if no grant is planned. */
   readonly grantDueInMs: (key: number) => number | undefined;
   readonly poison: PoisonTable;
@@ -60,6 +62,12 @@
 const MAX_TIMELY_GRANT_WAIT_MS = 1_000;
 /** Time reserved for sending the response from the target's daemon back to the caller. */
 const RESPONSE_ALLOWANCE_MS = 5;
+/** Latency targets are about three times the usual duration, which stands in for one not yet known. */
+const USUAL_TARGET_FRACTION = 0.3;
+/** Statuses by which a target or what it depends on says that it is not well. */
+const FAILURE_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
+/** Minimum time between log lines about the pace, except for its begin and end. */
+const PACE_LOG_INTERVAL_MS = 250;
 
 /** Admits requests to the local target of this daemon and runs them. */
 export class AdmissionController {
@@ -67,24 +75,31 @@
   private incarnation = '';
   /** Shared by all incarnations, because they succeed each other at the same address. */
   private readonly sendWindow: SendWindow;
+  private readonly durations = new ClassDurations();
+  private pace: PaceController;
+  private wasCold = false;
+  private paceLoggedAtMs = -Infinity;
   /** Recent requests without a response, which may have crashed the target. */
   private lostRequests: LostRequest[] = [];
 
   constructor(private readonly opts: AdmissionControllerOptions) {
     const {clock, maxPerSecond = () => undefined} = opts;
     this.sendWindow = new SendWindow({clock, maxPerSecond});
+    this.pace = this.createPace(1);
     this.queue = new SlotQueue({slots: 1, clock});
   }
 
   get load(): TargetLoad {
     const {inFlight, waiting, slotCount, meanMs} = this.queue;
     const rateLimitRps = this.opts.rateLimitRps();
+    const {level: pacedSlots} = this.pace;
     return {
       inFlight,
       waiting,
       slots: slotCount,
       meanMs: Math.round(meanMs),
       ...(rateLimitRps === undefined ? {} : {rateLimitRps}),
+      ...(pacedSlots === undefined ? {} : {pacedSlots}),
     };
   }
 
@@ -131,6 +146,7 @@
     await this.waitForGrant(offer, signal);
     const target = this.requireTarget(offer);
     this.switchIncarnation(target);
+    this.paceColdTarget();
     if (offer.key !== undefined) this.opts.onKeyRequest(offer.key);
     const permit = await this.queue.acquire({
       requestClass: offer.route,
@@ -186,7 +202,49 @@
     this.queue.refuseQueued(new MedlarlaneError('NO_TARGET'));
     const {clock, rateLimitRps} = this.opts;
     const {sendWindow} = this;
-    this.queue = new SlotQueue({slots, clock, rateLimitRps, sendWindow});
+    this.wasCold = false;
+    this.pace = this.createPace(slots);
+    this.queue = new SlotQueue({slots, clock, rateLimitRps, sendWindow, pace: this.pace});
+  }
+
+  private createPace(slots: number): PaceController {
+    const {durations} = this;
+    const {clock} = this.opts;
+    return new PaceController({
+      clock,
+      slots,
+      durations,
+      onChange: (change) => this.logPace(change),
+    });
+  }
+
+  private logPace(change: PaceChange): void {
+    const {clock, logger} = this.opts;
+    const isLevelChange = change.reason !== 'cold' && change.reason !== 'open';
+    const nowMs = clock.nowMs();
+    if (isLevelChange && nowMs - this.paceLoggedAtMs < PACE_LOG_INTERVAL_MS) return;
+    this.paceLoggedAtMs = nowMs;
+    logger.info({life: this.incarnation, ...change}, 'Pace of the target changed');
+  }
+
+  /** Starts slowly each time the target becomes cold. */
+  private paceColdTarget(): void {
+    const isCold = this.opts.isCold?.() === true;
+    if (isCold && !this.wasCold) this.pace.begin('cold');
+    this.wasCold = isCold;
+  }
+
+  private recordPace(
+    {route: requestClass, targetLeftMs}: Offer,
+    pace: PaceController,
+    result: RunResult,
+    startedAtMs: number,
+  ): void {
+    const hasFailed = isTargetFailure(result);
+    if (hasFailed === undefined) return;
+    const workMs = this.opts.clock.nowMs() - startedAtMs;
+    const fallbackMs = targetLeftMs * USUAL_TARGET_FRACTION;
+    pace.record({requestClass, startedAtMs, workMs, hasFailed, fallbackMs});
   }
 
   private async run(
@@ -198,7 +256,7 @@
     signal: AbortSignal,
   ): Promise<RunResult> {
     const {clock, client} = this.opts;
-    const {queue} = this;
+    const {queue, pace} = this;
     const startedAtMs = clock.nowMs();
     let result: RunResult;
     try {
@@ -222,6 +280,7 @@
     }
     const workMs = clock.nowMs() - startedAtMs;
     const didWork = result.kind === 'answered' || result.kind === 'lost';
+    this.recordPace(offer, pace, result, startedAtMs);
     if (result.kind === 'refused') permit.cancel();
     else permit.release(didWork ? workMs : undefined);
     if (result.kind === 'answered') queue.recordDuration(offer.route, workMs);
@@ -258,7 +317,7 @@
     result: RunResult,
     workMs: number,
   ): void {
-    const {inFlight, waiting, slots, rateLimitRps} = this.load;
+    const {inFlight, waiting, slots, rateLimitRps, pacedSlots} = this.load;
     this.opts.logger.info(
       {
         requestId,
@@ -271,6 +330,7 @@
         waiting,
         slots,
         rateLimitRps,
+        pacedSlots,
         outcome: result.kind,
         status: result.kind === 'answered' ? result.answer.status : undefined,
         code: result.kind === 'answered' ? undefined : result.code,
@@ -279,3 +339,10 @@
     );
   }
 }
+
+/** Whether the result shows that the target is not well; `undefined` if it says nothing about that. */
+function isTargetFailure(result: RunResult): boolean | undefined {
+  if (result.kind === 'answered') return FAILURE_STATUSES.has(result.answer.status);
+  if (result.kind === 'refused' || result.code === 'CANCELLED') return undefined;
+  return result.code === 'NOT_OWNER' ? undefined : true;
+}
--- a/routing/request-path/src/messages.ts
+++ b/routing/request-path/src/messages.ts
@@ -109,6 +109,8 @@
   readonly meanMs: number;
   /** Requests per second that the target accepts; absent if it names no limit. */
   readonly rateLimitRps?: number | undefined;
+  /** Slots in use while the target starts slowly or recovers; absent if all are. */
+  readonly pacedSlots?: number | undefined;
 }
 
 /**
--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -384,9 +384,10 @@
     return isCurrent ? load.inFlight + load.waiting + sentSinceLoad : outstanding;
   }
 
-  /** Slots that the target can use: those that its rate limit keeps busy, by Little's law. */
-  private usableSlots({life, slots, rateLimitRps}: InstanceView): number {
+  /** Slots that the target can use: at its pace, and kept busy by its rate limit (Little's law). */
+  private usableSlots({life, slots: allSlots, rateLimitRps}: InstanceView): number {
     const {load} = this.statsOf(life);
+    const slots = Math.min(allSlots, load?.pacedSlots ?? Infinity);
     const limitRps = load ? load.rateLimitRps : rateLimitRps;
     if (limitRps === undefined) return Math.max(1, slots);
     const busySlots = (limitRps * (load?.meanMs ?? INITIAL_MEAN_MS)) / MS_PER_S;
--- a/routing/request-path/test/admissionController.test.ts
+++ b/routing/request-path/test/admissionController.test.ts
@@ -98,9 +98,48 @@
   });
 });
 
+// Guards against a flooded target that has become cold or recovers, while other targets have room.
+describe('AdmissionController of a cold or recovering target', () => {
+  const {signal} = new AbortController();
+
+  it('reports the slots in use once the target has become cold', async () => {
+    const {controller, targetState} = startController(0);
+    targetState.slots = 8;
+    (await controller.admit(OFFER, signal)).cancel();
+    assert.equal(controller.load.pacedSlots, undefined);
+    targetState.isCold = true;
+    (await controller.admit(OFFER, signal)).cancel();
+    assert.equal(controller.load.pacedSlots, 2);
+  });
+
+  it('does not send what was admitted before the target became cold', async () => {
+    const {controller, targetState, deadlinesLeftMs} = startController(0);
+    await (await controller.admit(OFFER, signal)).run(FRAME, signal);
+    const admitted = await controller.admit(OFFER, signal);
+    targetState.maxPerSecond = 1;
+    const result = await admitted.run(FRAME, signal);
+    assert.deepEqual([result.kind, deadlinesLeftMs.length], ['refused', 1]);
+    assert.equal(controller.inFlight, 0);
+  });
+
+  it('uses fewer slots after failures in a row', async () => {
+    const {controller, targetState} = startController(0);
+    targetState.slots = 8;
+    targetState.result = {kind: 'lost', code: 'TARGET_FAILED'};
+    for (let n = 0; n < 3; n += 1) await (await controller.admit(OFFER, signal)).run(FRAME, signal);
+    assert.equal(controller.load.pacedSlots, 2);
+  });
+});
+
 function startController(dueInMs: number | undefined) {
   const clock = new ManualClock();
-  const targetState = {ended: false};
+  const targetState = {
+    ended: false,
+    slots: 2,
+    isCold: false,
+    maxPerSecond: undefined as number | undefined,
+    result: ANSWERED,
+  };
   /** Deadline left for each request that was sent to the target. */
   const deadlinesLeftMs: number[] = [];
   const grantedAtMs = clock.nowMs() + (dueInMs ?? Infinity);
@@ -110,15 +149,17 @@
     client: {
       run: ({deadlineLeftMs}: {deadlineLeftMs: number}) => {
         deadlinesLeftMs.push(deadlineLeftMs);
-        return Promise.resolve(ANSWERED);
+        return Promise.resolve(targetState.result);
       },
     } as unknown as TargetClient,
     target: () =>
       targetState.ended
         ? new MedlarlaneError('NO_TARGET')
-        : {targetId: 'a', life: 'a/1', service: 'wallboard', slots: 2},
+        : {targetId: 'a', life: 'a/1', service: 'wallboard', slots: targetState.slots},
     holdsKey: () => clock.nowMs() >= grantedAtMs,
     rateLimitRps: () => undefined,
+    maxPerSecond: () => targetState.maxPerSecond,
+    isCold: () => targetState.isCold,
     grantDueInMs: () => dueInMs,
     poison: new PoisonTable({reporterId: 'd', clock}),
     onResult: () => undefined,
--- a/routing/request-path/test/siteView.test.ts
+++ b/routing/request-path/test/siteView.test.ts
@@ -141,6 +141,17 @@
     }
   });
 
+  it('sends a target that starts slowly no more than its slots in use', () => {
+    const {view} = startView(['near', 'far-1']);
+    const answer = {status: 200, headers: [], body: new Uint8Array()};
+    const load = {inFlight: 0, waiting: 0, slots: 10, meanMs: 100, pacedSlots: 1};
+    view.recordSent('near');
+    view.recordResult('near', {kind: 'answered', answer, load});
+    assert.equal(view.pickFreeInstance(SERVICE, new Set())?.life, 'near');
+    view.recordSent('near');
+    assert.equal(view.pickFreeInstance(SERVICE, new Set())?.life, 'far-1');
+  });
+
   it('finds the owner of a key at both ends of its range and none in a gap', () => {
     const {view} = startView(['near', 'far-1']);
     view.setRanges(SERVICE, [
