--- a/routing/admission/src/slotQueue.ts
+++ b/routing/admission/src/slotQueue.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@medlarlane/lifecycle';
 import {DecayingRate} from './decayingRate.js';
 import {RateLimiter} from './rateLimiter.js';
+import type {PaceController} from './paceController.js';
 import type {SendWindow} from './sendWindow.js';
 
 export interface SlotQueueOptions {
@@ -11,6 +12,8 @@
   readonly rateLimitRps?: () => number | undefined;
   /** Bounds the requests that arrive at the target in any one second; may outlive the queue. */
   readonly sendWindow?: SendWindow | undefined;
+  /** Limits the slots in use and the rate of a starting or recovering target. */
+  readonly pace?: PaceController | undefined;
   readonly clock: Clock;
 }
 
@@ -105,6 +108,7 @@
   private readonly clock: Clock;
   private readonly rateLimiter: RateLimiter;
   private readonly sendWindow: SendWindow | undefined;
+  private readonly pace: PaceController | undefined;
   /** Latest time for which a refused caller was asked to return under the rate limit. */
   private lastReturnAtMs = -Infinity;
   /** Requests that can meet their latency target, by priority and then by latency target. */
@@ -128,10 +132,15 @@
     this.clock = opts.clock;
     this.rateLimiter = new RateLimiter({
       clock: opts.clock,
-      rateLimitRps: opts.rateLimitRps ?? (() => undefined),
+      rateLimitRps: () => {
+        const paceRps = opts.pace?.rateRps ?? Infinity;
+        const limitRps = opts.rateLimitRps?.();
+        return paceRps === Infinity ? limitRps : Math.min(paceRps, limitRps ?? Infinity);
+      },
       sendWindow: opts.sendWindow,
     });
     this.sendWindow = opts.sendWindow;
+    this.pace = opts.pace;
   }
 
   get inFlight(): number {
@@ -146,6 +155,10 @@
     return this.slots;
   }
 
+  private get usableSlots(): number {
+    return Math.min(this.slots, this.pace?.concurrency ?? Infinity);
+  }
+
   /** Smoothed duration of a request at the target over all request classes. */
   get meanMs(): number {
     // Until as many samples exist as there are slots, the age of running requests is a better lower bound.
@@ -212,7 +225,7 @@
 
   /** Requests per second that the slots and the rate limit permit. */
   private get capacityRps(): number {
-    return Math.min((this.slots * MS_PER_S) / this.meanMs, this.rateLimiter.rateRps);
+    return Math.min((this.usableSlots * MS_PER_S) / this.meanMs, this.rateLimiter.rateRps);
   }
 
   /** Slots that lower priorities leave to the highest one and that it does not use at the moment. */
@@ -221,13 +234,13 @@
     if (!isHeld) return 0;
     const slots = Math.max(MIN_HEADROOM_SLOTS, Math.floor(this.slots * HEADROOM_FRACTION));
     // A target with one slot cannot leave it unused.
-    return Math.max(0, Math.min(slots, this.slots - 1) - this.highestPriorityInFlight);
+    return Math.max(0, Math.min(slots, this.usableSlots - 1) - this.highestPriorityInFlight);
   }
 
   /** Slots that requests of this priority may use at the moment. */
   private slotsFor({priority}: SlotRequest): number {
     const isUnlimited = priority <= HIGHEST_PRIORITY || this.highestPriorityAtMs === -Infinity;
-    return isUnlimited ? this.slots : this.slots - this.unusedHeadroom;
+    return isUnlimited ? this.usableSlots : this.usableSlots - this.unusedHeadroom;
   }
 
   private hasSlotFor(request: SlotRequest): boolean {
@@ -408,7 +421,7 @@
   }
 
   private dispatch(): void {
-    while (this.inFlightCount < this.slots) {
+    while (this.inFlightCount < this.usableSlots) {
       const waiter = this.nextWaiter();
       if (!waiter || !this.hasSlotFor(waiter) || !this.rateLimiter.tryTake()) return;
       this.remove(waiter, this.grant(waiter, waiter.enqueuedAtMs));
--- a/routing/request-path/src/admissionController.ts
+++ b/routing/request-path/src/admissionController.ts
@@ -1,5 +1,5 @@
-import {SendWindow, SlotQueue} from '@medlarlane/admission';
-import type {DemandMeter, SlotPermit} from '@medlarlane/admission';
+import {ClassDurations, PaceController, SendWindow, SlotQueue} from '@medlarlane/admission';
+import type {DemandMeter, PaceChange, SlotPermit} from '@medlarlane/admission';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
@@ -31,6 +31,8 @@
   readonly rateLimitRps: () => number | undefined;
   /** Requests that may arrive at the target in any one second; `undefined` while there is no bound. */
   readonly maxPerSecond?: () => number | undefined;
+  /** Whether the target is cold, so that it is to be used slowly at first. */
+  readonly isCold?: () => boolean;
   /** Expected time until the key is granted to the target; `undefined` if no grant is planned. */
   readonly grantDueInMs: (key: number) => number | undefined;
   readonly poison: PoisonTable;
@@ -56,6 +58,7 @@
   readonly frame: RequestFrame;
   readonly permit: SlotPermit;
   readonly queue: SlotQueue;
+  readonly pace: PaceController;
   readonly startedAtMs: number;
 }
 
@@ -82,6 +85,12 @@
 const SLOWDOWN_STEPS = 100;
 /** Time reserved for sending the response from the target's daemon back to the caller. */
 const RESPONSE_ALLOWANCE_MS = 5;
+/** Latency targets are about three times the usual duration, which stands in for one not yet known. */
+const USUAL_TARGET_FRACTION = 0.3;
+/** Statuses by which a target or what it depends on says that it is not well. */
+const FAILURE_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
+/** Minimum time between log lines about the pace, except for its begin and end. */
+const PACE_LOG_INTERVAL_MS = 250;
 
 /** Admits requests to the local target of this daemon and runs them. */
 export class AdmissionController {
@@ -89,6 +98,10 @@
   private incarnation = '';
   /** Shared by all incarnations, because they succeed each other at the same address. */
   private readonly sendWindow: SendWindow;
+  private readonly durations = new ClassDurations();
+  private pace: PaceController;
+  private wasCold = false;
+  private paceLoggedAtMs = -Infinity;
   /** Recent requests without a response, which may have crashed the target. */
   private lostRequests: LostRequest[] = [];
   private heldSlots: HeldSlots;
@@ -100,6 +113,7 @@
   constructor(private readonly opts: AdmissionControllerOptions) {
     const {clock, maxPerSecond = () => undefined} = opts;
     this.sendWindow = new SendWindow({clock, maxPerSecond});
+    this.pace = this.createPace(1);
     this.queue = new SlotQueue({slots: 1, clock});
     this.heldSlots = new HeldSlots(clock);
   }
@@ -108,6 +122,7 @@
     const {inFlight, waiting, slotCount, meanMs} = this.queue;
     const rateLimitRps = this.opts.rateLimitRps();
     const {relativeSlowdown} = this;
+    const {level: pacedSlots} = this.pace;
     return {
       inFlight,
       waiting,
@@ -115,6 +130,7 @@
       meanMs: Math.round(meanMs),
       ...(rateLimitRps === undefined ? {} : {rateLimitRps}),
       ...(relativeSlowdown === undefined ? {} : {slowdown: relativeSlowdown}),
+      ...(pacedSlots === undefined ? {} : {pacedSlots}),
     };
   }
 
@@ -189,6 +205,7 @@
     await this.waitForGrant(offer, signal);
     const target = this.requireTarget(offer);
     this.switchIncarnation(target);
+    this.paceColdTarget();
     if (offer.key !== undefined) this.opts.onKeyRequest(offer.key);
     const acquired = this.queue.acquire({
       requestClass: offer.route,
@@ -255,10 +272,52 @@
     this.queue.refuseQueued(new MedlarlaneError('NO_TARGET'));
     const {clock, rateLimitRps} = this.opts;
     const {sendWindow} = this;
-    this.queue = new SlotQueue({slots, clock, rateLimitRps, sendWindow});
     this.heldSlots = new HeldSlots(clock);
     this.meanSlowdown = 1;
     this.statesLoad = false;
+    this.wasCold = false;
+    this.pace = this.createPace(slots);
+    this.queue = new SlotQueue({slots, clock, rateLimitRps, sendWindow, pace: this.pace});
+  }
+
+  private createPace(slots: number): PaceController {
+    const {durations} = this;
+    const {clock} = this.opts;
+    return new PaceController({
+      clock,
+      slots,
+      durations,
+      onChange: (change) => this.logPace(change),
+    });
+  }
+
+  private logPace(change: PaceChange): void {
+    const {clock, logger} = this.opts;
+    const isLevelChange = change.reason !== 'cold' && change.reason !== 'open';
+    const nowMs = clock.nowMs();
+    if (isLevelChange && nowMs - this.paceLoggedAtMs < PACE_LOG_INTERVAL_MS) return;
+    this.paceLoggedAtMs = nowMs;
+    logger.info({life: this.incarnation, ...change}, 'Pace of the target changed');
+  }
+
+  /** Starts slowly each time the target becomes cold. */
+  private paceColdTarget(): void {
+    const isCold = this.opts.isCold?.() === true;
+    if (isCold && !this.wasCold) this.pace.begin('cold');
+    this.wasCold = isCold;
+  }
+
+  private recordPace(
+    {route: requestClass, targetLeftMs}: Offer,
+    pace: PaceController,
+    result: RunResult,
+    startedAtMs: number,
+  ): void {
+    const hasFailed = isTargetFailure(result);
+    if (hasFailed === undefined) return;
+    const workMs = this.opts.clock.nowMs() - startedAtMs;
+    const fallbackMs = targetLeftMs * USUAL_TARGET_FRACTION;
+    pace.record({requestClass, startedAtMs, workMs, hasFailed, fallbackMs});
   }
 
   private async run(
@@ -270,7 +329,7 @@
     signal: AbortSignal,
   ): Promise<RunResult> {
     const {clock, client} = this.opts;
-    const {queue} = this;
+    const {queue, pace} = this;
     const startedAtMs = clock.nowMs();
     let result: RunResult;
     try {
@@ -293,7 +352,7 @@
       result = {kind: 'refused', code: toMedlarlaneError(thrown).code};
     }
     const finish = (finalResult: RunResult): void =>
-      this.finishRun({offer, target, frame, permit, queue, startedAtMs}, finalResult);
+      this.finishRun({offer, target, frame, permit, queue, pace, startedAtMs}, finalResult);
     if (result.kind === 'answered' && result.answer.body instanceof ResponseStream) {
       const head = result;
       // The target is busy with the request until its last byte was read.
@@ -307,7 +366,7 @@
   }
 
   private finishRun(
-    {offer, target, frame, permit, queue, startedAtMs}: StartedRun,
+    {offer, target, frame, permit, queue, pace, startedAtMs}: StartedRun,
     result: RunResult,
   ): void {
     const workMs = this.opts.clock.nowMs() - startedAtMs;
@@ -315,6 +374,7 @@
     this.opts.demandMeter?.recordEnd(
       didWork ? {priority: offer.priority, heldMs: workMs} : undefined,
     );
+    this.recordPace(offer, pace, result, startedAtMs);
     if (result.kind === 'refused') permit.cancel();
     else if (queue === this.queue && this.mayStillRun(result)) {
       this.heldSlots.hold(permit, this.remainingMs(offer, workMs));
@@ -370,7 +430,7 @@
     result: RunResult,
     workMs: number,
   ): void {
-    const {inFlight, waiting, slots, rateLimitRps} = this.load;
+    const {inFlight, waiting, slots, rateLimitRps, pacedSlots} = this.load;
     this.opts.logger.info(
       {
         requestId,
@@ -383,6 +443,7 @@
         waiting,
         slots,
         rateLimitRps,
+        pacedSlots,
         outcome: result.kind,
         status: result.kind === 'answered' ? result.answer.status : undefined,
         code: result.kind === 'answered' ? undefined : result.code,
@@ -396,3 +457,10 @@
 function brokenResult({aborted}: AbortSignal): RunResult {
   return {kind: 'lost', code: aborted ? 'CANCELLED' : 'TARGET_FAILED'};
 }
+
+/** Whether the result shows that the target is not well; `undefined` if it says nothing about that. */
+function isTargetFailure(result: RunResult): boolean | undefined {
+  if (result.kind === 'answered') return FAILURE_STATUSES.has(result.answer.status);
+  if (result.kind === 'refused' || result.code === 'CANCELLED') return undefined;
+  return result.code === 'NOT_OWNER' ? undefined : true;
+}
--- a/routing/request-path/src/messages.ts
+++ b/routing/request-path/src/messages.ts
@@ -112,6 +112,8 @@
   readonly rateLimitRps?: number | undefined;
   /** Factor by which work takes longer now than when `meanMs` was measured; absent if not stated recently. */
   readonly slowdown?: number | undefined;
+  /** Slots in use while the target starts slowly or recovers; absent if all are. */
+  readonly pacedSlots?: number | undefined;
 }
 
 /**
