Move no keys away from a target because it is cold

Cause: the rate that a cold target tolerates was reported with its age, so that keys were moved after 1 s of a warm-up of 3 s. Change: its age is reported as 0, which the placement takes as too short for a move.

--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -349,12 +349,14 @@
     return Math.round(leftMs === Infinity ? bound.durationMs : leftMs);
   }
 
-  /** The rate that the target names or, while lower, the rate that it tolerates while it is cold. */
+  /**
+   * The rate that the target names or, while lower, the rate that it tolerates while it is cold. The age of
+   * the latter stays 0, so that no keys are moved for the few seconds for which a target is cold.
+   */
   get capacityLimit(): RateLimit | undefined {
-    const {rateLimit, coldBound, coldSinceMs} = this;
+    const {rateLimit, coldBound} = this;
     if (!coldBound || (rateLimit && rateLimit.rps <= coldBound.rps)) return rateLimit;
-    const nowMs = this.opts.clock.nowMs();
-    return {rps: coldBound.rps, ageMs: Math.round(nowMs - (coldSinceMs ?? nowMs))};
+    return {rps: coldBound.rps, ageMs: 0};
   }
 
   private recordColdOf({coldLeftMs}: Heartbeat): void {
