--- a/apps/site/src/siteMetrics.ts
+++ b/apps/site/src/siteMetrics.ts
@@ -1,5 +1,5 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
-import type {EntryOutcome, RunResult, TargetLoad} from '@medlarlane/request-path';
+import type {EntryOutcome, MemoryBudget, RunResult, TargetLoad} from '@medlarlane/request-path';
 
 export interface SiteMetrics {
   /** Records a finished request of a caller. */
@@ -12,13 +12,25 @@
 
 export interface DaemonMetricSources {
   readonly load: () => TargetLoad;
+  /** Admission levels below 1 by service and priority. */
+  readonly admissionLevels: () => Iterable<{service: string; priority: number; level: number}>;
   readonly configVersion: () => number;
   /** Requests per second that the target accepts; `undefined` if it names no limit. */
   readonly rateLimitRps: () => number | undefined;
   /** Time for which the target stays cold. */
   readonly coldLeftMs: () => number;
+  /** Slots of requests that were given up but that the target may still run. */
+  readonly heldSlots: () => number;
+  /** Factor by which work at the target currently takes longer than usual; `undefined` if unknown. */
+  readonly slowdown: () => number | undefined;
+  /** Requests per second for the keys of the target. */
+  readonly keyRps: () => number;
   /** Time since the last response of a control leader. */
   readonly controlSilentMs: () => number;
+  /** Whether the target next to this daemon is out of service because of an evacuation. */
+  readonly isEvacuated: () => boolean;
+  readonly evacuatedZoneCount: () => number;
+  readonly memoryBudget: MemoryBudget;
 }
 
 /** Upper bounds of the latency histograms; 20 ms is the latency objective for one hop. */
@@ -55,7 +67,25 @@
   });
   gauge(registry, 'in_flight', 'Requests at the target.', () => sources.load().inFlight);
   gauge(registry, 'waiting', 'Requests that wait for a slot.', () => sources.load().waiting);
+  new Gauge({
+    name: 'medlarlane_site_admission_level',
+    help: 'Fraction of the requests that this daemon admits; absent while it admits all.',
+    labelNames: ['service', 'priority'],
+    registers,
+    collect() {
+      this.reset();
+      for (const {service, priority, level} of sources.admissionLevels()) {
+        this.set({service, priority: String(priority)}, level);
+      }
+    },
+  });
   gauge(registry, 'slots', 'Slots of the target.', () => sources.load().slots);
+  gauge(
+    registry,
+    'paced_slots',
+    'Slots in use while the target starts slowly or recovers, else all slots.',
+    () => sources.load().pacedSlots ?? sources.load().slots,
+  );
   gauge(
     registry,
     'rate_limit_rps',
@@ -68,6 +98,19 @@
     'Time for which the target stays cold.',
     () => sources.coldLeftMs() / 1_000,
   );
+  gauge(
+    registry,
+    'held_slots',
+    'Slots of requests that were given up but that the target may still run.',
+    sources.heldSlots,
+  );
+  gauge(
+    registry,
+    'target_slowdown_ratio',
+    'Factor by which work currently takes longer than usual; NaN if the target does not state it.',
+    () => sources.slowdown() ?? NaN,
+  );
+  gauge(registry, 'key_requests_rps', 'Requests for the keys of the target.', sources.keyRps);
   gauge(
     registry,
     'config_version',
@@ -80,6 +123,32 @@
     'Time since the last response of a control leader.',
     () => sources.controlSilentMs() / 1_000,
   );
+  gauge(
+    registry,
+    'target_evacuated',
+    '1 while the target is out of service because of an evacuation, else 0.',
+    () => (sources.isEvacuated() ? 1 : 0),
+  );
+  gauge(registry, 'evacuated_zones', 'Evacuated availability zones.', sources.evacuatedZoneCount);
+  const {memoryBudget} = sources;
+  gauge(
+    registry,
+    'held_bytes',
+    'Bytes of requests, responses and send queues in memory.',
+    () => memoryBudget.heldBytes,
+  );
+  gauge(
+    registry,
+    'open_streams',
+    'Large responses that are being received or written.',
+    () => memoryBudget.readerCount,
+  );
+  gauge(
+    registry,
+    'memory_cut_offs',
+    'Responses cut off since the start because the memory budget was exceeded.',
+    () => memoryBudget.cutOffCount,
+  );
   return {
     recordRequest: ({route, status, durationMs, attempts}) => {
       requests.inc({route, status: String(status), offers: String(attempts)});
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -1,3 +1,4 @@
+import {DemandMeter, ServiceLevels} from '@medlarlane/admission';
 import {MedlarlaneError} from '@medlarlane/errors';
 import {createGrantClient, HostedTarget} from '@medlarlane/key-holds';
 import type {GrantCodec} from '@medlarlane/key-holds';
@@ -10,14 +11,16 @@
   createEntryHandler,
   createPeerClient,
   createTargetClient,
+  EntryAdmission,
   EventLoopLag,
+  MemoryBudget,
   SiteView,
   startOfferListener,
 } from '@medlarlane/request-path';
 import type {CallerHeaderCodec, CurrentTarget, TargetHeaderCodec} from '@medlarlane/request-path';
 import {PoisonTable} from '@medlarlane/poison';
 import {createRpcClient} from '@medlarlane/rpc';
-import {decodeConfiguration} from '@medlarlane/site-control';
+import {decodeConfiguration, decodeSums} from '@medlarlane/site-control';
 import type {ReportRequest, ReportResponse} from '@medlarlane/site-control';
 import type {SiteConfiguration, SiteService} from '@medlarlane/site-config';
 import {ControlReporter} from '@medlarlane/site-link';
@@ -30,6 +33,7 @@
 import type {SiteMetrics} from './siteMetrics.js';
 import {startCallerListener} from './startCallerListener.js';
 import type {CallerListener} from './startCallerListener.js';
+import {ZoneEvacuation} from './zoneEvacuation.js';
 
 export interface SiteDaemonOptions {
   readonly availabilityZone: string;
@@ -53,6 +57,11 @@
   /** Factor and constant by which a cold target tolerates more than its configured rate in any second. */
   readonly coldOverage?: number;
   readonly coldSlack?: number;
+  /**
+   * Whether the deployment evacuates zones. A daemon then refuses requests for its target until the control
+   * leader has told it whether its zone is evacuated.
+   */
+  readonly hasEvacuations?: boolean;
   readonly callerHeaderCodec: CallerHeaderCodec;
   readonly targetHeaderCodec: TargetHeaderCodec;
   /**
@@ -60,6 +69,8 @@
    * keys.
    */
   readonly grantCodec?: GrantCodec;
+  /** Memory of this process; `undefined` if it is not limited. */
+  readonly memoryBytes?: number | undefined;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -74,11 +85,6 @@
   readonly metrics: SiteMetrics;
   /** Whether callers may send requests to this daemon. */
   readonly isReady: boolean;
-  /**
-   * Must be called when the evacuation of this daemon's zone has been withdrawn: the target counts as cold
-   * until a health check or heartbeat says that it is not.
-   */
-  onZoneRestored(): void;
   /**
    * Stops accepting requests, waits for requests in flight and closes, all within about `graceMs`. Requests
    * that are still accepted meanwhile get a response by then.
@@ -99,6 +105,8 @@
  */
 const READINESS_PROPAGATION_MS = 2_600;
 const STOP_POLL_INTERVAL_MS = 50;
+/** Time for which demand is reported after the leader asked for it; longer than two reports take. */
+const DEMAND_WANTED_MS = 1_500;
 /** Time before the end of a stop for the last responses of targets, which end at their deadline. */
 const LAST_RESPONSE_MS = 150;
 /** Maximum number of connections to the target; leaves connections free for its other callers. */
@@ -135,6 +143,7 @@
     drainMs: opts.drainMs,
     maxHoldMs: opts.maxHoldMs,
     keyCount: KEY_COUNT,
+    awaitsLeader: opts.hasEvacuations === true,
     ...(grantApi ? {grantApi} : {}),
     coldBound: () => {
       if (!view.hasConfiguration) return unknownColdBound(tolerance);
@@ -143,22 +152,64 @@
     },
     isServiceServed: () => view.instancesOf(opts.service).some(({state}) => state === 'ready'),
   });
+  const zoneEvacuation = disposables.use(
+    new ZoneEvacuation({
+      availabilityZone: opts.availabilityZone,
+      view,
+      hostedTarget,
+      clock,
+      logger: createComponentLogger('zones', logger),
+    }),
+    (evacuation) => evacuation.dispose(),
+  );
+  // Targets of a zone may have become cold while it was evacuated.
+  zoneEvacuation.onZoneRestored = () => {
+    hostedTarget.assumeCold('evacuation');
+    return healthChecks.check('zone-restored');
+  };
+  const memoryBudget = new MemoryBudget({
+    processBytes: opts.memoryBytes,
+    onCutOff: (usage) => logger.warn(usage, 'Slow readers cut off, memory budget exceeded'),
+  });
   const targetClient = disposables.use(
     createTargetClient({
       ...opts.targetEndpoint,
+      memoryBudget,
       headerCodec: opts.targetHeaderCodec,
       maxConnections: MAX_TARGET_CONNECTIONS,
       onConnectionRefused: () => void checkTarget(),
-      onNotice: (incarnation, notice) => hostedTarget.recordNotice(incarnation, notice),
+      onNotice: (incarnation, notice) => {
+        hostedTarget.recordNotice(incarnation, notice);
+        if (notice.load) admissionController.recordStatedLoad(incarnation, notice.load);
+      },
     }),
     (client) => client.close(),
   );
+  const demandMeter = new DemandMeter(clock);
+  const serviceLevels = new ServiceLevels({
+    clock,
+    logger: createComponentLogger('admission', logger),
+  });
+  let demandWantedUntilMs = -Infinity;
+  const measuredDemand = (): Pick<ReportRequest, 'demand'> => {
+    const {usableSlots} = admissionController;
+    const isReported =
+      clock.nowMs() < demandWantedUntilMs || demandMeter.isNearCapacity(usableSlots);
+    return isReported ? {demand: demandMeter.report(usableSlots)} : {};
+  };
   const metrics = createDaemonMetrics({
     load: () => admissionController.load,
+    admissionLevels: () => serviceLevels.list(),
     configVersion: () => view.configuration.version,
     rateLimitRps: () => hostedTarget.rateLimit?.rps,
     coldLeftMs: () => hostedTarget.coldLeftMs,
+    heldSlots: () => admissionController.heldSlotCount,
+    slowdown: () => hostedTarget.slowdown,
+    keyRps: () => hostedTarget.offeredRps,
     controlSilentMs: () => controlReporter.sinceLastResponseMs,
+    isEvacuated: () => hostedTarget.isEvacuated,
+    evacuatedZoneCount: () => zoneEvacuation.zoneCount,
+    memoryBudget,
   });
   const poison = new PoisonTable({reporterId: forwardAddress, clock});
   let isPoisonReported = true;
@@ -171,6 +222,7 @@
     holdsKey: (key) => hostedTarget.holdsKey(key),
     rateLimitRps: () => hostedTarget.permittedRps,
     maxPerSecond: () => hostedTarget.coldBound?.maxPerSecond,
+    isCold: () => hostedTarget.coldBound !== undefined,
     grantDueInMs: (key) => hostedTarget.grantDueInMs(key),
     poison,
     onResult: (result, durationMs) => {
@@ -178,6 +230,8 @@
       healthChecks.recordResult(result);
     },
     onKeyRequest: (key) => hostedTarget.recordRequest(key),
+    demandMeter,
+    slowdown: () => hostedTarget.slowdown,
   });
   const healthChecks = new HealthChecks({
     clock,
@@ -192,9 +246,10 @@
   });
   const eventLoopLag = new EventLoopLag(disposables);
   const peers = disposables.use(
-    createPeerClient({logger: createComponentLogger('peers', logger)}),
+    createPeerClient({logger: createComponentLogger('peers', logger), memoryBudget}),
     (client) => client.close(),
   );
+  memoryBudget.addQueue(() => peers.heldBytes ?? 0);
   const budgets = new RetryBudgets(opts);
   const entryHandler = createEntryHandler({
     view,
@@ -213,7 +268,9 @@
       return isStopping || callerListener.isOverConnectionLimit ? 'closing' : 'open';
     },
     stopDeadlineAtMs: () => stopDeadlineAtMs - LAST_RESPONSE_MS,
+    entryAdmission: new EntryAdmission({view, demandMeter, serviceLevels}),
     onResponse: (outcome) => metrics.recordRequest(outcome),
+    memoryBudget,
   });
   const rpc = disposables.use(createRpcClient(), (client) => client.close());
   const applyConfiguration = (next: SiteConfiguration): void => {
@@ -227,7 +284,10 @@
     if (sentAtMs > crashedAtMs) isPoisonReported = true;
     if (response.configuration) applyConfiguration(decodeConfiguration(response.configuration));
     budgets.setDaemonCount(response.daemonCount);
+    if (response.isDemandWanted) demandWantedUntilMs = clock.nowMs() + DEMAND_WANTED_MS;
+    serviceLevels.update((response.demand ?? []).map(decodeSums), response.daemonCount);
     view.updateInstances(response);
+    if (response.evacuation) zoneEvacuation.apply(response.evacuation);
     if (response.poison) poison.merge(response.poison);
     for (const [service, changedRanges] of response.ranges) {
       view.setRanges(
@@ -237,7 +297,12 @@
     }
     const successors = view
       .instancesOf(opts.service)
-      .filter(({state, life}) => state === 'ready' && life !== hostedTarget.incarnation);
+      .filter(
+        (entry) =>
+          entry.state === 'ready' &&
+          entry.life !== hostedTarget.incarnation &&
+          !view.isEvacuated(entry),
+      );
     const ownEntry = response.instances.find((entry) => entry.forwardAddress === forwardAddress);
     const isTargetUnknown = hostedTarget.incarnation === undefined;
     if (ownEntry) hostedTarget.restore(ownEntry);
@@ -263,11 +328,13 @@
       availabilityZone: opts.availabilityZone,
       configVersion: view.configuration.version,
       ...syncState,
+      evacuationIndex: zoneEvacuation.index,
       waitMs: 0,
       ...buildTargetReport(hostedTarget, admissionController),
       endedLives: [...hostedTarget.endedIncarnations],
       released: [...hostedTarget.released],
       ...(isPoisonReported ? {} : {poison: poison.export()}),
+      ...measuredDemand(),
       stopping: isStopping,
     }),
     onResponse: handleReportResponse,
@@ -294,7 +361,9 @@
     admissionController,
     logger,
     lagMs: () => eventLoopLag.lagMs,
+    memoryBudget,
   });
+  memoryBudget.addQueue(() => offerListener.heldBytes);
   controlReporter.start();
   disposables.add(() => controlReporter.stop());
   /**
@@ -331,10 +400,6 @@
     get isReady() {
       return !isStopping && view.hasConfiguration;
     },
-    onZoneRestored: () => {
-      hostedTarget.assumeCold('evacuation');
-      void healthChecks.check('zone-restored');
-    },
     stop: async (graceMs) => {
       isStopping = true;
       controlReporter.reportNow();
@@ -352,7 +417,7 @@
       await waitUntil(() => admissionController.inFlight === 0);
       isClosed = true;
       callerListener.stopAccepting();
-      await waitUntil(() => entryHandler.inFlight === 0);
+      await waitUntil(() => entryHandler.inFlight === 0 && offerListener.openStreams === 0);
       logger.info({inFlight: entryHandler.inFlight}, 'Daemon closing');
       callerListener.closeAll();
       await offerListener.close();
@@ -384,9 +449,10 @@
 ): Pick<ReportRequest, 'target'> {
   const {lastHeartbeat: heartbeat, incarnation, state, mayHoldKeys} = hostedTarget;
   const {capacityLimit: rateLimit} = hostedTarget;
+  const {isEvacuated} = hostedTarget;
   if (!heartbeat || incarnation === undefined || state === undefined) return {};
   // The leader may reassign the keys of a target that holds none and accepts no new ones.
-  if (!mayHoldKeys && state !== 'ready') hostedTarget.invalidateLease();
+  if (!mayHoldKeys && (state !== 'ready' || isEvacuated)) hostedTarget.invalidateLease();
   return {
     target: {
       targetId: heartbeat.targetId,
@@ -400,6 +466,7 @@
       meanMs: admissionController.load.meanMs,
       ...(rateLimit ? {rateLimit} : {}),
       isRateLimitKnown: hostedTarget.hasNotice,
+      ...(isEvacuated ? {isEvacuated} : {}),
     },
   };
 }
--- a/routing/request-path/src/index.ts
+++ b/routing/request-path/src/index.ts
@@ -1,3 +1,5 @@
+export {EntryAdmission} from './entryAdmission.js';
+export type {EntryAdmissionOptions, EntryRequest} from './entryAdmission.js';
 export {createEntryHandler} from './entryHandler.js';
 export type {EntryHandler, EntryHandlerOptions, EntryOutcome} from './entryHandler.js';
 export {EventLoopLag} from './eventLoopLag.js';
@@ -20,5 +22,8 @@
   TargetHeaderCodec,
   CallerHeaderCodec,
 } from './messages.js';
+export {MemoryBudget} from './memoryBudget.js';
+export {ResponseStream} from './responseStream.js';
+export type {StreamEnd, StreamReader} from './responseStream.js';
 export {OfferPlan} from './offerPlan.js';
 export type {PlannedOffer} from './offerPlan.js';
--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -68,6 +68,8 @@
 const MAX_QUEUE_LOAD_AGE_MS = 100;
 /** The load of a target is valid for the mean duration of a request there, but at least for this time. */
 const MIN_LOAD_VALID_MS = 100;
+/** The speed of a target changes several times per second; an older figure is ignored. */
+const MAX_SLOWDOWN_AGE_MS = 1_000;
 /** Assumed mean duration until a target has reported its load. */
 const INITIAL_MEAN_MS = 50;
 /** A weight of 1 doubles the predicted latency of a fully utilised instance. */
@@ -88,10 +90,11 @@
   private instances = new Map<string, InstanceView>();
   private byIncarnation = new Map<string, InstanceView>();
   private byService = new Map<string, InstanceView[]>();
-  /** Instances by service that are ready and not stopping. */
+  /** Instances by service that are ready, not stopping and not in an evacuated zone. */
   private availableByService = new Map<string, InstanceView[]>();
   private keyedServices: ReadonlySet<string> = new Set();
   private warmUpServices: ReadonlySet<string> = new Set();
+  private evacuatedZones: ReadonlySet<string> = new Set();
   /** Instances that a new leader has not confirmed yet, with the time at which they are removed. */
   private readonly unconfirmedUntilMs = new Map<string, number>();
   private coldUntilMs = new Map<string, number>();
@@ -151,12 +154,7 @@
       if (list) list.push(instance);
       else this.byService.set(instance.service, [instance]);
     }
-    this.availableByService = new Map(
-      [...this.byService].map(([service, list]) => [
-        service,
-        list.filter(({state, stopping}) => state === 'ready' && !stopping),
-      ]),
-    );
+    this.updateAvailable();
     for (const instance of update.instances) this.updateCold(instance, nowMs);
     for (const incarnation of this.statsByIncarnation.keys()) {
       if (!this.byIncarnation.has(incarnation)) this.statsByIncarnation.delete(incarnation);
@@ -187,6 +185,27 @@
     this.statsOf(life).load = {...load, rateLimitRps: isCold ? rateLimitRps : undefined};
   }
 
+  /** Sets the availability zones whose instances are not selected. */
+  setEvacuatedZones(zones: readonly string[]): void {
+    this.evacuatedZones = new Set(zones);
+    this.updateAvailable();
+  }
+
+  isEvacuated({availabilityZone}: Pick<InstanceView, 'availabilityZone'>): boolean {
+    return this.evacuatedZones.has(availabilityZone);
+  }
+
+  private updateAvailable(): void {
+    this.availableByService = new Map(
+      [...this.byService].map(([service, list]) => [
+        service,
+        list.filter(
+          (entry) => entry.state === 'ready' && !entry.stopping && !this.isEvacuated(entry),
+        ),
+      ]),
+    );
+  }
+
   /** Keeps unconfirmed instances, because a new leader only knows those that have reported to it so far. */
   private keepUnconfirmed(nowMs: number): void {
     for (const forwardAddress of this.instances.keys()) {
@@ -232,6 +251,7 @@
     return route.shares[best]!.service;
   }
 
+  /** Returns the instance that owns the key; `undefined` also while its zone is evacuated. */
   ownerOf(service: string, key: number): InstanceView | undefined {
     const ranges = this.rangesOf(service);
     let low = 0;
@@ -242,7 +262,9 @@
       else high = middle;
     }
     const range = ranges[low];
-    return range && range.fromKey <= key ? this.byIncarnation.get(range.ownerLife) : undefined;
+    if (!range || range.fromKey > key) return undefined;
+    const owner = this.byIncarnation.get(range.ownerLife);
+    return owner && !this.isEvacuated(owner) ? owner : undefined;
   }
 
   /**
@@ -285,7 +307,9 @@
     if (shortest) return shortest;
     const isPreferred = ({life}: InstanceView): boolean => this.statsOf(life).avoidUntilMs <= nowMs;
     const unresponsive = (): InstanceView[] =>
-      this.instancesOf(service).filter(({state}) => state === 'silent');
+      this.instancesOf(service).filter(
+        (entry) => entry.state === 'silent' && !this.isEvacuated(entry),
+      );
     return (
       this.drawBetterOfTwo(available, isPreferred) ??
       this.drawBetterOfTwo(available, isNotExcluded) ??
@@ -319,7 +343,8 @@
 
   /** Shortest time after which an instance of the service may have a free slot again. */
   estimateRetryAfterMs(service: string): number {
-    const waits = this.instancesOf(service).map((entry) => {
+    const instances = this.instancesOf(service).filter((entry) => !this.isEvacuated(entry));
+    const waits = instances.map((entry) => {
       const {load} = this.statsOf(entry.life);
       return load ? (load.meanMs * (load.waiting + 1)) / this.usableSlots(entry) : INITIAL_MEAN_MS;
     });
@@ -376,37 +401,60 @@
     return assumeRefusalUntilMs > this.opts.clock.nowMs() ? refusal : undefined;
   }
 
+  /** Whether the last load of the owner of the key is current and shows a free slot. */
+  hasFreeOwner(service: string, key: number): boolean {
+    const owner = this.ownerOf(service, key);
+    const load = owner && this.currentLoad(owner.life);
+    if (!load) return false;
+    return load.waiting === 0 && this.estimateOccupancy(owner.life) < this.usableSlots(owner);
+  }
+
+  private currentLoad(incarnation: string): TargetLoad | undefined {
+    const {load, loadAtMs} = this.statsOf(incarnation);
+    if (!load) return undefined;
+    const ageMs = this.opts.clock.nowMs() - loadAtMs;
+    return ageMs < Math.max(MIN_LOAD_VALID_MS, load.meanMs) ? load : undefined;
+  }
+
   /** Estimates the number of requests at the instance. An outdated load is ignored. */
   private estimateOccupancy(incarnation: string): number {
-    const {load, loadAtMs, outstanding, sentSinceLoad} = this.statsOf(incarnation);
-    const isCurrent =
-      load && this.opts.clock.nowMs() - loadAtMs < Math.max(MIN_LOAD_VALID_MS, load.meanMs);
-    return isCurrent ? load.inFlight + load.waiting + sentSinceLoad : outstanding;
+    const {outstanding, sentSinceLoad} = this.statsOf(incarnation);
+    const load = this.currentLoad(incarnation);
+    return load ? load.inFlight + load.waiting + sentSinceLoad : outstanding;
   }
 
-  /** Slots that the target can use: those that its rate limit keeps busy, by Little's law. */
-  private usableSlots({life, slots, rateLimitRps}: InstanceView): number {
+  /** Slots that the target can use: at its pace, and kept busy by its rate limit (Little's law). */
+  private usableSlots({life, slots: allSlots, rateLimitRps}: InstanceView): number {
     const {load} = this.statsOf(life);
+    const slots = Math.min(allSlots, load?.pacedSlots ?? Infinity);
     const limitRps = load ? load.rateLimitRps : rateLimitRps;
     if (limitRps === undefined) return Math.max(1, slots);
     const busySlots = (limitRps * (load?.meanMs ?? INITIAL_MEAN_MS)) / MS_PER_S;
     return Math.max(MIN_USABLE_SLOTS, Math.min(slots, busySlots));
   }
 
+  /** Mean duration at the instance, corrected by its current speed while that is known. */
+  private currentMeanMs(incarnation: string): number | undefined {
+    const {load, loadAtMs} = this.statsOf(incarnation);
+    if (!load) return undefined;
+    const isCurrent = this.opts.clock.nowMs() - loadAtMs < MAX_SLOWDOWN_AGE_MS;
+    return load.meanMs * (isCurrent ? (load.slowdown ?? 1) : 1);
+  }
+
   private waitMs(entry: InstanceView): number {
-    const {load} = this.statsOf(entry.life);
     const slots = this.usableSlots(entry);
     const ahead = Math.max(0, this.estimateOccupancy(entry.life) + 1 - slots);
-    return (ahead * (load?.meanMs ?? INITIAL_MEAN_MS)) / slots;
+    const meanMs = this.currentMeanMs(entry.life) ?? INITIAL_MEAN_MS;
+    return (ahead * meanMs) / slots;
   }
 
   private predictedMs(entry: InstanceView, defaultMeanMs = INITIAL_MEAN_MS): number {
     const {life, availabilityZone} = entry;
-    const {load, failureRatio} = this.statsOf(life);
+    const {failureRatio} = this.statsOf(life);
     const utilisation = this.estimateOccupancy(life) / this.usableSlots(entry);
     const isCold = (this.coldUntilMs.get(life) ?? 0) > this.opts.clock.nowMs();
     return (
-      (load?.meanMs ?? defaultMeanMs) *
+      (this.currentMeanMs(life) ?? defaultMeanMs) *
       (1 + UTILISATION_WEIGHT * utilisation * utilisation) *
       (1 + FAILURE_WEIGHT * failureRatio) *
       (availabilityZone === this.opts.availabilityZone ? 1 : OTHER_ZONE_FACTOR) *
--- a/routing/request-path/test/siteView.test.ts
+++ b/routing/request-path/test/siteView.test.ts
@@ -45,6 +45,22 @@
     assert.equal(pickMany(slow, 100).get('near') ?? 0, 0);
   });
 
+  // Guards against requests to targets that other workloads slow down at the moment.
+  it('prefers the target that is faster now as long as the figures are recent', async () => {
+    const {view, clock} = startView(['near-1', 'near-2']);
+    for (const [life, slowdown] of [
+      ['near-1', 2.5],
+      ['near-2', 1],
+    ] as const) {
+      view.recordSent(life);
+      const load = {inFlight: 0, waiting: 0, slots: 10, meanMs: 100, slowdown};
+      view.recordResult(life, {kind: 'refused', code: 'CANCELLED', load});
+    }
+    assert.equal(pickMany(view, 100).get('near-1') ?? 0, 0);
+    await clock.advance(1_100);
+    assert.ok(pickMany(view, 100).get('near-1')! > 20, 'uses outdated figures');
+  });
+
   it('offers a request to recently refusing instances only as a last resort', () => {
     const {view} = startView(['near', 'far-1']);
     view.recordSent('near');
@@ -141,6 +157,34 @@
     }
   });
 
+  // Guards against requests to an evacuated zone, also those of last resort and to owners of keys.
+  it('selects no instance of an evacuated zone until it is restored', () => {
+    const {view} = startView(['near', 'far-1']);
+    view.setRanges(SERVICE, [{fromKey: 0, toKey: 65_535, ownerLife: 'near'}]);
+    view.setEvacuatedZones(['near']);
+    assert.deepEqual([...pickMany(view, 50)], [['far-1', 50]]);
+    assert.equal(view.ownerOf(SERVICE, 5), undefined);
+    const late = {...view.instancesOf(SERVICE)[0]!, life: 'near-2', forwardAddress: 'near-2:1'};
+    const silent = {...late, life: 'near-3', forwardAddress: 'near-3:1', state: 'silent'} as const;
+    view.updateInstances({full: false, instances: [late, silent], removed: ['far-1:1']});
+    assert.equal(view.pickFreeInstance(SERVICE, new Set()), undefined);
+    assert.equal(view.pickShortestQueue(SERVICE, new Set()), undefined);
+    view.setEvacuatedZones([]);
+    assert.equal(view.ownerOf(SERVICE, 5)?.life, 'near');
+    assert.notEqual(view.pickFreeInstance(SERVICE, new Set()), undefined);
+  });
+
+  it('sends a target that starts slowly no more than its slots in use', () => {
+    const {view} = startView(['near', 'far-1']);
+    const answer = {status: 200, headers: [], body: new Uint8Array()};
+    const load = {inFlight: 0, waiting: 0, slots: 10, meanMs: 100, pacedSlots: 1};
+    view.recordSent('near');
+    view.recordResult('near', {kind: 'answered', answer, load});
+    assert.equal(view.pickFreeInstance(SERVICE, new Set())?.life, 'near');
+    view.recordSent('near');
+    assert.equal(view.pickFreeInstance(SERVICE, new Set())?.life, 'far-1');
+  });
+
   it('finds the owner of a key at both ends of its range and none in a gap', () => {
     const {view} = startView(['near', 'far-1']);
     view.setRanges(SERVICE, [
--- a/targets/key-holds/src/departingKeys.ts
+++ b/targets/key-holds/src/departingKeys.ts
@@ -7,6 +7,14 @@
   readonly handover: string;
   /** 0 when the keys were released without a transfer. */
   readonly transferId: number;
+  /** Fencing token of the assignment that the keys were released from. */
+  readonly epoch: number;
+}
+
+/** A request of the leader to move keys that carry a fraction of the target's requests. */
+export interface RequestedTransfer {
+  readonly transferId: number;
+  readonly share: number;
 }
 
 /** A key range that a transfer moves to another target. */
@@ -16,6 +24,7 @@
 
 interface KeyRelease extends KeyRange {
   readonly handover: string;
+  readonly epoch: number;
 }
 
 /**
@@ -37,8 +46,8 @@
   }
 
   get released(): ReleasedKeyRange[] {
-    return this.releases.flatMap(({fromKey, toKey, handover}) =>
-      this.splitByTransfer({fromKey, toKey}).map((part) => ({...part, handover})),
+    return this.releases.flatMap(({fromKey, toKey, handover, epoch}) =>
+      this.splitByTransfer({fromKey, toKey}).map((part) => ({...part, handover, epoch})),
     );
   }
 
@@ -46,34 +55,33 @@
     return this.releases.some((other) => other.handover === handover);
   }
 
-  addRelease(range: KeyRange, handover: string): void {
-    this.releases.push({...range, handover});
+  addRelease(range: KeyRange, release: {handover: string; epoch: number}): void {
+    this.releases.push({...range, ...release});
   }
 
-  /** Removes releases that overlap no key range assigned to this incarnation. */
-  retainAssigned(assigned: readonly KeyRange[]): void {
+  /**
+   * Removes releases whose keys the leader has assigned anew, to another incarnation or, after an
+   * evacuation, to this one again.
+   */
+  retainAssigned(assigned: ReadonlyArray<KeyRange & {readonly epoch: number}>): void {
     this.releases = this.releases.filter((release) =>
-      assigned.some((range) => overlaps(range, release)),
+      assigned.some((range) => overlaps(range, release) && range.epoch <= release.epoch),
     );
   }
 
-  /** Selects keys for new transfers and removes transfers that the leader has cancelled or completed. */
-  updateTransfers(
-    transfers: ReadonlyArray<{transferId: number; share: number}>,
-    selectRange: (transfer: {transferId: number; share: number}) => KeyRange | undefined,
-  ): void {
+  /** Removes transfers that the leader has cancelled or completed. Returns those without keys so far. */
+  retainTransfers(transfers: readonly RequestedTransfer[]): RequestedTransfer[] {
     this.transferredRanges = this.transferredRanges.filter(({transferId}) =>
       transfers.some((transfer) => transfer.transferId === transferId),
     );
-    for (const transfer of transfers) {
-      const {transferId} = transfer;
-      if (this.transferredRanges.some((range) => range.transferId === transferId)) continue;
-      // An empty range records that no keys could be selected, so that the transfer is not tried again.
-      this.transferredRanges.push({
-        transferId,
-        ...(selectRange(transfer) ?? {fromKey: 0, toKey: -1}),
-      });
-    }
+    return transfers.filter(
+      ({transferId}) => !this.transferredRanges.some((range) => range.transferId === transferId),
+    );
+  }
+
+  addTransfer(transferId: number, range: KeyRange | undefined): void {
+    // An empty range records that no keys could be selected, so that the transfer is not tried again.
+    this.transferredRanges.push({transferId, ...(range ?? {fromKey: 0, toKey: -1})});
   }
 
   /** Returns the parts of a key range that the target keeps. */
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -2,9 +2,9 @@
 import type {Logger} from '@medlarlane/logger';
 import {PushedGrants} from './calledGrants.js';
 import type {GrantApi} from './calledGrants.js';
-import {KeyLoad} from './keyLoad.js';
+import {KeyDemand} from './keyDemand.js';
 import {OutgoingKeys} from './departingKeys.js';
-import type {ReleasedKeyRange} from './departingKeys.js';
+import type {ReleasedKeyRange, RequestedTransfer} from './departingKeys.js';
 import {overlaps} from './keyRange.js';
 import type {KeyRange} from './keyRange.js';
 import type {ColdBound, TargetNotice} from './targetNotice.js';
@@ -66,6 +66,11 @@
   readonly coldBound?: () => ColdBound | undefined;
   /** Whether the service is already served, so that a new target is one that has just started. */
   readonly isServiceServed?: () => boolean;
+  /**
+   * Whether the target accepts no requests until the control leader has been heard, because its zone may
+   * be evacuated.
+   */
+  readonly awaitsLeader?: boolean;
 }
 
 export type HostedTargetState = 'ready' | 'draining' | 'silent' | 'ended';
@@ -111,6 +116,10 @@
 const UNKNOWN_LIMIT_RPS = 10;
 /** Number of ended incarnations to report; more than can start between two reports that arrive. */
 const MAX_REPORTED_INCARNATIONS = 8;
+/** Smaller shares are moved for a lasting imbalance, in which a higher demand is a fluctuation. */
+const MIN_SCALED_SHARE = 0.5;
+/** Maximum number of transfers in a log record; a hot stretch is spread over dozens of targets. */
+const MAX_LOGGED_TRANSFERS = 8;
 
 /** The local target of this daemon: its incarnation, its state and the keys that it may hold. */
 export class HostedTarget {
@@ -118,6 +127,7 @@
   private heartbeatAtMs = -Infinity;
   private statements: TargetStatements | undefined;
   private ended = false;
+  private evacuated = false;
   private readonly startedAtMs: number;
   private grantedUntilMs = -Infinity;
   /** `grantedUntilMs` on the steady clock. */
@@ -136,13 +146,17 @@
   private endedIncarnationIds: string[] = [];
   private hasSuccessors = false;
   private hasHeardLeader = false;
-  private keyLoad: KeyLoad | undefined;
   /** Since when the bound of a cold target has been in force. */
   private coldSinceMs: number | undefined;
+  private keyDemand: KeyDemand | undefined;
+  /** Transfers of the leader for which no keys have been selected yet. */
+  private requestedTransfers: readonly RequestedTransfer[] = [];
+  /** Demand for the assigned keys when these transfers were requested. */
+  private rpsAtRequest = 0;
   private readonly pushedGrants: PushedGrants | undefined;
   /** Called after a change that is to be reported to the control leader immediately. */
   onChange: () => void = () => undefined;
-  /** Called when an incarnation of the target ended without draining. */
+  /** Called when an incarnation of the target ended without draining and outside an evacuation. */
   onCrash: (incarnation: string) => void = () => undefined;
 
   constructor(private readonly opts: HostedTargetOptions) {
@@ -189,9 +203,23 @@
     );
   }
 
+  /** Whether the target is out of service because its zone is evacuated. */
+  get isEvacuated(): boolean {
+    return this.evacuated;
+  }
+
+  /**
+   * Whether the target hands its keys over to others. Its end is then planned and not blamed on the requests
+   * that it was running.
+   */
+  private get isLeavingService(): boolean {
+    return this.evacuated || this.statements?.isDraining === true;
+  }
+
   /** Whether the target accepts new requests. */
   get acceptsRequests(): boolean {
-    if (!this.heartbeat || this.ended) return false;
+    if (!this.heartbeat || this.ended || this.evacuated) return false;
+    if (this.opts.awaitsLeader && !this.hasHeardLeader) return false;
     return this.statements?.isDrainTimeoutNear !== true;
   }
 
@@ -221,19 +249,20 @@
 
   /** Requests per second for the assigned keys, whether admitted or not. */
   get offeredRps(): number {
-    return this.keyLoad?.rateOf(this.assigned) ?? 0;
+    return this.keyDemand?.rateOf(this.assigned) ?? 0;
   }
 
   /** Counts a request for a key. */
   recordRequest(key: number): void {
-    this.keyLoad ??= new KeyLoad({clock: this.opts.clock, keyCount: this.opts.keyCount});
-    this.keyLoad.recordRequest(key);
+    this.keyDemand ??= new KeyDemand({clock: this.opts.clock, keyCount: this.opts.keyCount});
+    this.keyDemand.recordRequest(key);
+    if (this.keyDemand.isNewSurge(this.assigned)) this.onChange();
   }
 
   /** Time until the next grant that includes the key; `undefined` when none is planned. */
   grantDueInMs(key: number): number | undefined {
     if (this.opts.clock.nowMs() >= this.leaseUntilMs) return undefined;
-    if (this.statements?.isDraining) return undefined;
+    if (this.isLeavingService) return undefined;
     const nowMs = this.opts.steadyClock.nowMs();
     const isPlanned = this.assigned
       .flatMap((range) => this.remainingRanges(range))
@@ -290,6 +319,11 @@
     return this.statements?.rateLimit;
   }
 
+  /** Factor by which work currently takes longer than usual; `undefined` when not stated recently. */
+  get slowdown(): number | undefined {
+    return this.statements?.slowdown;
+  }
+
   /**
    * Requests per second that may be sent to the target; `undefined` without a limit. A restarted daemon
    * starts cautiously until the target or the leader has told it whether there is a limit.
@@ -315,12 +349,14 @@
     return Math.round(leftMs === Infinity ? bound.durationMs : leftMs);
   }
 
-  /** The rate that the target names or, while lower, the rate that it tolerates while it is cold. */
+  /**
+   * The rate that the target names or, while lower, the rate that it tolerates while it is cold. The age of
+   * the latter stays 0, so that no keys are moved for the few seconds for which a target is cold.
+   */
   get capacityLimit(): RateLimit | undefined {
-    const {rateLimit, coldBound, coldSinceMs} = this;
+    const {rateLimit, coldBound} = this;
     if (!coldBound || (rateLimit && rateLimit.rps <= coldBound.rps)) return rateLimit;
-    const nowMs = this.opts.clock.nowMs();
-    return {rps: coldBound.rps, ageMs: Math.round(nowMs - (coldSinceMs ?? nowMs))};
+    return {rps: coldBound.rps, ageMs: 0};
   }
 
   private recordColdOf({coldLeftMs}: Heartbeat): void {
@@ -386,8 +422,9 @@
   /** Starts the requests that grant or revoke keys now. Must be called regularly. */
   applyGrantPlan(): void {
     if (!this.pushedGrants || this.ended || this.lastHeartbeatAtMs === -Infinity) return;
+    this.selectForTransfers();
     const {assigned, leaseUntilMs} = this;
-    const isHandingOver = this.statements?.isDraining === true && this.hasSuccessors;
+    const isHandingOver = this.isLeavingService && this.hasSuccessors;
     this.pushedGrants.applyPlan({
       keep: isHandingOver ? [] : assigned.flatMap((range) => this.remainingRanges(range)),
       revoke: isHandingOver ? assigned : this.outgoingKeys.outgoingRanges,
@@ -439,6 +476,20 @@
     if (this.statements?.beginDrain('removal')) this.onChange();
   }
 
+  /**
+   * Takes the target out of service or returns it. Unlike after a drain, the same incarnation can return.
+   * Grants follow with the next response of the leader.
+   */
+  setEvacuated(isEvacuated: boolean): void {
+    if (this.evacuated === isEvacuated) return;
+    this.evacuated = isEvacuated;
+    this.opts.logger.info(
+      {life: this.incarnation, assignedRanges: this.assigned.length},
+      isEvacuated ? 'Target evacuated' : 'Target returned from an evacuation',
+    );
+    this.onChange();
+  }
+
   /** Records that no process listens at the target's address any more. */
   markEnded(): void {
     if (!this.heartbeat || this.ended) return;
@@ -448,7 +499,7 @@
     this.grantedUntilMs = -Infinity;
     this.steadyGrantedUntilMs = -Infinity;
     this.opts.logger.info({life: this.incarnation}, 'Target process exited');
-    if (!this.statements?.isDraining) this.onCrash(incarnationOf(this.heartbeat));
+    if (!this.isLeavingService) this.onCrash(incarnationOf(this.heartbeat));
     this.onChange();
   }
 
@@ -467,9 +518,9 @@
       this.leaseUntilMs = Math.max(this.leaseUntilMs, response.sentAtMs + response.leaseMs);
     else if (response.leaseMs === 0) this.leaseUntilMs = -Infinity;
     this.assigned = response.ranges.filter(({ownerLife}) => ownerLife === this.incarnation);
-    this.outgoingKeys.updateTransfers(response.transfers, (transfer) =>
-      this.selectForTransfer(transfer),
-    );
+    const isFirstRequest = this.requestedTransfers.length === 0;
+    this.requestedTransfers = this.outgoingKeys.retainTransfers(response.transfers);
+    if (isFirstRequest && this.requestedTransfers.length > 0) this.rpsAtRequest = this.offeredRps;
     this.hasSuccessors = response.hasSuccessors;
     this.outgoingKeys.retainAssigned(this.assigned);
     this.applyGrantPlan();
@@ -516,8 +567,7 @@
       {life: incarnationOf(next), former: previous && incarnationOf(previous)},
       'Target started a new incarnation',
     );
-    if (previous && !this.ended && !this.statements?.isDraining)
-      this.onCrash(incarnationOf(previous));
+    if (previous && !this.ended && !this.isLeavingService) this.onCrash(incarnationOf(previous));
     if (previous)
       this.endedIncarnationIds = [...this.endedIncarnationIds, incarnationOf(previous)].slice(
         -MAX_REPORTED_INCARNATIONS,
@@ -534,6 +584,7 @@
     this.steadyGrantedUntilMs = -Infinity;
     this.assigned = [];
     this.reportedHolds = [];
+    this.requestedTransfers = [];
     this.outgoingKeys.reset();
   }
 
@@ -549,25 +600,50 @@
 
   private addRelease(keys: KeyRange, handover: string): void {
     this.opts.logger.info({life: this.incarnation, ...keys}, 'Target released keys');
-    const isAssigned = this.assigned.some((range) => overlaps(range, keys));
-    if (isAssigned) this.outgoingKeys.addRelease(keys, handover);
-  }
-
-  /** Selects the key range whose load comes closest to the requested fraction of the total. */
-  private selectForTransfer({
-    transferId,
-    share,
-  }: {
-    transferId: number;
-    share: number;
-  }): KeyRange | undefined {
+    const epochs = this.assigned.filter((range) => overlaps(range, keys)).map(({epoch}) => epoch);
+    if (epochs.length > 0)
+      this.outgoingKeys.addRelease(keys, {handover, epoch: Math.max(...epochs)});
+  }
+
+  /**
+   * Selects the keys of the requested transfers; called when the target can be told, because the loads of the
+   * keys are the better known the later that is.
+   */
+  private selectForTransfers(): void {
+    if (this.requestedTransfers.length === 0) return;
     const keptRanges = this.assigned.flatMap((range) => this.remainingRanges(range));
-    const keys = this.keyLoad?.selectRange(keptRanges, share);
+    const factor = this.shareFactor();
+    const selected = this.keyDemand?.selectRanges(
+      keptRanges,
+      this.requestedTransfers.map(({share}) => share * factor),
+    );
+    this.requestedTransfers.forEach(({transferId}, index) =>
+      this.outgoingKeys.addTransfer(transferId, selected?.[index]),
+    );
     this.opts.logger.info(
-      {life: this.incarnation, transferId, share, ...keys},
-      'Selected keys for a transfer',
+      {
+        life: this.incarnation,
+        transfers: this.requestedTransfers
+          .slice(0, MAX_LOGGED_TRANSFERS)
+          .map((transfer, index) => ({...transfer, ...selected?.[index]})),
+        count: this.requestedTransfers.length,
+        factor,
+      },
+      'Selected keys for transfers',
     );
-    return keys;
+    this.requestedTransfers = [];
+  }
+
+  /**
+   * Factor for the requested shares. If demand has risen since the request, the leader underestimated it, and
+   * the target is to keep the load that it was meant to keep, not the same part of the higher load.
+   */
+  private shareFactor(): number {
+    const requestedShare = this.requestedTransfers.reduce((sum, {share}) => sum + share, 0);
+    const nowRps = this.offeredRps;
+    if (requestedShare < MIN_SCALED_SHARE || nowRps <= this.rpsAtRequest) return 1;
+    const keptRps = this.rpsAtRequest * (1 - requestedShare);
+    return Math.max(1, (1 - keptRps / nowRps) / requestedShare);
   }
 
   private createGrant(): KeyGrant | undefined {
@@ -575,7 +651,8 @@
     const remainingMs = (this.leaseUntilMs - nowMs) * CLOCK_RATE_MARGIN;
     const holdMs = Math.floor(Math.min(MAX_GRANT_MS, this.opts.maxHoldMs, remainingMs));
     if (holdMs < MIN_GRANT_MS) return undefined;
-    const isHandingOver = this.statements?.isDraining === true && this.hasSuccessors;
+    this.selectForTransfers();
+    const isHandingOver = this.isLeavingService && this.hasSuccessors;
     const ranges = isHandingOver
       ? []
       : this.assigned.flatMap((range) => this.remainingRanges(range));
--- a/targets/key-holds/src/targetStatements.ts
+++ b/targets/key-holds/src/targetStatements.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
+import {SlowdownEstimate} from './slowdownEstimate.js';
 import type {TargetNotice} from './targetNotice.js';
 
 /** How the daemon learned that its target drains. */
@@ -29,6 +30,7 @@
   /** Infinity while the target is assumed to be cold until it states otherwise. */
   private coldUntilMs = -Infinity;
   private lastColdSource: ColdSource = 'start';
+  private readonly slowdownEstimate: SlowdownEstimate;
 
   constructor(
     private readonly opts: {
@@ -37,7 +39,14 @@
       readonly drainMs: number;
       readonly logger: Logger;
     },
-  ) {}
+  ) {
+    this.slowdownEstimate = new SlowdownEstimate(opts.clock);
+  }
+
+  /** Factor by which work currently takes longer than usual; `undefined` when not stated recently. */
+  get slowdown(): number | undefined {
+    return this.slowdownEstimate.current;
+  }
 
   /** Whether a response has stated anything, also that there is no limit. */
   get hasNotice(): boolean {
@@ -78,7 +87,8 @@
   }
 
   /** Records a notice. Returns whether a drain or a limit has started or a limit has ended. */
-  recordNotice(notice: TargetNotice): boolean {
+  recordNotice({load, ...notice}: TargetNotice): boolean {
+    if (load?.slowdown !== undefined) this.slowdownEstimate.record(load.slowdown);
     const {clock, logger, incarnation} = this.opts;
     const before = this.notice;
     const isFirst = !this.hasNotice;
