Read large responses ahead of their callers; count no slots of evacuated targets

Cause: a target's slot was held until its response had reached the caller, because at most 64 KiB were read ahead. While a zone was evacuated, its idle slots counted as free ones of the service, so that no level was set. Change: up to 256 KiB are read ahead while the memory budget is not tight; evacuated targets add no slots.

--- a/control/site-control/src/serviceDemand.ts
+++ b/control/site-control/src/serviceDemand.ts
@@ -76,7 +76,8 @@
 }
 
 function addReport(totals: Map<string, Totals>, {target, demand, stopping}: ReportRequest): void {
-  const isServing = target?.state === 'ready' && !stopping;
+  // Targets of an evacuated zone are `ready` but offer no slots.
+  const isServing = target?.state === 'ready' && target.isEvacuated !== true && !stopping;
   if (isServing) {
     const service = totalsOf(totals, target.service);
     // A gate without demand in its report was not near its capacity.
--- a/control/site-control/test/siteControl.test.ts
+++ b/control/site-control/test/siteControl.test.ts
@@ -110,6 +110,24 @@
     assert.equal((await send('a')).isDemandWanted, undefined);
   });
 
+  // Guards against an overload that is not noticed while a zone is evacuated: its idle slots counted as free.
+  it('does not count the slots of evacuated targets', async () => {
+    const {control, report, clock} = startControl();
+    const send = (name: string, busySlots: number, isEvacuated: boolean) =>
+      control.report(
+        report({
+          forwardAddress: name,
+          target: target({life: `${name}/1`, slots: 8, isEvacuated}),
+          demand: demandOf(busySlots),
+        }),
+      );
+    await send('away', 0, true);
+    await send('a', 8, false);
+    await clock.advance(500);
+    const [, sums] = (await send('a', 8, false)).demand![0]!;
+    assert.deepEqual([sums.usableSlots, sums.busySlots], [800, 800]);
+  });
+
   it('reassigns the keys of an owner at once when a later incarnation runs at its daemon', async () => {
     const {control, report, state, clock, apply} = startControl();
     apply({kind: 'changeConfiguration', change: KEYED_SERVICE});
--- a/routing/request-path/src/createTargetClient.ts
+++ b/routing/request-path/src/createTargetClient.ts
@@ -55,6 +55,11 @@
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
 /** Responses with more headers are not streamed, because the head must fit into one fragment. */
 const MAX_STREAMED_HEADER_CHARS = 4_096;
+/**
+ * Bytes read from the target ahead of the caller. The target's slot is free once its last byte was read, so
+ * that most large responses do not occupy it for as long as their callers need.
+ */
+const READ_AHEAD_BYTES = 4 * CHUNK_WINDOW_BYTES;
 /** Failure responses are not streamed, because the request may be repeated. */
 const FIRST_RETRYABLE_STATUS = 500;
 /** Maximum number of interim responses (1xx) to a request; a target that sends more is faulty. */
@@ -309,24 +314,26 @@
   return canStream ? lengthBytes : undefined;
 }
 
-/** Passes a response on as it is received, and pauses its connection while the window is full. */
+/** Passes a response on as it is received, and pauses its connection while enough was read ahead. */
 function openStream(
   response: http.IncomingMessage,
   lengthBytes: number,
   budget: MemoryBudget,
   onCancel: () => void,
 ): ResponseStream {
+  const isFull = (): boolean =>
+    stream.untakenBytes >= (budget.isTight ? CHUNK_WINDOW_BYTES : READ_AHEAD_BYTES);
   const stream = new ResponseStream({
     lengthBytes,
     budget,
     onCancel,
     onTaken: () => {
-      if (response.isPaused() && stream.untakenBytes < CHUNK_WINDOW_BYTES) response.resume();
+      if (response.isPaused() && !isFull()) response.resume();
     },
   });
   response.on('data', (chunk: Buffer) => {
     stream.push(chunk);
-    if (stream.untakenBytes >= CHUNK_WINDOW_BYTES) response.pause();
+    if (isFull()) response.pause();
   });
   response.on('end', () => stream.finish(response.complete ? 'complete' : 'broken'));
   response.on('error', () => stream.finish('broken'));
--- a/routing/request-path/src/responseStream.ts
+++ b/routing/request-path/src/responseStream.ts
@@ -23,8 +23,8 @@
 
 /** Only longer responses are streamed; the others fit into two fragments of a peer connection. */
 export const MIN_STREAMED_BYTES = 16_384;
-/** A source may exceed the window by one read of a socket; one that sends more is faulty. */
-const MAX_UNTAKEN_BYTES = 4 * CHUNK_WINDOW_BYTES;
+/** A source may exceed its window by one read of a socket; one that sends more is faulty. */
+const MAX_UNTAKEN_BYTES = 8 * CHUNK_WINDOW_BYTES;
 
 /** The body of a large response while it is received. Its source stops while the window is full. */
 export class ResponseStream {
