Pace targets less cautiously; leave requests for keys to the gate of their owner

A target that loses or rejects a part of the requests is not overloaded. Levels of a service refused requests for keys whose owner was free. Change: the pace begins at half of the slots, after eight lost responses in a row, and is cut after two; rejections do not count. Entries refuse no requests for keys.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -268,7 +268,7 @@
       return isStopping || callerListener.isOverConnectionLimit ? 'closing' : 'open';
     },
     stopDeadlineAtMs: () => stopDeadlineAtMs - LAST_RESPONSE_MS,
-    entryAdmission: new EntryAdmission({view, demandMeter, serviceLevels}),
+    entryAdmission: new EntryAdmission({demandMeter, serviceLevels}),
     onResponse: (outcome) => metrics.recordRequest(outcome),
     memoryBudget,
   });
--- a/routing/admission/src/paceController.ts
+++ b/routing/admission/src/paceController.ts
@@ -32,10 +32,18 @@
 }
 
 const MS_PER_S = 1_000;
-/** Fraction of the slots at the start: two doublings to all slots take about a second of responses. */
-const START_FRACTION = 0.25;
-/** Failures in a row after which a target counts as recovering; one or two may be the requests' own. */
-const FAILURES_TO_BEGIN = 3;
+/**
+ * Fraction of the slots at the start. A quarter left targets idle whose keys are also cold: their responses take
+ * several times as long, so that the level grows by one in a second.
+ */
+const START_FRACTION = 0.5;
+/**
+ * Failures in a row after which a target counts as recovering. A target that fails 40% of its requests at
+ * random has as many in a row once in 1,500 requests, and would only lose capacity.
+ */
+const FAILURES_TO_BEGIN = 8;
+/** Failures in a row after which the level is cut; a single one may be the request's own. */
+const FAILURES_TO_CUT = 2;
 /** Up to this ratio of the usual duration, a target is well; neighbours on its machine slow it at times. */
 const WELL_RATIO = 1.5;
 /** A higher ratio than at a lower level by this factor shows that the level itself slows the target. */
@@ -113,7 +121,8 @@
   /** Counts only requests that were sent at the current level. */
   private recordPaced({requestClass, workMs, hasFailed, fallbackMs}: PaceOutcome): void {
     if (hasFailed) {
-      this.setLevel(Math.floor(this.concurrency * CUT_ON_FAILURE), 'failure');
+      if (this.failuresInRow >= FAILURES_TO_CUT)
+        this.setLevel(Math.floor(this.concurrency * CUT_ON_FAILURE), 'failure');
       return;
     }
     const usualMs = this.opts.durations.of(requestClass) ?? fallbackMs;
--- a/routing/request-path/src/admissionController.ts
+++ b/routing/request-path/src/admissionController.ts
@@ -87,8 +87,8 @@
 const RESPONSE_ALLOWANCE_MS = 5;
 /** Latency targets are about three times the usual duration, which stands in for one not yet known. */
 const USUAL_TARGET_FRACTION = 0.3;
-/** Statuses by which a target or what it depends on says that it is not well. */
-const FAILURE_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
+/** Statuses by which a target or what it depends on says that it is not well; 504 may be a short deadline. */
+const FAILURE_STATUSES: ReadonlySet<number> = new Set([502, 503]);
 /** Minimum time between log lines about the pace, except for its begin and end. */
 const PACE_LOG_INTERVAL_MS = 250;
 
@@ -458,9 +458,11 @@
   return {kind: 'lost', code: aborted ? 'CANCELLED' : 'TARGET_FAILED'};
 }
 
-/** Whether the result shows that the target is not well; `undefined` if it says nothing about that. */
+/**
+ * Whether the result shows that the target is not well; `undefined` if it says nothing about that. A target
+ * that rejects requests may just be busy, and some reject a part of them while the others run as usual.
+ */
 function isTargetFailure(result: RunResult): boolean | undefined {
   if (result.kind === 'answered') return FAILURE_STATUSES.has(result.answer.status);
-  if (result.kind === 'refused' || result.code === 'CANCELLED') return undefined;
-  return result.code === 'NOT_OWNER' ? undefined : true;
+  return result.kind === 'lost' && result.code !== 'CANCELLED' ? true : undefined;
 }
--- a/routing/request-path/src/entryAdmission.ts
+++ b/routing/request-path/src/entryAdmission.ts
@@ -1,10 +1,8 @@
 import type {DemandMeter, ServiceLevels} from '@medlarlane/admission';
 import {MedlarlaneError} from '@medlarlane/errors';
 import type {Route} from '@medlarlane/site-config';
-import type {SiteView} from './siteView.js';
 
 export interface EntryAdmissionOptions {
-  readonly view: SiteView;
   readonly demandMeter: DemandMeter;
   readonly serviceLevels: ServiceLevels;
 }
@@ -36,12 +34,13 @@
 
   /** @throws MedlarlaneError `OVERLOADED` with ran `no` and `ReturnDetails`. */
   assertAdmitted(request: EntryRequest): void {
-    const {service, route, timeLeftMs} = request;
+    const {service, route, key, timeLeftMs} = request;
     const {demandMeter, serviceLevels} = this.opts;
     const isReturning = timeLeftMs < route.timeoutMs * RETURNED_TIME_LEFT_FRACTION;
     demandMeter.recordArrival(service, route.priority, {isReturning});
+    // Only the owner of a key can serve the request. Its gate knows its slots; the sums of the service do not.
+    if (key !== undefined) return;
     if (serviceLevels.tryAdmit(service, route.priority, {isReturning})) return;
-    if (this.hasFreeOwner(request)) return;
     throw new MedlarlaneError('OVERLOADED', 'Demand exceeds the capacity of the service', {
       ran: 'no',
       details: {...this.returnDetails(service, route.priority, timeLeftMs)},
@@ -55,9 +54,4 @@
     const retryAfterMs = serviceLevels.reserveReturnMs(service, priority, timeLeftMs);
     return retryAfterMs === undefined ? {} : {retryAfterMs};
   }
-
-  /** A request for a key can only use slots of the owner, which may be free while others are not. */
-  private hasFreeOwner({service, key}: EntryRequest): boolean {
-    return key !== undefined && this.opts.view.hasFreeOwner(service, key);
-  }
 }
--- a/routing/request-path/src/siteView.ts
+++ b/routing/request-path/src/siteView.ts
@@ -401,14 +401,6 @@
     return assumeRefusalUntilMs > this.opts.clock.nowMs() ? refusal : undefined;
   }
 
-  /** Whether the last load of the owner of the key is current and shows a free slot. */
-  hasFreeOwner(service: string, key: number): boolean {
-    const owner = this.ownerOf(service, key);
-    const load = owner && this.currentLoad(owner.life);
-    if (!load) return false;
-    return load.waiting === 0 && this.estimateOccupancy(owner.life) < this.usableSlots(owner);
-  }
-
   private currentLoad(incarnation: string): TargetLoad | undefined {
     const {load, loadAtMs} = this.statsOf(incarnation);
     if (!load) return undefined;
