Leave the admission levels of services off by default

Levels also took effect on deployments that did not ask for them. Change: entries use levels, and daemons report demand, only with usesAdmissionLevels, which nothing sets yet.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -62,6 +62,11 @@
    * leader has told it whether its zone is evacuated.
    */
   readonly hasEvacuations?: boolean;
+  /**
+   * Whether entries refuse what the admission level of a service does not admit. Off by default, because no
+   * measured deployment gained from it.
+   */
+  readonly usesAdmissionLevels?: boolean;
   readonly callerHeaderCodec: CallerHeaderCodec;
   readonly targetHeaderCodec: TargetHeaderCodec;
   /**
@@ -192,6 +197,7 @@
   });
   let demandWantedUntilMs = -Infinity;
   const measuredDemand = (): Pick<ReportRequest, 'demand'> => {
+    if (!opts.usesAdmissionLevels) return {};
     const {usableSlots} = admissionController;
     const isReported =
       clock.nowMs() < demandWantedUntilMs || demandMeter.isNearCapacity(usableSlots);
@@ -268,7 +274,9 @@
       return isStopping || callerListener.isOverConnectionLimit ? 'closing' : 'open';
     },
     stopDeadlineAtMs: () => stopDeadlineAtMs - LAST_RESPONSE_MS,
-    entryAdmission: new EntryAdmission({demandMeter, serviceLevels}),
+    ...(opts.usesAdmissionLevels
+      ? {entryAdmission: new EntryAdmission({demandMeter, serviceLevels})}
+      : {}),
     onResponse: (outcome) => metrics.recordRequest(outcome),
     memoryBudget,
   });
