--- a/routing/request-path/test/entryHandler.test.ts
+++ b/routing/request-path/test/entryHandler.test.ts
@@ -365,9 +365,5 @@
     await once(response, 'end');
     return {status: response.statusCode, headers: response.headers};
   };
-  const recordLoad = (life: string, result: RunResult): void => {
-    view.recordSent(life);
-    view.recordResult(life, result);
-  };
-  return {send, offers, port, recordLoad};
+  return {send, offers, port};
 }
