--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -10,11 +10,11 @@
   runCase,
   sendRequest,
   waitFor,
-} from '../lib/clients.mjs';
-import {sleep, startPrograms} from '../lib/processes.mjs';
-import {startRelay} from '../lib/relay.mjs';
-import {Server} from '../lib/server.mjs';
-import {watchSharedKeys} from '../lib/sharedKeys.mjs';
+} from '../common/clients.mjs';
+import {sleep, startPrograms} from '../common/processes.mjs';
+import {startRelay} from '../common/relay.mjs';
+import {Server} from '../common/server.mjs';
+import {watchSharedKeys} from '../common/sharedKeys.mjs';
 
 const HOST = 'jepu9.example';
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -2,9 +2,16 @@
  * CONFIG: after a planned replacement of a machine of the core, the loss of as many disks as are to be
  * borne makes the configuration unreadable for good.
  */
-import {configuration, configure, findLeader, isReady, runCase, waitFor} from '../lib/clients.mjs';
-import {sleep, startPrograms} from '../lib/processes.mjs';
-import {Server} from '../lib/server.mjs';
+import {
+  configuration,
+  configure,
+  findLeader,
+  isReady,
+  runCase,
+  waitFor,
+} from '../common/clients.mjs';
+import {sleep, startPrograms} from '../common/processes.mjs';
+import {Server} from '../common/server.mjs';
 
 const CATCH_UP_MS = 4_000;
 /** Time from the end of the replaced machine until the two others lose their disks. */
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -2,9 +2,16 @@
  * DRAIN: a server that leaves with DELETE while the daemon beside it restarts gets new work until it
  * exits, although the DELETE was acknowledged.
  */
-import {configuration, configure, isReady, runCase, sendRequest, waitFor} from '../lib/clients.mjs';
-import {listenSilently, sleep, startPrograms} from '../lib/processes.mjs';
-import {Server} from '../lib/server.mjs';
+import {
+  configuration,
+  configure,
+  isReady,
+  runCase,
+  sendRequest,
+  waitFor,
+} from '../common/clients.mjs';
+import {listenSilently, sleep, startPrograms} from '../common/processes.mjs';
+import {Server} from '../common/server.mjs';
 
 const DRAIN_MS = 2_000;
 const CONTACT_MS = 3_000;
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -2,10 +2,10 @@
  * LOST: a kept connection is closed while a sound server is at work on a request that was sent behind
  * a large answer.
  */
-import {configuration, configure, isReady, runCase, waitFor} from '../lib/clients.mjs';
-import {openPipeline} from '../lib/pipeline.mjs';
-import {sleep, startPrograms} from '../lib/processes.mjs';
-import {Server} from '../lib/server.mjs';
+import {configuration, configure, isReady, runCase, waitFor} from '../common/clients.mjs';
+import {openPipeline} from '../common/pipeline.mjs';
+import {sleep, startPrograms} from '../common/processes.mjs';
+import {Server} from '../common/server.mjs';
 
 /** Figures of history-lookup and plan-archive of the freight planning mesh. */
 const LOOKUP_WORK_MS = 700;
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # syntax is checked.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in lib/*.mjs [1-5]/*.mjs; do node --check "$file"; done
+for file in common/*.mjs [1-5]/*.mjs; do node --check "$file"; done
