--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -41,7 +41,12 @@
         relays.push(await startRelay(link));
         cleanUp(() => relays[index].close());
       }
-      return (index) => [`${prefix}.${201 + index}:${ports.control}`];
+      // A daemon calls the second of its seeds first.
+      const [first, third] = controls.filter((control) => control !== leader);
+      return (index) =>
+        [first.host, `${prefix}.${201 + index}`, third.host].map(
+          (host) => `${host}:${ports.control}`,
+        );
     },
   });
   cleanUp(() => programs.stop());
