--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -15,10 +15,10 @@
 
 const CATCH_UP_MS = 4_000;
 /** Time from the end of the replaced machine until the two others lose their disks. */
-const LOSS_AFTER_MS = 1_000;
+const LOSS_AFTER_MS = 2_500;
 const DOWN_MS = 700;
-/** Twice `recovery_s`; the read-back begins after it. */
-const RECOVERY_MS = 30_000;
+/** Over `recovery_s`; the read-back begins after it and lasts for over `contact_s`. */
+const RECOVERY_MS = 16_000;
 const READ_FOR_MS = 10_000;
 const HOST = 'jepu9.example';
 
--- a/review/common/clients.mjs
+++ b/review/common/clients.mjs
@@ -180,6 +180,16 @@
   const record = createRecord(folder);
   const cleanups = [];
   let code = 2;
+  const end = async () => {
+    for (const step of cleanups.splice(0)) await Promise.resolve(step()).catch(() => undefined);
+    record.save();
+    process.exit(code);
+  };
+  process.once('SIGTERM', () => {
+    record('the case ran out of time');
+    code = 2;
+    void end();
+  });
   try {
     const broken = await play({
       record,
@@ -192,7 +202,5 @@
   } catch (failure) {
     record('the case could not run:', failure.stack ?? failure.message);
   }
-  for (const step of cleanups) await Promise.resolve(step()).catch(() => undefined);
-  record.save();
-  process.exit(code);
+  await end();
 }
--- a/review/common/processes.mjs
+++ b/review/common/processes.mjs
@@ -37,6 +37,14 @@
   caller: 8629,
 };
 
+/** Processes and folders that must not outlive this process, however it ends. */
+const liveChildren = new Set();
+const temporaryFolders = new Set();
+process.on('exit', () => {
+  for (const child of liveChildren) child.kill('SIGKILL');
+  for (const folder of temporaryFolders) rmSync(folder, {recursive: true, force: true});
+});
+
 /** Command of a role in the deploy file. */
 function commandOf(role) {
   const text = readFileSync(path.join(root, 'deploy', 'system.toml'), 'utf8');
@@ -133,6 +141,8 @@
     this.child.stdout.on('data', (bytes) => (this.log = (this.log + bytes).slice(-4_000_000)));
     this.child.stderr.on('data', (bytes) => (this.log += bytes));
     const {child} = this;
+    liveChildren.add(child);
+    child.once('exit', () => liveChildren.delete(child));
     this.ended = new Promise((resolve) => child.once('exit', resolve));
     child.once('exit', (code, signal) => {
       this.lastExit = {code, signal, atMs: performance.now()};
@@ -192,6 +202,7 @@
 /** Starts control processes and daemons. `services` names the service beside each daemon. */
 export async function startPrograms({services, zones, controls = 5, prepareSeeds}) {
   const folder = mkdtempSync(path.join(os.tmpdir(), 'medlarlane-review-'));
+  temporaryFolders.add(folder);
   const prefix = await freePrefix();
   const controlHosts = Array.from({length: controls}, (_, i) => `${prefix}.${i + 1}`);
   const daemonHosts = services.map((_, i) => `${prefix}.${i + 101}`);
@@ -258,7 +269,6 @@
     },
     async stop() {
       await Promise.all([...controlPrograms, ...daemonPrograms].map((program) => program.stop()));
-      rmSync(folder, {recursive: true, force: true});
     },
   };
 }
