Review: the log of a large configuration takes the core over its memory

Cause: the log is compacted by the number of entries, not by their size; a start needs more memory than the running process. Done: a script that makes 404 changes to 2,004 routes and then kills the core; nothing is fixed.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,151 +1,150 @@
 /**
- * OWNER: a report of a daemon that arrives late makes the leader give away keys that the server beside
- * the daemon holds.
+ * CONFIG and Fault: after some hundred changes of a large configuration, no process of the core can
+ * start any more within its memory.
  */
-import {
-  configuration,
-  configure,
-  findLeader,
-  isReady,
-  runCase,
-  sendRequest,
-  waitFor,
-} from '../common/clients.mjs';
-import {sleep, startPrograms} from '../common/processes.mjs';
-import {startRelay} from '../common/relay.mjs';
-import {Server} from '../common/server.mjs';
-import {watchSharedKeys} from '../common/sharedKeys.mjs';
+import {configuration, configure, findLeader, runCase} from '../common/clients.mjs';
+import {limitMemory, MEMORY_MB, sleep, startPrograms} from '../common/processes.mjs';
 
-const HOST = 'jepu9.example';
-const ZONES = ['zone-a', 'zone-b', 'zone-c'];
-const ROUNDS = 9;
-/** A packet that is lost twice is sent again after 200 ms and 400 ms more. */
-const RETRANSMISSION_MS = 600;
-/** Time after the last timely heartbeat at which the grant of its answer has run out. */
-const GRANT_OVER_MS = 3_330;
-const HEARTBEATS_BACK_MS = 3_880;
-const NEXT_LATE_MS = 200;
-const ROUND_PAUSE_MS = 2_500;
+const FIRST_ROUTES = 8;
+/** `big_config` adds up to 499 routes on the standard days. */
+const ADDED_ROUTES = 499;
+const ADDITIONS = 4;
+const CHANGES = 400;
+/** Ends the changes early on a slow machine. */
+const MAX_CHANGES_MS = 70_000;
+/** The rule: on half of the core, processes end by themselves three times in the day. */
+const ENDS = 3;
+const RECOVERY_MS = 16_000;
+const READ_FOR_MS = 8_000;
 
 await runCase(import.meta.dirname, async ({record, isTroubled, cleanUp}) => {
-  const relays = [];
-  const programs = await startPrograms({
-    services: ZONES.map(() => 'wall'),
-    zones: ZONES,
-    prepareSeeds: async ({prefix, controls, ports}) => {
-      const leader = await findLeader(controls);
-      record('platform', 'the leader is', leader.name);
-      for (const index of ZONES.keys()) {
-        const host = `${prefix}.${201 + index}`;
-        const link = {host, port: ports.internal, toHost: leader.host, toPort: ports.internal};
-        relays.push(await startRelay(link));
-        cleanUp(() => relays[index].close());
-      }
-      // A daemon calls the second of its seeds first.
-      const [first, third] = controls.filter((control) => control !== leader);
-      return (index) =>
-        [first.host, `${prefix}.${201 + index}`, third.host].map(
-          (host) => `${host}:${ports.control}`,
-        );
-    },
-  });
+  const programs = await startPrograms({services: ['desk'], zones: ['zone-a']});
   cleanUp(() => programs.stop());
-  const {ports, daemons, controls} = programs;
-  const servers = daemons.map(({host}, index) => {
-    const server = new Server({
-      id: `i-wall-${index}`,
-      service: 'wall',
-      zone: ZONES[index],
-      host,
-      ports,
-      record,
-      workMsOf: () => 160,
-    });
-    server.isKeyed = true;
-    return server;
-  });
-  for (const server of servers) {
-    server.onHolds = (holds) => record('server', server.id, 'holds', JSON.stringify(holds));
-    cleanUp(() => server.exit());
-    await server.start();
+  const {ports, controls} = programs;
+  const addressOf = ({host}) => `${host}:${ports.control}`;
+  const leader = await findLeader(controls);
+  const memory = limitMemory(controls, record);
+  cleanUp(() => memory.stop());
+
+  let version = 1;
+  let routeCount = FIRST_ROUTES;
+  await configure(controls.map(addressOf), configurationOf({routeCount, version}), record);
+  if (isTroubled) {
+    for (let addition = 0; addition < ADDITIONS; addition += 1) {
+      routeCount += ADDED_ROUTES;
+      version = await change({routeCount, version});
+      record('operator', 'version', version, 'with', routeCount, 'routes is acknowledged');
+    }
   }
-  await configure(
-    controls.map(({host}) => `${host}:${ports.control}`),
-    configuration({
-      routes: [
-        {
-          name: 'r-wall',
-          host: HOST,
-          path_prefix: '/wall/',
-          kind: 'safe',
-          timeout_s: 1.2,
-          target_latency_s: 0.5,
-          priority: 2,
-          service: 'wall',
-          max_attempts: 2,
-        },
-      ],
-      services: [{name: 'wall', sharded: true}],
-    }),
-    record,
+  const startedAtMs = performance.now();
+  let changes = 0;
+  while (changes < CHANGES && performance.now() - startedAtMs < MAX_CHANGES_MS) {
+    version = await change({routeCount, version, timeoutS: 1 + changes / 1_000});
+    changes += 1;
+    if (changes % 50 === 0)
+      record('operator', changes, 'changes, peak MB', memory.peakMb.join(' '));
+  }
+  record(
+    'operator',
+    'version',
+    version,
+    'is the newest acknowledged one, after',
+    changes,
+    'changes',
   );
-  for (const {host} of daemons) await waitFor('ready', () => isReady(`${host}:${ports.ready}`));
-  await waitFor('all servers hold keys', () => servers.every(({holds}) => holds.length > 0));
-  await sleep(3_000);
 
-  const shared = watchSharedKeys(servers, record);
-  cleanUp(() => shared.stop());
-  let isTrafficOver = false;
-  const traffic = (async () => {
-    for (let count = 0; !isTrafficOver; count += 1) {
-      const {host} = daemons[count % daemons.length];
-      void sendRequest({
-        address: `${host}:${ports.caller}`,
-        path: '/wall/2f',
-        id: `wall-${count}`,
-        host: HOST,
-        key: Math.floor(Math.random() * 65_536),
-        deadlineMs: 1_200,
-      });
-      await sleep(25);
+  record('platform', 'kills all processes of the core');
+  await Promise.all(controls.map((control) => control.killFor(300)));
+  await sleep(RECOVERY_MS);
+  let readVersion;
+  const endMs = performance.now() + READ_FOR_MS;
+  for (let turn = 0; readVersion === undefined && performance.now() < endMs; turn += 1) {
+    const control = controls[turn % controls.length];
+    readVersion = await readVersionAt(addressOf(control));
+    record('operator', 'reads at', control.name, readVersion ?? 'nothing');
+    await sleep(200);
+  }
+  memory.stop();
+  record('platform', 'ends over the memory:', memory.ends.join(' '));
+  record('platform', 'peak MB:', memory.peakMb.join(' '));
+  const broken = [];
+  if (readVersion !== version) {
+    broken.push(
+      `CONFIG: version ${version} was acknowledged; ${readVersion ?? 'nothing'} is read from ` +
+        `${RECOVERY_MS / 1_000} s after the restart on`,
+    );
+  }
+  const ending = controls.filter((_, index) => memory.ends[index] >= ENDS);
+  if (ending.length * 2 >= controls.length) {
+    broken.push(
+      `Fault: the processes of ${ending.map(({name}) => name).join(', ')} ended by themselves ` +
+        `${ENDS} times or more, over their ${MEMORY_MB.control} MB`,
+    );
+  }
+  return broken;
+
+  /** Sends a change until it is acknowledged, to the leader first; returns its version. */
+  async function change({routeCount: count, version: baseVersion, timeoutS}) {
+    const next = configurationOf({
+      routeCount: count,
+      version: baseVersion + 2,
+      baseVersion,
+      timeoutS,
+    });
+    const body = JSON.stringify(next);
+    const order = [leader, ...controls.filter((control) => control !== leader)];
+    for (let attempt = 0; attempt < 60; attempt += 1) {
+      const control = order[attempt % order.length];
+      const status = await put(addressOf(control), body);
+      if (status === 200) return next.version;
+      if (status >= 400 && status < 500) throw new Error(`change refused with ${status}`);
+      await sleep(100);
     }
-  })();
-  for (let round = 0; round < ROUNDS && shared.breaks.length === 0; round += 1) {
-    const victim = servers.reduce((a, b) => (keyCount(b) > keyCount(a) ? b : a));
-    await playRound(victim, relays[servers.indexOf(victim)], record, isTroubled);
-    await sleep(ROUND_PAUSE_MS);
+    throw new Error('a change was not acknowledged');
   }
-  isTrafficOver = true;
-  await traffic;
-  shared.stop();
-  return shared.breaks;
 });
 
-/** The server's heartbeats come late; as they come again, the link loses one packet of a report. */
-async function playRound(server, relay, record, isTroubled) {
-  const {acknowledgedAtMs: before} = server;
-  await waitFor('a heartbeat', () => server.acknowledgedAtMs > before);
-  const startedAtMs = server.acknowledgedAtMs;
-  const until = (ms) => sleep(Math.max(0, startedAtMs + ms - performance.now()));
-  server.beginLatePath();
-  record('platform', 'heartbeats of', server.id, 'come late from now on');
-  await until(GRANT_OVER_MS);
-  if (isTroubled) {
-    void relay.loseNextPacket(RETRANSMISSION_MS).then(() => {
-      record('platform', 'a packet from the daemon of', server.id, 'to the leader is lost');
+function configurationOf({routeCount, version, baseVersion = 0, timeoutS = 1.2}) {
+  const routes = Array.from({length: routeCount}, (_, index) => ({
+    name: `r${index}`,
+    host: `h${index % 20}.example`,
+    path_prefix: `/p${index}/`,
+    kind: 'safe',
+    timeout_s: index === 0 ? timeoutS : 1.2,
+    target_latency_s: 0.5,
+    priority: 2,
+    service: 'desk',
+    max_attempts: 2,
+  }));
+  return {
+    ...configuration({routes, services: [{name: 'desk'}]}),
+    version,
+    base_version: baseVersion,
+  };
+}
+
+async function put(address, body) {
+  try {
+    const response = await fetch(`http://${address}/config`, {
+      method: 'PUT',
+      body,
+      headers: {'content-type': 'application/json'},
+      signal: AbortSignal.timeout(3_000),
     });
+    await response.arrayBuffer();
+    return response.status;
+  } catch {
+    // Without a clear answer the same change is sent again, to another machine.
+    return 0;
   }
-  await until(HEARTBEATS_BACK_MS);
-  relay.disarm();
-  server.endLatePath();
-  record('platform', 'heartbeats of', server.id, 'come again');
-  await sleep(NEXT_LATE_MS);
-  server.beginLatePath();
-  record('platform', 'the next heartbeat of', server.id, 'comes late');
-  await sleep(2_000);
-  server.endLatePath();
 }
 
-function keyCount({holds}) {
-  return holds.reduce((sum, [from, to]) => sum + to - from + 1, 0);
+async function readVersionAt(address) {
+  try {
+    const response = await fetch(`http://${address}/config`, {signal: AbortSignal.timeout(1_500)});
+    const text = await response.text();
+    return response.status === 200 ? JSON.parse(text).version : undefined;
+  } catch {
+    return undefined;
+  }
 }
--- a/review/common/processes.mjs
+++ b/review/common/processes.mjs
@@ -27,7 +27,10 @@
   hold_max_s: 10,
   thaw_slack_s: 0.3,
 };
+/** Memory of the machines in MB, by role. */
+export const MEMORY_MB = {control: 346, daemon: 350};
 const RESTART_DELAY_MS = 400;
+const MEMORY_SAMPLE_MS = 5;
 const PORTS = {
   internal: 7600,
   control: 8620,
@@ -102,7 +105,7 @@
 [limits]
 cpu_share = 0.54
 cores = 1
-memory_mb = 350
+memory_mb = ${MEMORY_MB[role]}
 max_fds = 4100
 link_mbps = 1000.0
 disk_mb = ${role === 'control' ? 256 : 0}
@@ -294,3 +297,37 @@
     );
   });
 }
+
+/**
+ * Kills each process that uses more than its memory, as the platform does. `ends` and `peakMb` count
+ * them, in the order of the programs.
+ */
+export function limitMemory(programs, record) {
+  const ends = programs.map(() => 0);
+  const peakMb = programs.map(() => 0);
+  const killed = new Set();
+  const timer = setInterval(() => {
+    for (const [index, program] of programs.entries()) {
+      const {pid} = program.child;
+      const usedMb = residentMb(pid);
+      if (usedMb === undefined || killed.has(pid)) continue;
+      peakMb[index] = Math.max(peakMb[index], usedMb);
+      if (usedMb <= MEMORY_MB[program.role]) continue;
+      killed.add(pid);
+      ends[index] += 1;
+      record('platform', program.name, 'uses', usedMb, 'MB and is killed');
+      program.signal('SIGKILL');
+    }
+  }, MEMORY_SAMPLE_MS);
+  return {ends, peakMb, stop: () => clearInterval(timer)};
+}
+
+function residentMb(pid) {
+  try {
+    const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+    return Math.round(Number(/^VmRSS:\s+(\d+)/m.exec(status)?.[1] ?? 0) / 1_024);
+  } catch {
+    // The process has just ended.
+    return undefined;
+  }
+}
