--- a/review/common/server.mjs
+++ b/review/common/server.mjs
@@ -94,7 +94,7 @@
       () => {
         finish(workMs <= deadlineMs ? 'done' : 'deadline');
         const seal = {'Server-Seal': `seal-${this.id}-${id}`};
-        if (workMs <= deadlineMs) this.sendBody(response, id, seal, this.bodyOf(request), answer);
+        if (workMs <= deadlineMs) answer(200, seal, this.bodyOf(request));
         else answer(504, seal);
       },
       Math.min(workMs, deadlineMs),
@@ -102,21 +102,6 @@
     response.on('close', () => finish('connection closed while at work'));
   }
 
-  /** Sends a body in pieces if the server sends large bodies so, else at once. */
-  sendBody(response, id, seal, body, answer) {
-    const {pieceBytes, pieceEveryMs} = this;
-    if (!pieceBytes || body.length <= pieceBytes) return answer(200, seal, body);
-    response.writeHead(200, {'Request-Id': id, ...seal, 'Content-Length': body.length});
-    const sendFrom = (start) => {
-      if (response.destroyed) return;
-      const piece = body.subarray(start, start + pieceBytes);
-      if (start + pieceBytes >= body.length) return response.end(piece);
-      response.write(piece);
-      setTimeout(() => sendFrom(start + pieceBytes), pieceEveryMs);
-    };
-    sendFrom(0);
-  }
-
   // Heartbeats.
 
   async sendHeartbeats() {
