Ignore reports that arrive after newer ones of their daemon

Cause: the control leader kept the report that arrived last as the newest. A daemon sends reports on several connections. A report from before the heartbeats of the target came again, delayed by a lost packet, arrived after the one since, so that the leader gave away keys that had been granted in between.

Change: reports carry the identity of the daemon process and a number that grows; the leader ignores older ones and those of earlier processes, with a log line, and answers them by the newest report. A new leader takes the end of a target on a daemon's word only once the daemon has heard that leader, because its predecessor may have renewed the lease by its response to a later report.

--- a/control/site-control/src/reports.ts
+++ b/control/site-control/src/reports.ts
@@ -78,6 +78,10 @@
 export const reportRequestSchema = z.object({
   /** Address at which the daemon accepts forwarded requests; identifies the daemon. */
   forwardAddress: z.string(),
+  /** Random identity of the daemon process; absent in reports of earlier versions. */
+  processId: z.string().optional(),
+  /** Number of the report, which increases within a process; absent in reports of earlier versions. */
+  sequence: z.int().optional(),
   availabilityZone: z.string(),
   configVersion: z.int(),
   /** Term of the leader that `directoryRevision` came from. */
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -20,6 +20,7 @@
 import type {LoadedTarget} from './planTransfers.js';
 import {encodeConfiguration} from './reports.js';
 import {DEMAND_INTERVAL_MS, ServiceDemandTable} from './serviceDemand.js';
+import {ReportOrder} from './reportOrder.js';
 import type {ReportedTarget, ReportRequest, ReportResponse} from './reports.js';
 import {TransferLedger} from './transferLedger.js';
 import {
@@ -48,6 +49,7 @@
   readonly leases: KeyLeaseTable;
   readonly directory: InstanceDirectory;
   readonly sessions: Map<string, DaemonSession>;
+  readonly reportOrder: ReportOrder;
   readonly demand: ServiceDemandTable;
   readonly firstReadyAtMs: Map<string, number>;
   /** Owners whose keys a proposed command reassigns; their leases are not renewed until it is applied. */
@@ -115,8 +117,10 @@
   async report(receivedReport: ReportRequest): Promise<ReportResponse> {
     const term = this.requireTerm();
     const report = withKnownStatements(term.directory, receivedReport);
-    this.acceptReport(term, report);
-    await this.commitReleases(term, report);
+    if (this.isInOrder(term, report)) {
+      this.acceptReport(term, report);
+      await this.commitReleases(term, report);
+    }
     if (!this.hasUpdates(term, report) && report.waitMs > 0) {
       // While demand is wanted, sums are sent as often as they may be.
       const maxWaitMs = term.demand.isWanted ? DEMAND_INTERVAL_MS : KEY_LEASE_MS;
@@ -171,6 +175,7 @@
         leases: new KeyLeaseTable(clock),
         directory: new InstanceDirectory(),
         sessions,
+        reportOrder: new ReportOrder(),
         demand: new ServiceDemandTable(clock, sessions),
         firstReadyAtMs: new Map(),
         reassigning: new Set(),
@@ -186,6 +191,25 @@
     return this.currentTerm;
   }
 
+  private isInOrder(term: LeadershipTerm, report: ReportRequest): boolean {
+    if (term.reportOrder.record(report)) return true;
+    const {forwardAddress, processId, sequence, target} = report;
+    const newest = term.sessions.get(forwardAddress)?.report;
+    this.opts.logger.info(
+      {
+        forwardAddress,
+        processId,
+        sequence,
+        state: target?.state,
+        newestProcessId: newest?.processId,
+        newestSequence: newest?.sequence,
+        newestState: newest?.target?.state,
+      },
+      'Outdated report ignored',
+    );
+    return false;
+  }
+
   private acceptReport(term: LeadershipTerm, report: ReportRequest): void {
     const {clock, logger} = this.opts;
     const {forwardAddress, target} = report;
@@ -232,8 +256,11 @@
 
   private acceptTarget(term: LeadershipTerm, target: ReportedTarget, report: ReportRequest): void {
     const {clock} = this.opts;
-    if (!this.needsLease(target, report)) term.leases.markEnded(target.life);
-    else term.leases.clearEnded(target.life);
+    // Until a daemon has heard this leader, the previous one may have granted it a lease by its response to
+    // a later report.
+    const isLastWord = report.leaderTerm === term.term;
+    if (this.needsLease(target, report)) term.leases.clearEnded(target.life);
+    else if (isLastWord) term.leases.markEnded(target.life);
     if (target.state === 'ready' && !term.firstReadyAtMs.has(target.service)) {
       term.firstReadyAtMs.set(target.service, clock.nowMs());
     }
@@ -368,9 +395,11 @@
   private buildResponse(term: LeadershipTerm, report: ReportRequest): ReportResponse {
     const {replica, state} = this.opts;
     const knownRevision = report.leaderTerm === term.term ? report.directoryRevision : 0;
-    const {target} = report;
+    // A report that was held or delayed may have been followed by a newer one.
+    const newest = term.sessions.get(report.forwardAddress)?.report ?? report;
+    const {target} = newest;
     const hasLease =
-      target && this.needsLease(target, report) && !term.reassigning.has(target.life);
+      target && this.needsLease(target, newest) && !term.reassigning.has(target.life);
     if (hasLease) term.leases.renew(target.life);
     const sums = term.demand.sumsFor(report.forwardAddress);
     return {
@@ -410,6 +439,7 @@
     for (const [forwardAddress, {reportedAtMs}] of term.sessions) {
       if (nowMs - reportedAtMs < INSTANCE_RETENTION_MS) continue;
       term.sessions.delete(forwardAddress);
+      term.reportOrder.remove(forwardAddress);
       term.directory.remove(forwardAddress);
       term.demand.remove(forwardAddress);
     }
--- a/routing/site-link/src/controlReporter.ts
+++ b/routing/site-link/src/controlReporter.ts
@@ -1,3 +1,4 @@
+import {randomUUID} from 'node:crypto';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import {BackgroundTasks} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
@@ -12,7 +13,7 @@
   readonly logger: Logger;
   /** Initial control addresses. */
   readonly seeds: () => readonly string[];
-  /** Builds the next report. */
+  /** Builds the next report, to which its number is added. */
   readonly buildReport: (syncState: SyncState) => ReportRequest;
   /** Called for each response that arrives in order. `sentAtMs` is the time its report was sent. */
   readonly onResponse: (response: ReportResponse, sentAtMs: number) => void;
@@ -43,6 +44,9 @@
 /** Sends the daemon's reports to the control leader and receives the changes of the site state. */
 export class ControlReporter {
   private readonly tasks: BackgroundTasks;
+  private readonly processId = randomUUID();
+  /** Number of the last report that was built. */
+  private sequence = 0;
   private syncState: SyncState = {leaderTerm: 0, directoryRevision: 0, rangesIndex: 0};
   private leaderAddress: string | undefined;
   private controlAddresses: readonly string[] = [];
@@ -100,11 +104,13 @@
     const {rpc, clock, buildReport, onResponse, logger} = this.opts;
     const address = this.leaderAddress ?? this.nextAddress();
     const sentAtMs = clock.nowMs();
+    const {processId} = this;
+    const sequence = ++this.sequence;
     const response = reportResponseSchema.parse(
       await rpc.call(
         address,
         'report',
-        {...buildReport(this.syncState), waitMs},
+        {...buildReport(this.syncState), processId, sequence, waitMs},
         {
           timeoutMs: waitMs + REPORT_TIMEOUT_MS,
           ...(signal ? {signal} : {}),
