Bound the replicated log by bytes and recover it frame by frame

Recovery read the whole file and decoded it at once.

A log line tells the sizes at each compaction.

"Recovery holds one frame of the log at a time" failed on the code before.

--- a/control/consensus/src/replicaLog.ts
+++ b/control/consensus/src/replicaLog.ts
@@ -97,11 +97,15 @@
     this.append(entries);
   }
 
-  /** Drops entries that the snapshot covers, except the last `retainedEntries` of them. */
-  compact(snapshot: Snapshot, retainedEntries: number): void {
+  /** Size of the entries in memory. */
+  get sizeBytes(): number {
+    return this.entries.reduce((sum, {payload}) => sum + payload.length, 0);
+  }
+
+  /** Drops entries that the snapshot covers, except the last ones within both limits. */
+  compact(snapshot: Snapshot, retained: {maxEntries: number; maxBytes: number}): void {
     this.snapshot = snapshot;
-    const firstRetained = Math.max(this.baseIndex + 1, snapshot.index - retainedEntries + 1);
-    const newBaseIndex = firstRetained - 1;
+    const newBaseIndex = this.lastDroppedIndex(snapshot.index, retained);
     const baseTerm = this.termAt(newBaseIndex);
     if (baseTerm === undefined || newBaseIndex <= this.baseIndex) return;
     const members = this.membersAt(newBaseIndex);
@@ -113,6 +117,22 @@
       ...this.memberHistory.filter(({index}) => index > newBaseIndex),
     ];
   }
+
+  /** Index of the last entry up to `index` that exceeds the limits, counted backwards from `index`. */
+  private lastDroppedIndex(
+    index: number,
+    {maxEntries, maxBytes}: {maxEntries: number; maxBytes: number},
+  ): number {
+    const firstCounted = Math.max(this.baseIndex, index - maxEntries);
+    let bytes = 0;
+    let dropped = index;
+    while (dropped > firstCounted) {
+      bytes += this.entryAt(dropped)?.payload.length ?? 0;
+      if (bytes > maxBytes) break;
+      dropped -= 1;
+    }
+    return dropped;
+  }
 }
 
 export function encodeMembers(members: MemberSet): Uint8Array {
--- a/control/consensus/src/startReplica.ts
+++ b/control/consensus/src/startReplica.ts
@@ -52,6 +52,11 @@
   readonly timings?: Partial<ReplicaTimings>;
   /** Number of applied entries after which a snapshot is saved and the log is compacted. */
   readonly snapshotIntervalEntries?: number;
+  /**
+   * Size of the applied entries after which a snapshot is saved, or the size of the last snapshot if that is
+   * larger. Bounds the memory of the log and of its recovery where entries are large.
+   */
+  readonly snapshotIntervalBytes?: number;
   readonly logger?: Logger;
   /** Returns random numbers in [0, 1) for the election timeout. */
   readonly random?: () => number;
@@ -123,8 +128,10 @@
 }
 
 const DEFAULT_SNAPSHOT_INTERVAL_ENTRIES = 10_000;
+const DEFAULT_SNAPSHOT_INTERVAL_BYTES = 4_194_304;
 // Lets a replica that missed a few entries catch up without a snapshot transfer.
 const RETAINED_ENTRIES = 1_000;
+const RETAINED_BYTES = 4_194_304;
 const MAX_APPLIES_PER_TURN = 256;
 
 class ReplicaNode implements Replica, LeaderContext {
@@ -155,6 +162,8 @@
   /** Set when a task failed because of an internal error. */
   private hasFailedTask = false;
   private isSavingSnapshot = false;
+  /** Size of the entries that were applied since the last snapshot. */
+  private unsnapshottedBytes = 0;
   private readonly commitIndexAdvanced = new ConditionVariable();
   private readonly electionTimerReset = new ConditionVariable();
   private readonly listeners = new Set<(change: RoleChange) => void>();
@@ -627,6 +636,7 @@
     log.reset(snapshot, kept);
     this.opts.stateMachine.restore(payload);
     this.commitIndex = this.appliedIndex = index;
+    this.unsnapshottedBytes = 0;
     this.lowerDurableIndex(index);
     try {
       await this.saveSnapshot(snapshot, kept);
@@ -672,6 +682,7 @@
     if (!entry) throw new Error(`Entry ${this.appliedIndex + 1} is committed but missing`);
     const before = this.roleState();
     this.appliedIndex = entry.index;
+    this.unsnapshottedBytes += entry.payload.length;
     if (entry.kind === 'command') this.applyCommand(entry);
     else this.leadership?.handleEntryApplied(entry.index, {result: undefined});
     if (entry.kind === 'members' && this.leadership && !this.isVoter())
@@ -699,9 +710,7 @@
 
   private saveSnapshotIfDue(): void {
     const {log, appliedIndex, opts} = this;
-    const intervalEntries = opts.snapshotIntervalEntries ?? DEFAULT_SNAPSHOT_INTERVAL_ENTRIES;
-    const isDue = appliedIndex - (log.snapshot?.index ?? 0) >= intervalEntries;
-    if (!isDue || this.isSavingSnapshot || opts.store.failure) return;
+    if (!this.isSnapshotDue() || this.isSavingSnapshot || opts.store.failure) return;
     const snapshot: Snapshot = {
       index: appliedIndex,
       term: log.termAt(appliedIndex)!,
@@ -709,14 +718,40 @@
       payload: opts.stateMachine.snapshot(),
     };
     this.isSavingSnapshot = true;
+    const appliedBytes = this.unsnapshottedBytes;
+    this.unsnapshottedBytes = 0;
     void this.saveSnapshot(snapshot, log.entriesAfter(appliedIndex))
-      .then(() => {
-        if (snapshot.index > (log.snapshot?.index ?? 0)) log.compact(snapshot, RETAINED_ENTRIES);
-      })
+      .then(() => this.compactLog(snapshot, appliedBytes))
       .catch(() => undefined)
       .finally(() => (this.isSavingSnapshot = false));
   }
 
+  private isSnapshotDue(): boolean {
+    const {log, appliedIndex, opts} = this;
+    const intervalEntries = opts.snapshotIntervalEntries ?? DEFAULT_SNAPSHOT_INTERVAL_ENTRIES;
+    const intervalBytes = Math.max(
+      opts.snapshotIntervalBytes ?? DEFAULT_SNAPSHOT_INTERVAL_BYTES,
+      log.snapshot?.payload.length ?? 0,
+    );
+    const appliedEntries = appliedIndex - (log.snapshot?.index ?? 0);
+    return appliedEntries >= intervalEntries || this.unsnapshottedBytes >= intervalBytes;
+  }
+
+  private compactLog(snapshot: Snapshot, appliedBytes: number): void {
+    const {log} = this;
+    if (snapshot.index <= (log.snapshot?.index ?? 0)) return;
+    log.compact(snapshot, {maxEntries: RETAINED_ENTRIES, maxBytes: RETAINED_BYTES});
+    this.logger.info(
+      {
+        index: snapshot.index,
+        appliedBytes,
+        snapshotBytes: snapshot.payload.length,
+        logBytes: log.sizeBytes,
+      },
+      'Log compacted',
+    );
+  }
+
   private async saveSnapshot(snapshot: Snapshot, kept: readonly LogEntry[]): Promise<void> {
     try {
       await this.opts.store.saveSnapshot(snapshot, kept);
--- a/control/log-store/src/fileSystem.ts
+++ b/control/log-store/src/fileSystem.ts
@@ -12,11 +12,20 @@
   close(): Promise<void>;
 }
 
+/** A file that is open for reading. */
+export interface ReadableFile {
+  readonly sizeBytes: number;
+  /** Returns `length` bytes from `position` on, fewer at the end of the file. */
+  read(position: number, length: number): Promise<Uint8Array>;
+  close(): Promise<void>;
+}
+
 /** The file operations that the store uses. Tests replace them to inject failures. */
 export interface FileSystem {
   makeFolder(folder: string): Promise<void>;
   list(folder: string): Promise<string[]>;
   read(file: string): Promise<Uint8Array>;
+  openForRead(file: string): Promise<ReadableFile>;
   /** `create` fails when the file exists; `update` fails when it does not. */
   open(file: string, mode: 'create' | 'update'): Promise<StoreFile>;
   rename(from: string, to: string): Promise<void>;
@@ -31,6 +40,7 @@
   },
   list: (folder) => fs.readdir(folder),
   read: (file) => fs.readFile(file),
+  openForRead: async (file) => readableFile(await fs.open(file, constants.O_RDONLY)),
   open: async (file, mode) => {
     const flags =
       mode === 'create'
@@ -50,6 +60,29 @@
   },
 };
 
+async function readableFile(handle: fs.FileHandle): Promise<ReadableFile> {
+  const {size: sizeBytes} = await handle.stat();
+  return {
+    sizeBytes,
+    read: async (position, length) => {
+      const bytes = Buffer.allocUnsafe(Math.min(length, Math.max(0, sizeBytes - position)));
+      let filled = 0;
+      while (filled < bytes.length) {
+        const {bytesRead} = await handle.read(
+          bytes,
+          filled,
+          bytes.length - filled,
+          position + filled,
+        );
+        if (bytesRead === 0) break;
+        filled += bytesRead;
+      }
+      return bytes.subarray(0, filled);
+    },
+    close: () => handle.close(),
+  };
+}
+
 function storeFile(handle: fs.FileHandle): StoreFile {
   return {
     write: async (bytes, position) => {
--- a/control/log-store/src/frames.ts
+++ b/control/log-store/src/frames.ts
@@ -1,5 +1,6 @@
 import {crc32} from 'node:zlib';
 import {MedlarlaneError} from '@medlarlane/errors';
+import type {ReadableFile} from './fileSystem.js';
 
 /**
  * Magic, sequence number, payload length, payload checksum, header checksum; each a 32-bit integer.
@@ -9,13 +10,8 @@
 // File systems return zeros for blocks that were allocated but not written, in whole sectors.
 const SECTOR_BYTES = 512;
 
-export interface Frame {
-  readonly payload: Uint8Array;
-  readonly endByte: number;
-}
-
 export interface FrameScan {
-  readonly frames: Frame[];
+  readonly frameCount: number;
   /** Size of the complete, valid frames at the start of the file. */
   readonly validBytes: number;
   /** Size of the incomplete write after the valid frames. */
@@ -35,36 +31,47 @@
 }
 
 /**
- * Reads the frames of a file.
+ * Reads the frames of a file one after another and calls `onFrame` with the payload of each, which it must not
+ * keep: views of a payload hold the whole frame in memory.
  *
  * A last frame that is truncated, or that ends in unwritten (zero-filled) sectors, is reported as
  * torn: its write was never acknowledged.
  * @throws MedlarlaneError `LOG_CORRUPT` for any other damage.
  */
-export function scanFrames(bytes: Uint8Array): FrameScan {
-  const file = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-  const frames: Frame[] = [];
+export async function scanFrames(
+  file: ReadableFile,
+  onFrame: (payload: Uint8Array) => void,
+): Promise<FrameScan> {
+  let frameCount = 0;
   let position = 0;
-  while (position < file.length) {
-    const frame = readFrame(file, position, frames.length);
-    if (!frame) {
-      assertTornTail(file, position, frames.length);
+  while (position < file.sizeBytes) {
+    const payload = await readFrame(file, position, frameCount);
+    if (!payload) {
+      await assertTornTail(file, position, frameCount);
       break;
     }
-    frames.push(frame);
-    position = frame.endByte;
+    onFrame(payload);
+    frameCount += 1;
+    position += FRAME_HEADER_BYTES + payload.length;
   }
-  return {frames, validBytes: position, tornBytes: file.length - position};
+  return {frameCount, validBytes: position, tornBytes: file.sizeBytes - position};
 }
 
-function readFrame(file: Buffer, position: number, sequence: number): Frame | undefined {
-  const lengthBytes = headerLength(file, position);
-  if (lengthBytes === undefined || file.readUInt32LE(position + 4) !== sequence) return undefined;
-  const endByte = position + FRAME_HEADER_BYTES + lengthBytes;
-  if (endByte > file.length) return undefined;
-  const payload = file.subarray(position + FRAME_HEADER_BYTES, endByte);
-  if (crc32(payload) !== file.readUInt32LE(position + 12)) return undefined;
-  return {payload, endByte};
+async function readFrame(
+  file: ReadableFile,
+  position: number,
+  sequence: number,
+): Promise<Buffer | undefined> {
+  const header = toBuffer(await file.read(position, FRAME_HEADER_BYTES));
+  const lengthBytes = headerLength(header, 0);
+  if (lengthBytes === undefined || header.readUInt32LE(4) !== sequence) return undefined;
+  if (position + FRAME_HEADER_BYTES + lengthBytes > file.sizeBytes) return undefined;
+  const payload = toBuffer(await file.read(position + FRAME_HEADER_BYTES, lengthBytes));
+  return crc32(payload) === header.readUInt32LE(12) ? payload : undefined;
+}
+
+function toBuffer(bytes: Uint8Array): Buffer {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
 }
 
 /** Returns the payload length from the header, or `undefined` when the header is invalid. */
@@ -76,11 +83,18 @@
   return file.readUInt32LE(position + 8);
 }
 
-function assertTornTail(file: Buffer, position: number, sequence: number): void {
-  const reason = describeDamage(file, position, sequence);
+async function assertTornTail(
+  file: ReadableFile,
+  position: number,
+  sequence: number,
+): Promise<void> {
+  // The tail starts at a sector, so that the positions of sectors in it are those in the file.
+  const tailStart = position - (position % SECTOR_BYTES);
+  const tail = toBuffer(await file.read(tailStart, file.sizeBytes - tailStart));
+  const reason = describeDamage(tail, position - tailStart, sequence);
   if (!reason) return;
   throw new MedlarlaneError('LOG_CORRUPT', `Log is damaged at byte ${position}: ${reason}`, {
-    details: {position, sequence, fileBytes: file.length},
+    details: {position, sequence, fileBytes: file.sizeBytes},
   });
 }
 
--- a/control/log-store/src/index.ts
+++ b/control/log-store/src/index.ts
@@ -1,5 +1,5 @@
 export {nodeFileSystem} from './fileSystem.js';
-export type {FileSystem, StoreFile} from './fileSystem.js';
+export type {FileSystem, ReadableFile, StoreFile} from './fileSystem.js';
 export {openLogStore} from './openLogStore.js';
 export type {LogStore, OpenLogStoreOptions, RecoveredLog} from './openLogStore.js';
 export {memberSetSchema} from './records.js';
--- a/control/log-store/src/openLogStore.ts
+++ b/control/log-store/src/openLogStore.ts
@@ -6,6 +6,7 @@
 import type {FileSystem} from './fileSystem.js';
 import {lockFolder} from './folderLock.js';
 import {encodeFrame, scanFrames} from './frames.js';
+import type {FrameScan} from './frames.js';
 import {LogWriter} from './logWriter.js';
 import {
   IDENTITY_FILE,
@@ -185,27 +186,38 @@
   files: FileSystem,
 ): Promise<OpenedLog> {
   const logPath = path.join(dataFolder, logFileName(logNumber));
-  const {frames, validBytes, tornBytes} = scanFrames(await files.read(logPath));
-  const [headerFrame, ...batchFrames] = frames;
-  if (!headerFrame) throw new MedlarlaneError('LOG_CORRUPT', 'Log file has no header');
-  const header = decodeHeader(headerFrame.payload);
-  checkIdentity(header, identity, expectedId, batchFrames.length);
-  const snapshot = await readSnapshot(dataFolder, header, files);
-  const {hardState, entries} = replay(
-    header,
-    batchFrames.flatMap(({payload}) => decodeBatches(payload)),
+  const replay = new LogReplay();
+  const {frameCount, validBytes, tornBytes} = await readFrames(logPath, files, (payload) =>
+    replay.add(payload),
   );
+  const {header, hardState, entries} = replay;
+  if (!header) throw new MedlarlaneError('LOG_CORRUPT', 'Log file has no header');
+  checkIdentity(header, identity, expectedId, frameCount - 1);
+  const snapshot = await readSnapshot(dataFolder, header, files);
   if (tornBytes > 0) await truncateTornTail(logPath, validBytes, files);
   if (!identity) await writeIdentity(dataFolder, header.replicaId, files);
   return {
     replicaId: header.replicaId,
     logNumber,
     recovered: {hardState, entries, tornBytes, ...(snapshot ? {snapshot} : {})},
-    frameCount: frames.length,
+    frameCount,
     sizeBytes: validBytes,
   };
 }
 
+async function readFrames(
+  filePath: string,
+  files: FileSystem,
+  onFrame: (payload: Uint8Array) => void,
+): Promise<FrameScan> {
+  const file = await files.openForRead(filePath);
+  try {
+    return await scanFrames(file, onFrame);
+  } finally {
+    await file.close();
+  }
+}
+
 function checkIdentity(
   {replicaId, baseIndex, entries}: LogHeader,
   identity: FoundLog['identity'],
@@ -238,33 +250,47 @@
   if (!(await files.list(dataFolder)).includes(name)) {
     throw new MedlarlaneError('LOG_CORRUPT', `Snapshot ${name} is missing`);
   }
-  const {frames, tornBytes} = scanFrames(await files.read(path.join(dataFolder, name)));
-  const [frame] = frames;
-  if (!frame || frames.length > 1 || tornBytes > 0) {
+  const snapshots: Snapshot[] = [];
+  const {tornBytes} = await readFrames(path.join(dataFolder, name), files, (payload) =>
+    snapshots.push(decodeSnapshot(payload)),
+  );
+  const [snapshot] = snapshots;
+  if (!snapshot || snapshots.length > 1 || tornBytes > 0) {
     throw new MedlarlaneError('LOG_CORRUPT', `Snapshot ${name} is incomplete`);
   }
-  const snapshot = decodeSnapshot(frame.payload);
   if (snapshot.index === baseIndex && snapshot.term === baseTerm) return snapshot;
   throw new MedlarlaneError('LOG_CORRUPT', `Snapshot ${name} does not match the log`);
 }
 
-function replay(
-  header: LogHeader,
-  batches: readonly DecodedBatch[],
-): {hardState: HardState; entries: LogEntry[]} {
-  let {hardState} = header;
-  const entries: LogEntry[] = [];
-  const nextIndex = (): number => header.baseIndex + entries.length + 1;
-  for (const batch of [{entries: header.entries}, ...batches] as DecodedBatch[]) {
-    hardState = batch.hardState ?? hardState;
+/** The log entries after the batches of a log file, which are added in order. */
+class LogReplay {
+  header: LogHeader | undefined;
+  hardState: HardState = {term: 0, votedFor: ''};
+  readonly entries: LogEntry[] = [];
+
+  /** Adds the payload of the next frame; the first one holds the header. */
+  add(payload: Uint8Array): void {
+    if (this.header) {
+      for (const batch of decodeBatches(payload)) this.apply(this.header, batch);
+      return;
+    }
+    const header = decodeHeader(payload);
+    this.header = header;
+    this.apply(header, {hardState: header.hardState, entries: [...header.entries]});
+  }
+
+  private apply({baseIndex}: LogHeader, batch: DecodedBatch): void {
+    const {entries} = this;
+    const nextIndex = (): number => baseIndex + entries.length + 1;
+    this.hardState = batch.hardState ?? this.hardState;
     if (batch.truncateFrom !== undefined) {
-      if (batch.truncateFrom <= header.baseIndex || batch.truncateFrom > nextIndex()) {
+      if (batch.truncateFrom <= baseIndex || batch.truncateFrom > nextIndex()) {
         throw new MedlarlaneError(
           'LOG_CORRUPT',
           `Truncation at index ${batch.truncateFrom} is out of range`,
         );
       }
-      entries.length = batch.truncateFrom - header.baseIndex - 1;
+      entries.length = batch.truncateFrom - baseIndex - 1;
     }
     for (const entry of batch.entries) {
       if (entry.index !== nextIndex()) {
@@ -275,7 +301,6 @@
       entries.push(entry);
     }
   }
-  return {hardState, entries};
 }
 
 async function truncateTornTail(
--- a/control/log-store/test/logRecovery.test.ts
+++ b/control/log-store/test/logRecovery.test.ts
@@ -13,6 +13,19 @@
 const SEED = 20_261_204;
 const DAMAGED_INPUTS = 12_000;
 
+// Guards against a start that needs more memory than the replica had before: the file was read as a whole,
+// beside the entries decoded from it.
+test('Recovery holds one frame of the log at a time', async () => {
+  const entryBytes = 10_000;
+  const files = new MemoryFiles();
+  const store = await openLogStore(FOLDER, {replicaId: 'a', files});
+  const large = Array.from({length: 50}, (_, i) => entry(i + 1, 'x'.repeat(entryBytes)));
+  for (const one of large) await store.append({entries: [one]});
+  await store.close();
+  assert.deepEqual((await recover(FOLDER, files)).entries, large);
+  assert.ok(files.largestReadBytes < 2 * entryBytes, `${files.largestReadBytes} bytes at once`);
+});
+
 test('Recovery repairs a last frame that is truncated at any byte', async () => {
   const {log, lastFrameStart} = await copyIntactFiles();
   for (let size = lastFrameStart; size < log.length; size++) {
--- a/control/log-store/test/memoryFiles.ts
+++ b/control/log-store/test/memoryFiles.ts
@@ -1,5 +1,5 @@
 import path from 'node:path';
-import type {FileSystem, StoreFile} from '@medlarlane/log-store';
+import type {FileSystem, ReadableFile, StoreFile} from '@medlarlane/log-store';
 
 interface MemoryFile {
   contents: Buffer;
@@ -12,6 +12,8 @@
   changes = 0;
   /** Number of the change from which on all changes fail. */
   crashAtChange = Infinity;
+  /** Size of the largest part of a file that was read at once. */
+  largestReadBytes = 0;
   private names = new Map<string, MemoryFile>();
   private syncedNames = new Map<string, MemoryFile>();
 
@@ -22,7 +24,21 @@
   }
 
   async read(file: string): Promise<Uint8Array> {
-    return Buffer.from(this.get(file).contents);
+    const contents = Buffer.from(this.get(file).contents);
+    this.largestReadBytes = Math.max(this.largestReadBytes, contents.length);
+    return contents;
+  }
+
+  async openForRead(file: string): Promise<ReadableFile> {
+    const contents = Buffer.from(this.get(file).contents);
+    return {
+      sizeBytes: contents.length,
+      read: async (position, length) => {
+        this.largestReadBytes = Math.max(this.largestReadBytes, length);
+        return contents.subarray(position, position + length);
+      },
+      close: async () => undefined,
+    };
   }
 
   async open(file: string, mode: 'create' | 'update'): Promise<StoreFile> {
