Hand over the vote of a control replica that is told to stop

Cause: a replica that got SIGTERM closed without a word. For 3 s and more the group had five voters of which four ran, and its successor, a learner that held all entries, had no vote.

Change: a stopping replica announces its stop; the leader promotes a learner that has caught up, then removes the replica, and the process closes after that, or at once without such a learner. The leader also removes a silent voter beyond the target number, and ignores late join requests of replicas that were replaced.

--- a/apps/site/src/startSiteControl.ts
+++ b/apps/site/src/startSiteControl.ts
@@ -1,7 +1,7 @@
 import {randomBytes} from 'node:crypto';
 import {startReplica} from '@medlarlane/consensus';
 import type {Replica} from '@medlarlane/consensus';
-import {toMedlarlaneError} from '@medlarlane/errors';
+import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import {BackgroundTasks, DisposableStore, systemClock} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
 import {openLogStore} from '@medlarlane/log-store';
@@ -10,12 +10,14 @@
 import {createRpcClient, startRpcServer} from '@medlarlane/rpc';
 import {
   joinRequestSchema,
+  leaveRequestSchema,
   MemberManager,
   reportRequestSchema,
   SiteControl,
 } from '@medlarlane/site-control';
 import {SiteState} from '@medlarlane/site-state';
 import {consensusHandler, createRpcTransport} from './consensusRpc.js';
+import {leaveGroup} from './leaveGroup.js';
 import {ConfigurationService} from './configurationService.js';
 import {createControlMetrics} from './siteMetrics.js';
 
@@ -41,6 +43,8 @@
   readonly replica: Replica;
   readonly state: SiteState;
   readonly metrics: ReturnType<typeof createControlMetrics>;
+  /** Hands this replica's vote over to another replica, if one can take it, and closes. */
+  stop(): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -138,6 +142,11 @@
         }
         return {};
       },
+      leave: (payload) => {
+        const request = leaveRequestSchema.parse(payload);
+        if (!replica.isLeader()) throw new MedlarlaneError('NOT_LEADER');
+        return Promise.resolve(members.leave(request));
+      },
     },
     onInternalError: (method, err) => logger.error({method, err}, 'RPC handler failed'),
   });
@@ -183,7 +192,12 @@
   });
   control.start();
   disposables.add(() => control.stop());
-  return {configurationService, replica, state, metrics, close: () => disposables.dispose()};
+  const close = (): Promise<void> => disposables.dispose();
+  const stop = async (): Promise<void> => {
+    await leaveGroup({replica, members, rpc, clock, logger});
+    await close();
+  };
+  return {configurationService, replica, state, metrics, stop, close};
 }
 
 /**
--- a/apps/site/src/superviseSiteControl.ts
+++ b/apps/site/src/superviseSiteControl.ts
@@ -10,6 +10,8 @@
   >;
   /** The running replica; absent while it is down. */
   readonly current: SiteControlProcess | undefined;
+  /** Hands the replica's vote over, if another replica can take it, and closes. */
+  stop(): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -88,6 +90,10 @@
     get current() {
       return current;
     },
+    stop: async () => {
+      isClosed = true;
+      await current?.stop();
+    },
     close: async () => {
       isClosed = true;
       await current?.close();
--- a/control/site-control/src/index.ts
+++ b/control/site-control/src/index.ts
@@ -8,8 +8,18 @@
   TargetState,
   TransferRequest,
 } from './reports.js';
-export {joinRequestSchema, MemberManager} from './memberManager.js';
-export type {JoinRequest, MemberManagerOptions} from './memberManager.js';
+export {
+  joinRequestSchema,
+  leaveRequestSchema,
+  leaveResponseSchema,
+  MemberManager,
+} from './memberManager.js';
+export type {
+  JoinRequest,
+  LeaveRequest,
+  LeaveResponse,
+  MemberManagerOptions,
+} from './memberManager.js';
 export {decodeSums, ServiceDemandTable} from './serviceDemand.js';
 export {SiteControl} from './siteControl.js';
 export type {SiteControlOptions} from './siteControl.js';
--- a/control/site-control/src/memberManager.ts
+++ b/control/site-control/src/memberManager.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import type {MemberChange, Replica} from '@medlarlane/consensus';
+import type {MemberChange, PeerStatus, Replica} from '@medlarlane/consensus';
 import {toMedlarlaneError} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
@@ -12,6 +12,16 @@
 });
 export type JoinRequest = z.infer<typeof joinRequestSchema>;
 
+/** Announces that a replica is about to stop. */
+export const leaveRequestSchema = z.object({replicaId: z.string()});
+export type LeaveRequest = z.infer<typeof leaveRequestSchema>;
+
+export const leaveResponseSchema = z.object({
+  /** Whether the replica is a voter and another replica takes over its vote. */
+  isBeingReplaced: z.boolean(),
+});
+export type LeaveResponse = z.infer<typeof leaveResponseSchema>;
+
 export interface MemberManagerOptions {
   readonly replica: Replica;
   readonly clock: Clock;
@@ -24,23 +34,50 @@
 const VOTER_REPLACEMENT_DELAY_MS = 3_000;
 /** A joining replica repeats its request every second; a request that is not repeated within this time is dropped. */
 const JOIN_REQUEST_TTL_MS = 5_000;
+/** A stopping replica repeats its announcement until it stops. One that is still reachable later has restarted. */
+const STOPPING_TTL_MS = 2_000;
+/** Number of replaced replicas whose late join requests are recognised. */
+const MAX_REPLACED_IDS = 64;
 
 /** Keeps the number of voters of the replicated log at its target. Runs on the leader. */
 export class MemberManager {
   private readonly joinRequests = new Map<string, {address: string; requestedAtMs: number}>();
   private readonly unreachableSinceMs = new Map<string, number>();
+  /** Time of the last announcement of each replica that is stopping or has stopped. */
+  private readonly stoppingSinceMs = new Map<string, number>();
+  /** Replicas whose address another replica uses by now. */
+  private readonly replacedIds = new Set<string>();
   private isChanging = false;
 
   constructor(private readonly opts: MemberManagerOptions) {}
 
   /** Records the request of a replica to become a voter. */
   join({replicaId, address}: JoinRequest): void {
+    if (this.replacedIds.has(replicaId)) {
+      this.opts.logger.info({replicaId, address}, 'Ignored join request of a replaced replica');
+      return;
+    }
     this.joinRequests.set(replicaId, {address, requestedAtMs: this.opts.clock.nowMs()});
   }
 
-  /** Discards the reachability observed in an earlier term. */
+  /**
+   * Records that a replica is about to stop, so that a learner takes over its vote before, or as soon as
+   * one has caught up.
+   */
+  leave({replicaId}: LeaveRequest): LeaveResponse {
+    const {replica, clock, logger, targetVoterCount} = this.opts;
+    const {members} = replica.status();
+    const {voters} = members;
+    if (!this.stoppingSinceMs.has(replicaId)) logger.info({replicaId, members}, 'Replica stops');
+    this.stoppingSinceMs.set(replicaId, clock.nowMs());
+    const hasSuccessor = voters.length > targetVoterCount || this.findSuccessor() !== undefined;
+    return {isBeingReplaced: voters.includes(replicaId) && hasSuccessor};
+  }
+
+  /** Discards what was observed in an earlier term. */
   reset(): void {
     this.unreachableSinceMs.clear();
+    this.stoppingSinceMs.clear();
   }
 
   /** Makes at most one member change. */
@@ -62,10 +99,14 @@
   }
 
   private nextChange(): MemberChange | undefined {
-    const {replica, clock, targetVoterCount} = this.opts;
-    const {members, peers} = replica.status();
+    const {peers} = this.opts.replica.status();
     if (!peers) return undefined;
-    const nowMs = clock.nowMs();
+    this.updateObservations(peers);
+    return this.nextJoin() ?? this.nextReplacement();
+  }
+
+  private updateObservations(peers: Readonly<Record<string, PeerStatus>>): void {
+    const nowMs = this.opts.clock.nowMs();
     for (const [id, {requestedAtMs}] of this.joinRequests) {
       if (nowMs - requestedAtMs > JOIN_REQUEST_TTL_MS) this.joinRequests.delete(id);
     }
@@ -73,28 +114,68 @@
       if (reachable) this.unreachableSinceMs.delete(id);
       else if (!this.unreachableSinceMs.has(id)) this.unreachableSinceMs.set(id, nowMs);
     }
+    for (const [id, announcedAtMs] of this.stoppingSinceMs) {
+      const isMember = peers[id] !== undefined || id === this.opts.replica.replicaId;
+      const hasRestarted = peers[id]?.reachable === true && nowMs - announcedAtMs > STOPPING_TTL_MS;
+      if (hasRestarted || !isMember) this.stoppingSinceMs.delete(id);
+    }
+  }
+
+  private nextJoin(): MemberChange | undefined {
+    const {members} = this.opts.replica.status();
     const all = [...members.voters, ...members.learners];
     for (const [id, {address}] of this.joinRequests) {
       // Only one process serves an address, so the former replica at it has permanently lost its disk.
       const formerReplica = all.find(
         (other) => other !== id && members.addresses[other] === address,
       );
-      if (formerReplica) return {kind: 'remove', replicaId: formerReplica};
+      if (formerReplica) {
+        this.recordReplaced(formerReplica);
+        return {kind: 'remove', replicaId: formerReplica};
+      }
       if (!all.includes(id)) return {kind: 'addLearner', replicaId: id, address};
     }
+    return undefined;
+  }
+
+  private nextReplacement(): MemberChange | undefined {
+    const {replica, clock, targetVoterCount} = this.opts;
+    const {voters, learners} = replica.status().members;
+    const nowMs = clock.nowMs();
     const isUnreachable = (id: string): boolean =>
       nowMs - (this.unreachableSinceMs.get(id) ?? nowMs) > VOTER_REPLACEMENT_DELAY_MS;
-    const learner = members.learners.find((id) => peers[id]?.reachable && peers[id].caughtUp);
-    if (learner && members.voters.length < targetVoterCount) {
-      return {kind: 'promote', replicaId: learner};
-    }
-    const unreachableVoter = members.voters.find(isUnreachable);
-    if (learner && unreachableVoter) return {kind: 'remove', replicaId: unreachableVoter};
-    const unreachableLearner = members.learners.find(
+    const successor = this.findSuccessor();
+    const stoppingVoter = voters.find((id) => this.stoppingSinceMs.has(id));
+    const unreachableVoter = voters.find(isUnreachable);
+    const isShort = voters.length < targetVoterCount;
+    const canSwap = voters.length === targetVoterCount && stoppingVoter !== undefined;
+    // The successor is promoted first, so that the group bears as many losses throughout the swap.
+    if (successor && (isShort || canSwap)) return {kind: 'promote', replicaId: successor};
+    const surplusVoter = stoppingVoter ?? unreachableVoter;
+    if (voters.length > targetVoterCount && surplusVoter)
+      return {kind: 'remove', replicaId: surplusVoter};
+    if (successor && unreachableVoter) return {kind: 'remove', replicaId: unreachableVoter};
+    const unreachableLearner = learners.find(
       (id) => isUnreachable(id) && !this.joinRequests.has(id),
     );
     return unreachableLearner === undefined
       ? undefined
       : {kind: 'remove', replicaId: unreachableLearner};
   }
+
+  /** A learner that can become a voter now. */
+  private findSuccessor(): string | undefined {
+    const {members, peers} = this.opts.replica.status();
+    return members.learners.find(
+      (id) => peers?.[id]?.reachable && peers[id].caughtUp && !this.stoppingSinceMs.has(id),
+    );
+  }
+
+  private recordReplaced(replicaId: string): void {
+    this.joinRequests.delete(replicaId);
+    this.replacedIds.add(replicaId);
+    if (this.replacedIds.size <= MAX_REPLACED_IDS) return;
+    const [oldest] = this.replacedIds;
+    if (oldest !== undefined) this.replacedIds.delete(oldest);
+  }
 }
--- a/control/site-control/test/memberManager.test.ts
+++ b/control/site-control/test/memberManager.test.ts
@@ -51,6 +51,71 @@
     await group.passTime(1_000);
     assert.deepEqual(group.changes[0], {kind: 'remove', replicaId: 'e'});
   });
+
+  // Guards against a group that is a voter short between a planned stop and the promotion of the successor.
+  it('promotes a successor before it removes a voter that is about to stop', async () => {
+    const voters = ['a', 'b', 'c', 'd', 'e'];
+    const peers = {b: UP, c: UP, d: UP, e: UP, f: UP};
+    const before = startGroup({voters, learners: ['f']}, peers);
+    assert.deepEqual(before.manager.leave({replicaId: 'e'}), {isBeingReplaced: true});
+    await before.manager.reconcile();
+    assert.deepEqual(before.changes, [{kind: 'promote', replicaId: 'f'}]);
+    const between = startGroup({voters: [...voters, 'f'], learners: []}, peers);
+    assert.deepEqual(between.manager.leave({replicaId: 'e'}), {isBeingReplaced: true});
+    await between.manager.reconcile();
+    assert.deepEqual(between.changes, [{kind: 'remove', replicaId: 'e'}]);
+  });
+
+  it('keeps a voter that is about to stop while no learner has caught up', async () => {
+    const voters = ['a', 'b', 'c', 'd', 'e'];
+    const peers = {b: UP, c: UP, d: UP, e: UP, f: {...UP, caughtUp: false}};
+    const group = startGroup({voters, learners: ['f']}, peers);
+    assert.deepEqual(group.manager.leave({replicaId: 'e'}), {isBeingReplaced: false});
+    await group.passTime(1_000);
+    assert.deepEqual(group.changes, []);
+    peers.f = UP;
+    await group.manager.reconcile();
+    assert.deepEqual(group.changes, [{kind: 'promote', replicaId: 'f'}]);
+  });
+
+  it('keeps a voter that has restarted since it was about to stop', async () => {
+    const voters = ['a', 'b', 'c', 'd', 'e'];
+    const peers: Record<string, PeerStatus> = {b: UP, c: UP, d: UP, e: UNREACHABLE};
+    const group = startGroup({voters, learners: ['f']}, peers);
+    group.manager.leave({replicaId: 'e'});
+    await group.passTime(2_500);
+    peers['e'] = UP;
+    await group.manager.reconcile();
+    peers['f'] = UP;
+    await group.passTime(1_000);
+    assert.deepEqual(group.changes, []);
+  });
+
+  it('removes an unreachable voter that the group has beyond its target', async () => {
+    const voters = ['a', 'b', 'c', 'd', 'e', 'f'];
+    const peers = {b: UP, c: UP, d: UP, e: UNREACHABLE, f: UP};
+    const group = startGroup({voters, learners: []}, peers);
+    await group.passTime(3_500);
+    assert.deepEqual(group.changes[0], {kind: 'remove', replicaId: 'e'});
+  });
+
+  // Guards against a request sent before the disk was lost a second time, which would remove the replica that
+  // has replaced its sender.
+  it('ignores the late join request of a replica that was replaced at its address', async () => {
+    const members = {voters: ['a', 'b', 'c'], learners: [] as string[]};
+    const peers: Record<string, PeerStatus> = {b: UP, c: UNREACHABLE};
+    const group = startGroup(members, peers);
+    group.manager.join({replicaId: 'c#2', address: 'c:1'});
+    await group.manager.reconcile();
+    assert.deepEqual(group.changes, [{kind: 'remove', replicaId: 'c'}]);
+    members.voters = ['a', 'b'];
+    members.learners = ['c#2'];
+    delete peers['c'];
+    peers['c#2'] = {...UP, caughtUp: false};
+    group.manager.join({replicaId: 'c', address: 'c:1'});
+    await group.passTime(1_000);
+    assert.equal(group.changes.length, 1);
+  });
 });
 
 function startGroup(
@@ -59,11 +124,13 @@
 ) {
   const clock = new ManualClock();
   const changes: MemberChange[] = [];
-  const all = [...members.voters, ...members.learners];
-  const addresses = Object.fromEntries(all.map((id) => [id, `${id}:1`]));
+  const addresses = (): Record<string, string> =>
+    Object.fromEntries(
+      [...members.voters, ...members.learners].map((id) => [id, `${id.replace(/#.*/, '')}:1`]),
+    );
   const replica = {
     replicaId: 'a',
-    status: () => ({members: {...members, addresses}, peers}),
+    status: () => ({members: {...members, addresses: addresses()}, peers}),
     changeMembers: async (change: MemberChange) => void changes.push(change),
   } as unknown as Replica;
   const manager = new MemberManager({replica, clock, logger: silentLogger, targetVoterCount: 5});
