Acknowledge the removal of a target once it is recorded

Cause: a restarted daemon that had not heard of its target yet answered a removal with 200 and ignored it. The leader's directory then restored the target as ready.

A drain that a daemon process first hears of in a heartbeat counts from the time of its predecessor.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -90,6 +90,11 @@
   readonly metrics: SiteMetrics;
   /** Whether callers may send requests to this daemon. */
   readonly isReady: boolean;
+  /**
+   * Starts the drain of a target that announces its removal. Returns whether the control leader has recorded it,
+   * so that the drain outlasts this process; otherwise the announcement must be repeated.
+   */
+  removeTarget(targetId: string): Promise<boolean>;
   /**
    * Stops accepting requests, waits for requests in flight and closes, all within about `graceMs`. Requests
    * that are still accepted meanwhile get a response by then.
@@ -114,6 +119,8 @@
 const DEMAND_WANTED_MS = 1_500;
 /** Time before the end of a stop for the last responses of targets, which end at their deadline. */
 const LAST_RESPONSE_MS = 150;
+/** A target waits for the response to its removal for 1 s. */
+const REMOVAL_CONFIRMATION_MS = 800;
 /** Maximum number of connections to the target; leaves connections free for its other callers. */
 const MAX_TARGET_CONNECTIONS = 64;
 
@@ -410,6 +417,16 @@
     get isReady() {
       return !isStopping && view.hasConfiguration;
     },
+    removeTarget: async (targetId) => {
+      const deadlineMs = clock.nowMs() + REMOVAL_CONFIRMATION_MS;
+      hostedTarget.startDraining(targetId);
+      const wasKnown = hostedTarget.isDraining(targetId);
+      const isConfirmed = await controlReporter.confirmReport(REMOVAL_CONFIRMATION_MS);
+      // The response to a report without the target may have restored it.
+      const isRestored = !wasKnown && hostedTarget.isDraining(targetId);
+      if (!isConfirmed || !isRestored) return isConfirmed;
+      return controlReporter.confirmReport(deadlineMs - clock.nowMs());
+    },
     stop: async (graceMs) => {
       isStopping = true;
       controlReporter.reportNow();
--- a/routing/site-link/src/controlReporter.ts
+++ b/routing/site-link/src/controlReporter.ts
@@ -87,12 +87,29 @@
     });
   }
 
+  /** Sends reports until a leader has responded to one. Returns whether that was within the time. */
+  async confirmReport(timeoutMs: number): Promise<boolean> {
+    const {clock} = this.opts;
+    const deadlineMs = clock.nowMs() + timeoutMs;
+    for (;;) {
+      const remainingMs = deadlineMs - clock.nowMs();
+      if (remainingMs <= 0) return false;
+      try {
+        const reportTimeoutMs = Math.min(remainingMs, REPORT_TIMEOUT_MS);
+        if (await this.sendReport(0, {timeoutMs: reportTimeoutMs})) return true;
+      } catch (thrown) {
+        const delayMs = this.handleFailure(toMedlarlaneError(thrown));
+        await clock.sleep(Math.min(delayMs, Math.max(0, deadlineMs - clock.nowMs())));
+      }
+    }
+  }
+
   private async run(signal: AbortSignal): Promise<void> {
     const {clock} = this.opts;
     while (!signal.aborted) {
       let delayMs = MIN_REPORT_DELAY_MS;
       try {
-        await this.sendReport(LONG_POLL_MS, signal);
+        await this.sendReport(LONG_POLL_MS, {signal});
       } catch (thrown) {
         delayMs = this.handleFailure(toMedlarlaneError(thrown));
       }
@@ -100,7 +117,11 @@
     }
   }
 
-  private async sendReport(waitMs: number, signal?: AbortSignal): Promise<void> {
+  /** Returns whether the response is from the newest known leader. */
+  private async sendReport(
+    waitMs: number,
+    opts: {timeoutMs?: number; signal?: AbortSignal} = {},
+  ): Promise<boolean> {
     const {rpc, clock, buildReport, onResponse, logger} = this.opts;
     const address = this.leaderAddress ?? this.nextAddress();
     const sentAtMs = clock.nowMs();
@@ -112,12 +133,12 @@
         'report',
         {...buildReport(this.syncState), processId, sequence, waitMs},
         {
-          timeoutMs: waitMs + REPORT_TIMEOUT_MS,
-          ...(signal ? {signal} : {}),
+          timeoutMs: waitMs + (opts.timeoutMs ?? REPORT_TIMEOUT_MS),
+          ...(opts.signal ? {signal: opts.signal} : {}),
         },
       ),
     );
-    if (!this.isInOrder(response)) return;
+    if (!this.isInOrder(response)) return response.leaderTerm === this.syncState.leaderTerm;
     this.leaderAddress = address;
     this.controlAddresses = response.controlAddresses;
     this.lastResponseAtMs = clock.nowMs();
@@ -133,6 +154,7 @@
       rangesIndex: Math.max(this.syncState.rangesIndex, response.rangesIndex),
     };
     onResponse(hasCurrentRanges ? response : {...response, ranges: []}, sentAtMs);
+    return true;
   }
 
   /** Responses to parallel reports may arrive out of order. */
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
+import {AnnouncedRemovals} from './announcedRemovals.js';
 import {PushedGrants} from './calledGrants.js';
 import type {GrantApi} from './calledGrants.js';
 import {KeyDemand} from './keyDemand.js';
@@ -147,6 +148,7 @@
   private minReportSentAtMs = -Infinity;
   private assigned: readonly AssignedRange[] = [];
   private readonly outgoingKeys = new OutgoingKeys();
+  private readonly removals: AnnouncedRemovals;
   private endedIncarnationIds: string[] = [];
   private hasSuccessors = false;
   private hasHeardLeader = false;
@@ -165,6 +167,7 @@
 
   constructor(private readonly opts: HostedTargetOptions) {
     this.startedAtMs = opts.steadyClock.nowMs();
+    this.removals = new AnnouncedRemovals(opts.clock);
     const {grantApi} = opts;
     this.pushedGrants =
       grantApi &&
@@ -290,34 +293,53 @@
     return ranges.some(({fromKey, toKey}) => fromKey <= key && key <= toKey);
   }
 
-  /** Handles a heartbeat. Returns the grant for the response, or that the heartbeat was not accepted. */
+  /**
+   * Handles a heartbeat. Returns the grant for the response, or that the heartbeat was not accepted and whether
+   * a later one of the same incarnation has been.
+   */
   handleHeartbeat(
     next: Heartbeat,
-  ): {accepted: true; grant: KeyGrant | undefined} | {accepted: false} {
+  ): {accepted: true; grant: KeyGrant | undefined} | {accepted: false; isSuperseded: boolean} {
     if (!this.isNewer(next)) {
+      const isSuperseded =
+        !this.ended &&
+        this.incarnation === incarnationOf(next) &&
+        next.sequence <= this.heartbeat!.sequence;
       this.opts.logger.info(
-        {life: incarnationOf(next), sequence: next.sequence, current: this.incarnation},
+        {
+          life: incarnationOf(next),
+          sequence: next.sequence,
+          current: this.incarnation,
+          isSuperseded,
+        },
         'Ignored stale heartbeat',
       );
-      return {accepted: false};
+      return {accepted: false, isSuperseded};
     }
     const previous = this.heartbeat;
-    if (!previous || incarnationOf(previous) !== incarnationOf(next))
-      this.startIncarnation(next, previous);
-    const stateBefore = this.state;
+    const {incarnation: incarnationBefore, state: stateBefore} = this;
+    if (incarnationBefore !== incarnationOf(next)) this.startIncarnation(next, previous);
     this.heartbeat = next;
     this.assumedUntilMs = -Infinity;
     this.updateReportedHolds(next, previous);
     this.heartbeatAtMs = this.opts.steadyClock.nowMs();
     this.ended = false;
-    if (next.state === 'draining') this.statements?.beginDrain('heartbeat');
+    this.recordDrainOf(next, previous);
     this.recordColdOf(next);
     this.addFreed(next);
-    if (this.state !== stateBefore || next.freed.length > 0) this.onChange();
+    const hasChanged = this.incarnation !== incarnationBefore || this.state !== stateBefore;
+    if (hasChanged || next.freed.length > 0) this.onChange();
     this.applyGrantPlan();
     return {accepted: true, grant: this.pushedGrants ? undefined : this.createGrant()};
   }
 
+  private recordDrainOf(next: Heartbeat, previous: Heartbeat | undefined): void {
+    if (next.state !== 'draining') return;
+    // A previous daemon process may have acknowledged the drain long ago.
+    const isFirstHeartbeat = previous === undefined || previous.sequence < 0;
+    this.statements?.beginDrain('heartbeat', isFirstHeartbeat ? this.opts.drainMs : 0);
+  }
+
   /** The rate limit that the target names; `undefined` if it names none. */
   get rateLimit(): RateLimit | undefined {
     return this.statements?.rateLimit;
@@ -443,7 +465,7 @@
    * restarts, and rejects requests for other keys.
    */
   restore(entry: RestoredTarget): void {
-    this.restoreTarget(entry);
+    if (this.restoreTarget(entry) && this.statements?.isDraining) this.onChange();
     const {rateLimitRps} = entry;
     if (rateLimitRps !== undefined && !this.hasNotice) {
       this.recordNotice(entry.life, {rateLimitRps, isLeaving: false});
@@ -453,10 +475,11 @@
     if (isDraining && this.statements?.beginDrain('directory', this.opts.drainMs)) this.onChange();
   }
 
-  private restoreTarget(entry: RestoredTarget): void {
+  /** Returns whether the target was restored. */
+  private restoreTarget(entry: RestoredTarget): boolean {
     const startedAtMs = Number(entry.life.slice(entry.targetId.length + 1));
     const isServing = entry.state === 'ready' || entry.state === 'draining';
-    if (this.heartbeat || !isServing || !Number.isFinite(startedAtMs)) return;
+    if (this.heartbeat || !isServing || !Number.isFinite(startedAtMs)) return false;
     const {targetId, service, slots} = entry;
     const noHeartbeat = {coldLeftMs: undefined, sequence: -1, holds: [], freed: []};
     this.heartbeat = {
@@ -467,19 +490,35 @@
       slots,
       ...noHeartbeat,
     };
-    this.statements = this.createStatements(incarnationOf(this.heartbeat));
+    this.statements = this.createStatements(this.heartbeat);
     this.assumeCold('restored');
     this.heartbeatAtMs = this.opts.steadyClock.nowMs();
     this.assumedUntilMs = this.opts.clock.nowMs() + MAX_GRANT_MS;
     this.opts.logger.info({life: entry.life}, 'Restored target of the previous daemon process');
+    return true;
   }
 
-  /** Starts a drain that the target requested. It continues to serve its keys until `drainMs`. */
+  /**
+   * Starts the drain of a target that announces its removal; it continues to serve its keys until `drainMs`.
+   * The announcement is kept if the target is not known yet.
+   */
   startDraining(targetId: string): void {
-    if (this.heartbeat?.targetId !== targetId) return;
+    this.removals.record(targetId);
+    if (this.heartbeat?.targetId !== targetId) {
+      this.opts.logger.info(
+        {targetId, current: this.incarnation},
+        'Target that is not known announced its removal',
+      );
+      return;
+    }
     if (this.statements?.beginDrain('removal')) this.onChange();
   }
 
+  /** Whether the current incarnation has this id and is draining. */
+  isDraining(targetId: string): boolean {
+    return this.heartbeat?.targetId === targetId && this.statements?.isDraining === true;
+  }
+
   /**
    * Takes the target out of service or returns it. Unlike after a drain, the same incarnation can return.
    * Grants follow with the next response of the leader.
@@ -498,6 +537,7 @@
   markEnded(): void {
     if (!this.heartbeat || this.ended) return;
     this.ended = true;
+    this.removals.forget(this.heartbeat.targetId);
     this.pushedGrants?.reset();
     this.granted = [];
     this.grantedUntilMs = -Infinity;
@@ -592,7 +632,7 @@
     // A response to a report of the previous incarnation must not renew the lease for this one.
     this.invalidateLease();
     this.coldSinceMs = undefined;
-    this.statements = this.createStatements(incarnationOf(next));
+    this.statements = this.createStatements(next);
     if (previous || this.opts.isServiceServed?.())
       this.statements.recordCold('start', this.opts.coldBound?.()?.durationMs ?? 0);
     this.pushedGrants?.reset();
@@ -605,8 +645,11 @@
     this.outgoingKeys.reset();
   }
 
-  private createStatements(incarnation: string): TargetStatements {
-    return new TargetStatements({...this.opts, incarnation});
+  private createStatements(heartbeat: Heartbeat): TargetStatements {
+    const statements = new TargetStatements({...this.opts, incarnation: incarnationOf(heartbeat)});
+    const announcedForMs = this.removals.sinceAnnouncementMs(heartbeat);
+    if (announcedForMs !== undefined) statements.beginDrain('removal', announcedForMs);
+    return statements;
   }
 
   private addFreed({freed}: Heartbeat): void {
--- a/targets/key-holds/test/hostedTarget.test.ts
+++ b/targets/key-holds/test/hostedTarget.test.ts
@@ -7,6 +7,8 @@
 
 const KEY_COUNT = 1_000;
 const MAX_HOLD_MS = 10_000;
+/** Wall-clock time at which a test and the incarnation in its heartbeats start. */
+const STARTED_AT_MS = 1_000;
 
 describe('A hosted target', () => {
   it('gets its assigned keys for less time than the lease has left', () => {
@@ -413,6 +415,47 @@
     assert.equal(hosted.state, 'draining');
   });
 
+  // Guards against a removal that was acknowledged and then forgotten: the daemon had just been restarted and
+  // took its leaving target for ready again.
+  it('drains a target that announced its removal before the daemon knew it', async () => {
+    const entry = {
+      targetId: 'i-1',
+      life: `i-1/${STARTED_AT_MS}`,
+      service: 'wallboard',
+      state: 'ready',
+      slots: 8,
+    } as const;
+    const learn: Array<(fixture: ReturnType<typeof startHosted>) => void> = [
+      ({hosted}) => hosted.restore(entry),
+      ({sendHeartbeat}) => void sendHeartbeat({sequence: 7}),
+    ];
+    for (const learnTarget of learn) {
+      const fixture = startHosted();
+      const {hosted, clock, sendHeartbeat} = fixture;
+      let changes = 0;
+      hosted.onChange = () => (changes += 1);
+      hosted.startDraining('i-1');
+      await clock.advance(1_000);
+      learnTarget(fixture);
+      assert.deepEqual([hosted.state, hosted.acceptsRequests, changes], ['draining', true, 1]);
+      await clock.advance(800);
+      assert.equal(hosted.acceptsRequests, false, 'the drain has lasted since the announcement');
+      sendHeartbeat({sequence: 1, startedAtMs: clock.wallMs()});
+      assert.equal(
+        hosted.state,
+        'ready',
+        'an incarnation that started later has announced nothing',
+      );
+    }
+  });
+
+  // Guards against a drain that starts anew with each daemon process: the previous one may have acknowledged it.
+  it('accepts no requests for a target that drains when the daemon first hears from it', () => {
+    const {hosted, sendHeartbeat} = startHosted();
+    sendHeartbeat({sequence: 7, state: 'draining'});
+    assert.deepEqual([hosted.state, hosted.acceptsRequests], ['draining', false]);
+  });
+
   it('accepts no new requests shortly before the drain timeout', async () => {
     const {hosted, clock, sendHeartbeat} = startHosted();
     sendHeartbeat({sequence: 1});
@@ -428,7 +471,7 @@
 }
 
 function startHosted(opts: Pick<HostedTargetOptions, 'coldBound' | 'awaitsLeader'> = {}) {
-  const clock = new ManualClock();
+  const clock = new ManualClock(STARTED_AT_MS);
   const clockOffset = {aheadMs: 0};
   const hosted = new HostedTarget({
     clock: {
@@ -447,7 +490,7 @@
   const sendHeartbeat = (fields: Partial<Heartbeat>) =>
     hosted.handleHeartbeat({
       targetId: 'i-1',
-      startedAtMs: 1_000,
+      startedAtMs: STARTED_AT_MS,
       service: 'wallboard',
       state: 'ready',
       slots: 8,
