--- a/apps/site/src/startCallerListener.ts
+++ b/apps/site/src/startCallerListener.ts
@@ -1,8 +1,8 @@
-import {once} from 'node:events';
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {Logger} from '@medlarlane/logger';
+import {listen} from '@medlarlane/rpc';
 import type {RequestLimits} from '@medlarlane/site-config';
 
 export interface CallerListenerOptions {
@@ -45,7 +45,12 @@
 export async function startCallerListener(opts: CallerListenerOptions): Promise<CallerListener> {
   let connections = 0;
   const server = http.createServer({maxHeaderSize: MAX_HEADER_BYTES, noDelay: true});
-  server.on('request', (request, response) => void opts.handle(request, response));
+  server.on('request', (request, response) => {
+    opts.handle(request, response).catch((err: unknown) => {
+      opts.logger.error({err}, '[entry] Request cannot be handled');
+      request.socket.destroy();
+    });
+  });
   server.maxConnections = MAX_CONNECTIONS;
   server.on('connection', (socket) => {
     connections += 1;
@@ -67,8 +72,11 @@
     server.requestTimeout = 0;
   };
   setLimits(opts.limits);
-  server.listen(opts.port, opts.host);
-  await once(server, 'listening');
+  await listen(server, {
+    host: opts.host,
+    port: opts.port,
+    onAcceptError: (err) => opts.logger.error({err}, '[entry] Connection cannot be accepted'),
+  });
   return {
     port: (server.address() as AddressInfo).port,
     get isOverConnectionLimit() {
--- a/apps/site/src/startSiteControl.ts
+++ b/apps/site/src/startSiteControl.ts
@@ -149,6 +149,7 @@
       },
     },
     onInternalError: (method, err) => logger.error({method, err}, 'RPC handler failed'),
+    onAcceptError: (err) => logger.error({err}, 'RPC connection cannot be accepted'),
   });
   disposables.add(() => server.close());
   const requestJoin = async (addresses: readonly string[], signal: AbortSignal): Promise<void> => {
--- a/apps/site/src/superviseSiteControl.ts
+++ b/apps/site/src/superviseSiteControl.ts
@@ -24,8 +24,16 @@
 
 /** Disk write failures last for seconds, and each start reads the whole log. */
 const RESTART_DELAY_MS = 500;
-/** System error codes after which the disk may accept writes again. */
-const TRANSIENT_ERROR_CODES: ReadonlySet<unknown> = new Set(['ENOSPC', 'EIO', 'EDQUOT', 'EROFS']);
+/** System error codes after which the disk may accept writes, or the process may open files, again. */
+const TRANSIENT_ERROR_CODES: ReadonlySet<unknown> = new Set([
+  'ENOSPC',
+  'EIO',
+  'EDQUOT',
+  'EROFS',
+  'EMFILE',
+  'ENFILE',
+  'EAGAIN',
+]);
 
 /**
  * Starts a control replica and restarts it in the same process when its log cannot be written. The
--- a/kernel/logger/src/createLogger.ts
+++ b/kernel/logger/src/createLogger.ts
@@ -37,6 +37,8 @@
           maxLength: MAX_BUFFERED_BYTES,
         })
       : pino.destination({fd: 2, sync: true});
+  // Without a listener, a failed write, for example to a closed pipe or a full disk, would end the process.
+  destination.on('error', () => undefined);
   const {maxRequestLinesPerS} = opts;
   return pino(
     {
--- a/kernel/rpc/src/startRpcServer.ts
+++ b/kernel/rpc/src/startRpcServer.ts
@@ -3,6 +3,7 @@
 import type {AddressInfo} from 'node:net';
 import {decode, encode} from '@msgpack/msgpack';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
+import {listen} from './listen.js';
 import {readMessageBody} from './readMessageBody.js';
 
 /** Handles the calls of one method; its result is encoded as MessagePack. */
@@ -15,6 +16,8 @@
   readonly handlers: Readonly<Record<string, RpcHandler>>;
   /** Called when a handler fails with an `INTERNAL` error. */
   readonly onInternalError?: (method: string, fault: MedlarlaneError) => void;
+  /** Called when a connection cannot be accepted. */
+  readonly onAcceptError?: (failure: Error) => void;
 }
 
 export interface RpcServer {
@@ -36,8 +39,8 @@
       void respond(request, response, opts);
     },
   );
-  server.listen(opts.port, opts.host);
-  await once(server, 'listening');
+  const {host, port: requestedPort, onAcceptError} = opts;
+  await listen(server, {host, port: requestedPort, ...(onAcceptError ? {onAcceptError} : {})});
   const {address, port} = server.address() as AddressInfo;
   return {
     address: `${address}:${port}`,
--- a/routing/request-path/src/startOfferListener.ts
+++ b/routing/request-path/src/startOfferListener.ts
@@ -10,6 +10,7 @@
   parsePeerMessage,
 } from '@medlarlane/peer-rpc';
 import type {PeerMessage} from '@medlarlane/peer-rpc';
+import {listen} from '@medlarlane/rpc';
 import {ChunkSender} from './chunkSender.js';
 import {OFFER_FIELD_COUNT, decodeFrame, decodeOffer, encodeStreamHead} from './messages.js';
 import type {RequestFrame, RunResult} from './messages.js';
@@ -69,8 +70,11 @@
     socket.setKeepAlive(true, KEEP_ALIVE_MS);
     socket.once('close', () => connections.delete(socket));
   });
-  server.listen(opts.port, opts.host);
-  await once(server, 'listening');
+  await listen(server, {
+    host: opts.host,
+    port: opts.port,
+    onAcceptError: (err) => opts.logger.error({err}, '[gate] Connection cannot be accepted'),
+  });
   const {address, port} = server.address() as AddressInfo;
   return {
     address: `${address}:${port}`,
--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -58,6 +58,8 @@
  * another version of Node.js or with other flags, and compiles the source instead.
  */
 const LAUNCHER = `'use strict';
+// The default action of the signal would end the process until the programs handle it.
+process.on('SIGHUP', () => undefined);
 const fs = require('node:fs');
 const path = require('node:path');
 const vm = require('node:vm');
