Let answers of silent peers and closing daemons arrive whole

Cause: after 500 ms without a message from a peer, answers of which the caller had the first bytes were given up, and so were requests of a stopping daemon, although no other target could take over. A closing daemon destroyed its connections 150 ms after the last bytes had been queued, while a slow link still carried them.

Change: such waits last 2.5 s; a closing daemon waits for its peers until the end of its stop, 2 s at most. The end of a stream has a cause, which the log names.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -121,6 +121,12 @@
 const LAST_RESPONSE_MS = 150;
 /** A target waits for the response to its removal for 1 s. */
 const REMOVAL_CONFIRMATION_MS = 800;
+/**
+ * Time until the peers have received the last responses. A link of 2 Mbit/s carries the full buffers of ten
+ * connections within the maximum; a peer that is gone never confirms.
+ */
+const MIN_FLUSH_MS = 150;
+const MAX_FLUSH_MS = 2_000;
 /** Maximum number of connections to the target; leaves connections free for its other callers. */
 const MAX_TARGET_CONNECTIONS = 64;
 
@@ -260,7 +266,11 @@
   });
   const eventLoopLag = new EventLoopLag(disposables);
   const peers = disposables.use(
-    createPeerClient({logger: createComponentLogger('peers', logger), memoryBudget}),
+    createPeerClient({
+      logger: createComponentLogger('peers', logger),
+      memoryBudget,
+      isStopping: () => isStopping,
+    }),
     (client) => client.close(),
   );
   memoryBudget.addQueue(() => peers.heldBytes ?? 0);
@@ -444,10 +454,20 @@
       await waitUntil(() => admissionController.inFlight === 0);
       isClosed = true;
       callerListener.stopAccepting();
-      await waitUntil(() => entryHandler.inFlight === 0 && offerListener.openStreams === 0);
-      logger.info({inFlight: entryHandler.inFlight}, 'Daemon closing');
+      // Responses to other daemons may wait for a slow link long after the target has sent them.
+      const isAnswered = (): boolean =>
+        entryHandler.inFlight === 0 &&
+        offerListener.openStreams === 0 &&
+        offerListener.unsentBytes === 0;
+      await waitUntil(isAnswered);
+      const {openStreams, unsentBytes} = offerListener;
+      const remainingMs = stopDeadlineAtMs - clock.nowMs();
+      logger.info(
+        {inFlight: entryHandler.inFlight, openStreams, unsentBytes, remainingMs},
+        'Daemon closing',
+      );
       callerListener.closeAll();
-      await offerListener.close();
+      await offerListener.close(Math.min(Math.max(remainingMs, MIN_FLUSH_MS), MAX_FLUSH_MS));
       await disposables.dispose();
     },
   };
--- a/protocol/peer-rpc/src/messageSocket.ts
+++ b/protocol/peer-rpc/src/messageSocket.ts
@@ -78,7 +78,12 @@
 
   /** Bytes that wait to be sent or for the rest of their message. */
   get heldBytes(): number {
-    return this.unsentBytes + this.incompleteBytes + this.socket.writableLength;
+    return this.outgoingBytes + this.incompleteBytes;
+  }
+
+  /** Bytes that wait to be sent. */
+  get outgoingBytes(): number {
+    return this.unsentBytes + this.socket.writableLength;
   }
 
   /** Closes the connection after all messages have been written. */
--- a/routing/request-path/src/createPeerClient.ts
+++ b/routing/request-path/src/createPeerClient.ts
@@ -13,6 +13,7 @@
 import {encodeOffer, streamedBodyLength} from './messages.js';
 import type {Offer, RequestFrame, RunResult} from './messages.js';
 import {ResponseStream} from './responseStream.js';
+import type {StreamFailure} from './responseStream.js';
 
 export interface PeerRequest {
   readonly address: string;
@@ -41,6 +42,11 @@
  * discard a response, and another target then has to repeat the work.
  */
 const SENT_REQUEST_TIMEOUT_MS = 500;
+/**
+ * The same timeout where no other target can take over: the caller has the first bytes of the response, or this
+ * daemon is stopping. A peer whose processor or link is congested is silent for a second at times.
+ */
+const PATIENT_TIMEOUT_MS = 2_500;
 /**
  * Grace period in which a new connection without any message from the peer is kept. A daemon that has
  * just started accepts a connection long before it reads from it, and further connections would only
@@ -66,16 +72,19 @@
   stream?: ResponseStream;
   /** Returns the result. */
   resolve(result: RunResult): void;
-  /** Ends the exchange, with the result unless a stream was already returned. */
-  settle(result: RunResult): void;
+  /** Ends the exchange, with the result unless a stream was already returned, which breaks for the given cause. */
+  settle(result: RunResult, failure?: StreamFailure): void;
 }
 
 /** Creates the client for requests to other daemons, with one connection per daemon. */
 export function createPeerClient({
   logger,
   memoryBudget = new MemoryBudget(),
+  isStopping = () => false,
 }: {
   logger: Logger;
+  /** Whether this daemon is stopping and answers what it has accepted. */
+  isStopping?: () => boolean;
   /** Counts the large responses being received; by default, the client has a budget of its own. */
   memoryBudget?: MemoryBudget;
 }): PeerClient {
@@ -102,6 +111,7 @@
   const connect = (address: string): PeerConnection => {
     const connection = new PeerConnection(address, {
       memoryBudget,
+      isStopping,
       onConnect: () => {
         if (lostAddresses.delete(address)) logger.info({address}, 'Peer connection restored');
       },
@@ -155,6 +165,7 @@
     address: string,
     private readonly opts: {
       readonly memoryBudget: MemoryBudget;
+      readonly isStopping: () => boolean;
       readonly onConnect: () => void;
       /** Called when the connection accepts no new requests. */
       readonly onLost: (lossDetails: {silentMs: number; waiting: number; reason: string}) => void;
@@ -184,15 +195,15 @@
     const includesRequest =
       this.hasReceived && idempotent && frame.body.length <= MAX_INLINE_BODY_BYTES;
     return new Promise((resolve) => {
-      const onAbort = (): void => this.abandon(id, 'CANCELLED');
+      const onAbort = (): void => this.abandon(id, 'CANCELLED', 'request-aborted');
       const exchange: Exchange = {
         request,
         sent: includesRequest,
         resolve,
-        settle: (result) => {
+        settle: (result, failure) => {
           this.exchanges.delete(id);
           signal.removeEventListener('abort', onAbort);
-          exchange.stream?.finish('broken');
+          exchange.stream?.finish('broken', failure);
           resolve(result);
           if (this.isUnresponsive && this.exchanges.size === 0) this.close();
         },
@@ -250,6 +261,7 @@
       exchange.sent = true;
       this.messages.send([PEER_OPERATION.request, id, ...frameFields(exchange.request.frame)]);
     } else if (operation === PEER_OPERATION.result) {
+      exchange.sent = true;
       const result = fields[0] as RunResult;
       const lengthBytes = streamedBodyLength(result);
       if (lengthBytes === undefined) exchange.settle(result);
@@ -275,18 +287,18 @@
         this.messages.send([PEER_OPERATION.chunkCredit, id, uncreditedBytes]);
         uncreditedBytes = 0;
       },
-      onCancel: () => this.abandon(id, 'CANCELLED'),
+      onCancel: () => this.abandon(id, 'CANCELLED', 'reader-gone'),
     });
     exchange.stream = body;
     const {status, headers} = head.answer;
     exchange.resolve({...head, answer: {status, headers, body}});
   }
 
-  private abandon(id: number, code: 'CANCELLED' | 'PEER_FAILED'): void {
+  private abandon(id: number, code: 'CANCELLED' | 'PEER_FAILED', failure: StreamFailure): void {
     const exchange = this.exchanges.get(id);
     if (!exchange) return;
     this.messages.send([PEER_OPERATION.cancel, id]);
-    exchange.settle({kind: this.mayHaveRun(exchange) ? 'lost' : 'refused', code});
+    exchange.settle({kind: this.mayHaveRun(exchange) ? 'lost' : 'refused', code}, failure);
   }
 
   private handleUnresponsive(): void {
@@ -297,11 +309,17 @@
       this.reportLost('silent');
     }
     for (const [id, exchange] of [...this.exchanges]) {
-      const isRetryable = exchange.request.idempotent && this.silentMs >= SENT_REQUEST_TIMEOUT_MS;
-      if (isRetryable || !this.mayHaveRun(exchange)) this.abandon(id, 'PEER_FAILED');
+      if (this.canAbandon(exchange)) this.abandon(id, 'PEER_FAILED', 'peer-silent');
     }
   }
 
+  private canAbandon(exchange: Exchange): boolean {
+    if (!this.mayHaveRun(exchange)) return true;
+    const hasAlternative = !exchange.stream && !this.opts.isStopping();
+    const timeoutMs = hasAlternative ? SENT_REQUEST_TIMEOUT_MS : PATIENT_TIMEOUT_MS;
+    return exchange.request.idempotent && this.silentMs >= timeoutMs;
+  }
+
   private reportLost(reason: string): void {
     this.opts.onLost({silentMs: this.silentMs, waiting: this.exchanges.size, reason});
   }
@@ -311,7 +329,7 @@
     this.opts.onClose();
     for (const exchange of [...this.exchanges.values()]) {
       const kind = this.mayHaveRun(exchange) ? 'lost' : 'refused';
-      exchange.settle({kind, code: 'PEER_FAILED'});
+      exchange.settle({kind, code: 'PEER_FAILED'}, 'peer-closed');
     }
   }
 
--- a/routing/request-path/src/createTargetClient.ts
+++ b/routing/request-path/src/createTargetClient.ts
@@ -15,6 +15,7 @@
 import {MemoryBudget} from './memoryBudget.js';
 import type {MemoryHold} from './memoryBudget.js';
 import {MIN_STREAMED_BYTES, ResponseStream} from './responseStream.js';
+import type {StreamFailure} from './responseStream.js';
 
 export interface TargetClientOptions {
   readonly host: string;
@@ -168,18 +169,19 @@
       clearTimeout(timer);
       signal.removeEventListener('abort', onAbort);
     };
-    const settle = (result: RunResult): void => {
+    const settle = (result: RunResult, failure?: StreamFailure): void => {
       stopWatching();
-      stream?.finish('broken');
+      stream?.finish('broken', failure);
       resolve(result);
     };
-    const settleAndDestroy = (result: RunResult): void => {
-      settle(result);
+    const settleAndDestroy = (result: RunResult, failure?: StreamFailure): void => {
+      settle(result, failure);
       request.destroy();
     };
-    const onAbort = (): void => settleAndDestroy({kind: 'lost', code: 'CANCELLED'});
+    const onAbort = (): void =>
+      settleAndDestroy({kind: 'lost', code: 'CANCELLED'}, 'request-aborted');
     const timer = setTimeout(
-      () => settleAndDestroy({kind: 'lost', code: 'TARGET_TIMEOUT'}),
+      () => settleAndDestroy({kind: 'lost', code: 'TARGET_TIMEOUT'}, 'request-aborted'),
       deadlineLeftMs + DEADLINE_GRACE_MS,
     );
     signal.addEventListener('abort', onAbort, {once: true});
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -28,7 +28,7 @@
 import {MemoryBudget} from './memoryBudget.js';
 import type {MemoryHold} from './memoryBudget.js';
 import {collectStream, ResponseStream} from './responseStream.js';
-import type {StreamEnd} from './responseStream.js';
+import type {StreamEnd, StreamFailure} from './responseStream.js';
 import type {InstanceView, SiteView} from './siteView.js';
 import {OfferPlan} from './offerPlan.js';
 import type {PlannedOffer} from './offerPlan.js';
@@ -132,6 +132,12 @@
   readonly isFinal: boolean;
 }
 
+/** How a response that is passed on as it is received has ended. */
+interface StreamOutcome {
+  readonly streamEnd?: StreamEnd;
+  readonly streamFailure?: StreamFailure;
+}
+
 interface FinalResponse {
   readonly status: number;
   readonly headers: readonly string[];
@@ -270,11 +276,20 @@
     isDisconnected,
     durationMs,
     cause,
-    ...(streamEnd ? {streamEnd: await streamEnd} : {}),
+    ...(streamEnd ? await describeStreamEnd(streamEnd, finalResponse.body) : {}),
   });
   await pipelined.waitUntilFinished(response);
 }
 
+async function describeStreamEnd(
+  streamEnd: Promise<StreamEnd>,
+  body: FinalResponse['body'],
+): Promise<StreamOutcome> {
+  const end = await streamEnd;
+  const failure = body instanceof ResponseStream ? body.failure : undefined;
+  return {streamEnd: end, ...(failure ? {streamFailure: failure} : {})};
+}
+
 /** Whether a caller has returned after a refusal, and not at once: much of its time has passed. */
 function isReturning({timeLeftMs, route}: RequestContext): boolean {
   const usualMs = route?.timeoutMs ?? 0;
@@ -670,11 +685,11 @@
     durationMs,
     cause,
     streamEnd,
-  }: {
+    streamFailure,
+  }: StreamOutcome & {
     isDisconnected: boolean;
     durationMs: number;
     cause: UnservedCause | undefined;
-    streamEnd?: StreamEnd;
   },
 ): void {
   logger.info(
@@ -691,6 +706,7 @@
       code,
       cause,
       streamEnd,
+      streamFailure,
       durationMs: Math.round(durationMs),
     },
     isDisconnected ? 'Caller disconnected' : 'Request completed',
--- a/routing/request-path/src/responseStream.ts
+++ b/routing/request-path/src/responseStream.ts
@@ -4,6 +4,16 @@
 /** `complete` only if every byte of the response was received. */
 export type StreamEnd = 'complete' | 'broken';
 
+/** What ended a stream before its last byte was received. */
+export type StreamFailure =
+  | 'source-closed'
+  | 'source-excess'
+  | 'peer-closed'
+  | 'peer-silent'
+  | 'request-aborted'
+  | 'memory-budget'
+  | 'reader-gone';
+
 /** Receives a stream; bytes that it has finished with are reported by `take`. */
 export interface StreamReader {
   onChunk(chunk: Uint8Array): void;
@@ -37,10 +47,16 @@
   private receivedBytes = 0;
   private takenBytes = 0;
   private end: StreamEnd | undefined;
+  private failureCause: StreamFailure | undefined;
 
   constructor(private readonly opts: ResponseStreamOptions) {
     this.lengthBytes = opts.lengthBytes;
-    this.hold = opts.budget.open({isReader: true, onCut: () => this.cancel()});
+    this.hold = opts.budget.open({isReader: true, onCut: () => this.cancel('memory-budget')});
+  }
+
+  /** What broke the stream; `undefined` unless it is broken. */
+  get failure(): StreamFailure | undefined {
+    return this.failureCause;
   }
 
   get untakenBytes(): number {
@@ -52,7 +68,7 @@
     if (this.end) return;
     this.receivedBytes += chunk.length;
     if (this.receivedBytes > this.lengthBytes || this.untakenBytes > MAX_UNTAKEN_BYTES) {
-      this.cancel();
+      this.cancel('source-excess');
       return;
     }
     this.hold.add(chunk.length);
@@ -62,11 +78,12 @@
     else this.chunks.push(chunk);
   }
 
-  /** Ends the stream; it is broken unless its whole length was received. */
-  finish(end: StreamEnd): void {
+  /** Ends the stream; it is broken, for the given cause, unless its whole length was received. */
+  finish(end: StreamEnd, failure: StreamFailure = 'source-closed'): void {
     if (this.end) return;
     this.end = this.receivedBytes === this.lengthBytes ? end : 'broken';
     if (this.isBroken) {
+      this.failureCause = failure;
       this.hold.close();
       this.chunks = [];
     }
@@ -75,12 +92,12 @@
   }
 
   /** Breaks the stream and stops its source, unless all bytes were received. */
-  cancel(): void {
+  cancel(failure: StreamFailure = 'reader-gone'): void {
     if (this.end) {
       this.hold.close();
       return;
     }
-    this.finish('broken');
+    this.finish('broken', failure);
     this.opts.onCancel();
   }
 
--- a/routing/request-path/src/startOfferListener.ts
+++ b/routing/request-path/src/startOfferListener.ts
@@ -37,14 +37,19 @@
   readonly openStreams: number;
   /** Bytes in the send queues of all connections. */
   readonly heldBytes: number;
-  close(): Promise<void>;
+  /** Bytes that were not handed to the operating system yet. */
+  readonly unsentBytes: number;
+  /**
+   * Closes all connections once their peers have received what was sent, at the latest after `timeoutMs`.
+   */
+  close(timeoutMs?: number): Promise<void>;
 }
 
 /** Abort reason as a plain value, because the default reason is an exception with a costly stack trace. */
 const CALLER_DISCONNECTED = 'caller left';
 /** Above this lag, a cancellation may be waiting unread behind its offer, so the sockets are polled again. */
 const POLL_AGAIN_LAG_MS = 15;
-/** Time for flushing pending results when the listener closes. */
+/** Default time until the peers have received the last results when the listener closes. */
 const FLUSH_TIMEOUT_MS = 150;
 /** TCP keep-alive, which detects dead peers on idle connections. */
 const KEEP_ALIVE_MS = 10_000;
@@ -84,18 +89,29 @@
     get heldBytes() {
       return sumOf(connections.values(), ({heldBytes}) => heldBytes);
     },
-    close: async () => {
+    get unsentBytes() {
+      return sumOf(connections.values(), unsentBytesOf);
+    },
+    close: async (timeoutMs = FLUSH_TIMEOUT_MS) => {
       server.close();
       for (const connection of connections.values()) connection.closeGracefully();
       const timer = setTimeout(() => {
+        opts.logger.info(
+          {connections: connections.size, unsentBytes: sumOf(connections.values(), unsentBytesOf)},
+          '[gate] Connections closed by force',
+        );
         for (const socket of connections.keys()) socket.destroy();
-      }, FLUSH_TIMEOUT_MS);
+      }, timeoutMs);
       await once(server, 'close');
       clearTimeout(timer);
     },
   };
 }
 
+function unsentBytesOf({unsentBytes}: OfferConnection): number {
+  return unsentBytes;
+}
+
 function sumOf<T>(items: Iterable<T>, valueOf: (item: T) => number): number {
   let sum = 0;
   for (const item of items) sum += valueOf(item);
@@ -150,6 +166,10 @@
     return this.messages.heldBytes;
   }
 
+  get unsentBytes(): number {
+    return this.messages.outgoingBytes;
+  }
+
   private get peer(): string | undefined {
     return this.socket.remoteAddress;
   }
@@ -219,6 +239,9 @@
       onDone: () => {
         this.streamCount -= 1;
         this.exchanges.delete(exchangeId);
+        const {failure} = stream;
+        if (failure)
+          this.opts.logger.info({peer: this.peer, exchangeId, failure}, '[gate] Response broken');
       },
     });
     exchange.sender = sender;
--- a/routing/request-path/test/responseStreams.test.ts
+++ b/routing/request-path/test/responseStreams.test.ts
@@ -5,7 +5,7 @@
 import {after, describe, it} from 'node:test';
 import {DisposableStore} from '@medlarlane/lifecycle';
 import {silentLogger} from '@medlarlane/logger';
-import {MessageSocket, PEER_OPERATION} from '@medlarlane/peer-rpc';
+import {MessageSocket, PEER_OPERATION, PEER_PROTOCOL_VERSION} from '@medlarlane/peer-rpc';
 import {
   createPeerClient,
   createTargetClient,
@@ -18,6 +18,8 @@
 import type {Caller} from './entryFixture.js';
 
 const LENGTH = 2_000_000;
+/** More than the operating system buffers for a connection. */
+const SLOW_LENGTH = 30_000_000;
 
 describe('Large response', () => {
   const disposables = new DisposableStore();
@@ -93,6 +95,53 @@
     });
   }
 
+  // Guards against large answers that are cut midway: a peer with a congested link was silent for over 500 ms, and
+  // its answers were given up although no other target could take over.
+  it('arrives whole although its peer is silent for 1.2 s', async () => {
+    const address = await startPeer(disposables, (messages, exchangeId) => {
+      const answer = {status: 200, headers: [], lengthBytes: 20_000};
+      messages.send([PEER_OPERATION.result, exchangeId, {kind: 'answered', answer}]);
+      messages.send([PEER_OPERATION.chunk, exchangeId, Buffer.alloc(5_000)]);
+      setTimeout(() => {
+        for (let sent = 5_000; sent < 20_000; sent += 5_000) {
+          messages.send([PEER_OPERATION.chunk, exchangeId, Buffer.alloc(5_000)]);
+        }
+        messages.send([PEER_OPERATION.chunkEnd, exchangeId, true]);
+      }, 1_200);
+    });
+    const peers = disposables.use(createPeerClient({logger: silentLogger}), (p) => p.close());
+    const run: typeof peers.run = (request) => peers.run({...request, address});
+    const {port} = await startTestEntry(disposables, {run});
+    const caller = await connectCaller(disposables, port);
+    caller.socket.write(requestHead('download', 'r1'));
+    await waitFor(() => caller.isClosed || bodyOf(caller).length === 20_000);
+    assert.equal(bodyOf(caller).length, 20_000);
+  });
+
+  // Guards against a planned stop in which a request at its target is given up and answered with 502.
+  it('is awaited from a silent peer for longer while the daemon is stopping', async () => {
+    let offers = 0;
+    const address = await startPeer(disposables, (messages, exchangeId) => {
+      offers += 1;
+      const answer = {status: 200, headers: [], body: Buffer.from('answer')};
+      const result = [PEER_OPERATION.result, exchangeId, {kind: 'answered', answer}];
+      setTimeout(() => messages.send(result), exchangeId === 1 ? 0 : 1_200);
+    });
+    const isStopping = (): boolean => true;
+    const peers = createPeerClient({logger: silentLogger, isStopping});
+    disposables.add(() => peers.close());
+    const run: typeof peers.run = (request) => peers.run({...request, address});
+    const {port} = await startTestEntry(disposables, {run});
+    const caller = await connectCaller(disposables, port);
+    // The peer is known to answer, so that the next offer includes its request.
+    caller.socket.write(requestHead('safe', 'r1'));
+    await waitFor(() => caller.received !== '');
+    caller.socket.write(requestHead('safe', 'r2'));
+    await waitFor(() => (caller.received.match(/HTTP\/1.1 \d+/g) ?? []).length === 2);
+    assert.deepEqual(caller.received.match(/HTTP\/1.1 \d+/g), ['HTTP/1.1 200', 'HTTP/1.1 200']);
+    assert.equal(offers, 2);
+  });
+
   it('is not passed on without the signature of the target', async () => {
     const path = await startPath(disposables, (socket) => {
       socket.write(head(LENGTH).replace('x-seal: s\r\n', ''));
@@ -168,6 +217,46 @@
     body.cancel();
   });
 
+  // Guards against a planned stop that cuts answers: the connections to other daemons were destroyed 150 ms after
+  // the last bytes had been queued, while a slow link still carried them.
+  it('arrives whole when the daemon closes while the link to its peer is slow', async () => {
+    const path = await startPath(disposables, (socket) => {
+      socket.write(head(SLOW_LENGTH));
+      socket.write(Buffer.alloc(SLOW_LENGTH));
+    });
+    const [host = '', port = ''] = path.listener.address.split(':');
+    const socket = net.connect(Number(port), host);
+    let receivedBytes = 0;
+    let isComplete: unknown;
+    const messages = new MessageSocket(socket, {
+      onMessage: (message) => {
+        const [operation, , payload] = message as [number, number, unknown];
+        if (operation === PEER_OPERATION.result) {
+          messages.send([PEER_OPERATION.chunkCredit, 1, SLOW_LENGTH]);
+          socket.pause();
+        }
+        if (operation === PEER_OPERATION.chunk) receivedBytes += (payload as Uint8Array).length;
+        if (operation === PEER_OPERATION.chunkEnd) isComplete = payload;
+      },
+      onClose: () => undefined,
+    });
+    const frame = ['GET', '/', [], Buffer.alloc(0)];
+    const offer = ['r1', 'wallboard', 'a/1', 'download', 1, 5_000, 5_000, true, null, '', 5_000];
+    messages.send([PEER_OPERATION.hello, PEER_PROTOCOL_VERSION]);
+    messages.send([PEER_OPERATION.offer, 1, ...offer, ...frame]);
+    await waitFor(() => path.listener.openStreams > 0);
+    await waitFor(() => path.listener.openStreams === 0);
+    assert.ok(
+      path.listener.unsentBytes > 0,
+      'the end of the stream does not mean that it was sent',
+    );
+    const closed = path.listener.close(2_000);
+    setTimeout(() => socket.resume(), 500);
+    await closed;
+    await waitFor(() => isComplete !== undefined);
+    assert.deepEqual([receivedBytes, isComplete], [SLOW_LENGTH, true]);
+  });
+
   it('is read into memory behind another pipelined request, whose order it keeps', async () => {
     const path = await startPath(disposables, (socket, id) => {
       const respond = (length: number) => socket.write(`${head(length)}${'x'.repeat(length)}`);
