Look at the progress of a caller instead of a socket time-out

Cause: the time-out for callers that read nothing was set on the socket and stayed in force for the next response of the connection, for which nothing had to be written yet.

Change: a timer of the response looks at whether waiting bytes are taken. A caller that is cut off is logged.

Evidence: the test "are answered however long they run behind a large answer" failed with the time-out of the socket.

--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -62,6 +62,8 @@
   readonly onResponse?: (outcome: EntryOutcome) => void;
   /** Counts the bytes of bodies; by default, the handler has a budget of its own. */
   readonly memoryBudget?: MemoryBudget;
+  /** Time for which a caller may take no bytes of its response; 5 s by default. */
+  readonly maxCallerSilenceMs?: number;
 }
 
 /** The options with their defaults. */
@@ -645,8 +647,13 @@
   const lengthBytes = body instanceof ResponseStream ? body.lengthBytes : body.length;
   const length = bodiless ? [] : ['Content-Length', String(lengthBytes)];
   response.writeHead(status, [...headers, ...length] as unknown as http.OutgoingHttpHeaders);
-  if (body instanceof ResponseStream) return writeStream(response, body);
-  writeBody(response, bodiless ? undefined : body, opts.memoryBudget);
+  const writeOptions = {
+    maxSilenceMs: opts.maxCallerSilenceMs,
+    onCut: (details: {waitingBytes: number}) =>
+      opts.logger.info({...details, status}, 'Silent caller cut off'),
+  };
+  if (body instanceof ResponseStream) return writeStream(response, body, writeOptions);
+  writeBody(response, bodiless ? undefined : body, opts.memoryBudget, writeOptions);
   return undefined;
 }
 
--- a/routing/request-path/test/pipelining.test.ts
+++ b/routing/request-path/test/pipelining.test.ts
@@ -9,7 +9,10 @@
   after(() => disposables.dispose());
 
   /** Starts an entry whose offers are answered by the test, and a caller. */
-  async function start(isClosing: () => boolean = () => false) {
+  async function start(
+    isClosing: () => boolean = () => false,
+    opts: {maxCallerSilenceMs?: number} = {},
+  ) {
     const running = new Map<string, (result: RunResult) => void>();
     const sent: string[] = [];
     let cancelledCount = 0;
@@ -23,17 +26,17 @@
         });
       });
     const phase = () => (isClosing() ? 'closing' : 'open');
-    const {handler, port} = await startTestEntry(disposables, {run, phase});
+    const {handler, port} = await startTestEntry(disposables, {run, phase, ...opts});
     const caller = await connectCaller(disposables, port);
     return {
       handler,
       caller,
       sent,
       cancelledCount: () => cancelledCount,
-      answer: (id: string, status = 200) =>
+      answer: (id: string, status = 200, padding = '') =>
         running.get(id)!({
           kind: 'answered',
-          answer: {status, headers: [], body: Buffer.from(`body-${id};`)},
+          answer: {status, headers: [], body: Buffer.from(`body-${id};${padding}`)},
         }),
     };
   }
@@ -109,6 +112,32 @@
     assert.deepEqual(bodiesOf(caller.received), ['body-a', 'body-b']);
   });
 
+  // Guards against a lookup that is cut off 5 s after the large answer before it: the timeout for callers that do
+  // not read stayed in force on the connection.
+  it('are answered however long they run behind a large answer', async () => {
+    const maxCallerSilenceMs = 100;
+    const {caller, sent, answer} = await start(undefined, {maxCallerSilenceMs});
+    caller.socket.write(requestHead('safe', 'a') + requestHead('safe', 'b'));
+    await waitFor(() => sent.length === 2);
+    answer('a', 200, 'x'.repeat(20_000_000));
+    await waitFor(() => caller.received.length > 20_000_000);
+    await new Promise((resolve) => setTimeout(resolve, 5 * maxCallerSilenceMs));
+    answer('b');
+    await waitFor(() => bodiesOf(caller.received).length === 2);
+  });
+
+  it('are cut off when the caller does not read a large answer', async () => {
+    const {caller, sent, answer} = await start(undefined, {maxCallerSilenceMs: 100});
+    caller.socket.write(requestHead('safe', 'a'));
+    await waitFor(() => sent.length === 1);
+    caller.socket.pause();
+    answer('a', 200, 'x'.repeat(20_000_000));
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    caller.socket.resume();
+    await waitFor(() => caller.isClosed);
+    assert.ok(caller.received.length < 20_000_000);
+  });
+
   it('are all cancelled when the caller disconnects, and none is left in flight', async () => {
     const {caller, sent, handler, cancelledCount} = await start();
     caller.socket.write(requestHead('safe', 'a') + requestHead('safe', 'b'));
