Refuse unsafe requests that a stopping daemon may have to cut off

Cause: a stopping daemon took a request as long as its latency target fitted before the end, whatever its deadline.

Change: once callers have had the time to notice the stop, an unsafe request is taken only if its deadline fits; otherwise it is refused as not run. Safe requests are taken as before.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -292,6 +292,7 @@
       return isStopping || callerListener.isOverConnectionLimit ? 'closing' : 'open';
     },
     stopDeadlineAtMs: () => stopDeadlineAtMs - LAST_RESPONSE_MS,
+    isWithdrawn: () => isAdmissionClosed,
     ...(opts.usesAdmissionLevels
       ? {entryAdmission: new EntryAdmission({demandMeter, serviceLevels})}
       : {}),
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -57,6 +57,8 @@
   readonly phase: () => 'open' | 'closing' | 'closed';
   /** Time by which all requests must be answered, because the daemon stops; `Infinity` before. */
   readonly stopDeadlineAtMs?: () => number;
+  /** Whether callers have had the time to notice that the daemon is stopping. */
+  readonly isWithdrawn?: () => boolean;
   /** Refuses what the service as a whole does not admit; without it, only gates refuse. */
   readonly entryAdmission?: EntryAdmission;
   readonly onResponse?: (outcome: EntryOutcome) => void;
@@ -325,7 +327,10 @@
   context.route = route;
   const remainingMs = Math.min(context.timeLeftMs ?? route.timeoutMs, route.timeoutMs);
   const stopDeadlineAtMs = opts.stopDeadlineAtMs?.() ?? Infinity;
-  if (clock.nowMs() + route.targetLatencyMs > stopDeadlineAtMs) {
+  // An unsafe request that is cut off leaves its caller in doubt. Only its deadline bounds its duration.
+  const mustCompleteMs =
+    opts.isWithdrawn?.() && !isIdempotent(route.kind) ? remainingMs : route.targetLatencyMs;
+  if (clock.nowMs() + mustCompleteMs > stopDeadlineAtMs) {
     throw new MedlarlaneError('DRAINING', 'Daemon stops before the request can complete', {
       details: {retryAfterMs: RESTART_RETRY_MS},
     });
