Refuse uploads that do not fit into the memory of a daemon

What callers saw: two uploads of 60 MB at a time, within the limit of the configuration, ended the daemon that took them; bookings that had run got no answer (Fault; found by the review). Short answers were thrown away meanwhile.

Cause: bodies were counted but never refused, and held up to five times.

Change: memory for a large body is reserved on both daemons before it is read or offered; what does not fit is refused as not run, and its connection stays usable. Bodies and large messages are held in buffers of their own size. Short answers are not cut off for what others hold.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -16,6 +16,7 @@
   MemoryBudget,
   SiteView,
   startOfferListener,
+  UploadMemory,
 } from '@medlarlane/request-path';
 import type {CallerHeaderCodec, CurrentTarget, TargetHeaderCodec} from '@medlarlane/request-path';
 import {PoisonTable} from '@medlarlane/poison';
@@ -189,6 +190,10 @@
     processBytes: opts.memoryBytes,
     onCutOff: (usage) => logger.warn(usage, 'Slow readers cut off, memory budget exceeded'),
   });
+  const uploadMemory = new UploadMemory({
+    processBytes: opts.memoryBytes,
+    heldBytes: () => memoryBudget.holdBytes,
+  });
   const targetClient = disposables.use(
     createTargetClient({
       ...opts.targetEndpoint,
@@ -273,7 +278,6 @@
     }),
     (client) => client.close(),
   );
-  memoryBudget.addQueue(() => peers.heldBytes ?? 0);
   const budgets = new RetryBudgets(opts);
   const entryHandler = createEntryHandler({
     view,
@@ -298,6 +302,7 @@
       : {}),
     onResponse: (outcome) => metrics.recordRequest(outcome),
     memoryBudget,
+    uploadMemory,
   });
   const rpc = disposables.use(createRpcClient(), (client) => client.close());
   const applyConfiguration = (next: SiteConfiguration): void => {
@@ -390,8 +395,12 @@
     logger,
     lagMs: () => eventLoopLag.lagMs,
     memoryBudget,
+    uploadMemory,
   });
-  memoryBudget.addQueue(() => offerListener.heldBytes);
+  // The bodies of uploads in these queues have a bound of their own.
+  memoryBudget.addQueue(() =>
+    Math.max(0, (peers.heldBytes ?? 0) + offerListener.heldBytes - uploadMemory.usedBytes),
+  );
   controlReporter.start();
   disposables.add(() => controlReporter.stop());
   /**
--- a/protocol/peer-rpc/src/messageSocket.ts
+++ b/protocol/peer-rpc/src/messageSocket.ts
@@ -27,6 +27,10 @@
 const MAX_FRAGMENT_BYTES = 8_192;
 /** Largest body that a configuration may allow, plus its frame. */
 const MAX_MESSAGE_BYTES = 65 * 1024 * 1024;
+/** Messages with a body of this size are encoded into a buffer of their own. */
+const MIN_UNSHARED_BYTES = 262_144;
+/** Bound of the fields of a message beside its body: a head of at most 64 KiB. */
+const MESSAGE_OVERHEAD_BYTES = 131_072;
 const EMPTY_BUFFER = Buffer.alloc(0);
 
 /**
@@ -58,13 +62,21 @@
 
   send(message: unknown): void {
     if (this.socket.destroyed || this.isEnding) return;
+    const bodyBytes = sizeOfBytes(message);
+    if (bodyBytes >= MIN_UNSHARED_BYTES) {
+      // The shared buffer would keep the size of the largest message, and its contents would have to be copied.
+      const initialBufferSize = bodyBytes + MESSAGE_OVERHEAD_BYTES;
+      const encoder = new Encoder({ignoreUndefined: true, initialBufferSize});
+      this.enqueueLong(encoder.encodeSharedRef(message));
+      return;
+    }
     const bytes = this.encoder.encodeSharedRef(message);
     if (bytes.length <= MAX_FRAGMENT_BYTES) {
       this.writeFragment(UNFRAGMENTED_STREAM_ID, bytes, bytes.length);
       return;
     }
-    this.lastStreamId += 1;
-    this.enqueue(this.lastStreamId, bytes);
+    // The encoder reuses its buffer for the next message.
+    this.enqueueLong(bytes.slice());
   }
 
   /**
@@ -73,7 +85,7 @@
    */
   sendWhenWritable(message: unknown): void {
     if (this.socket.destroyed || this.isEnding) return;
-    this.enqueue(UNFRAGMENTED_STREAM_ID, this.encoder.encodeSharedRef(message));
+    this.enqueue(UNFRAGMENTED_STREAM_ID, this.encoder.encodeSharedRef(message).slice());
   }
 
   /** Bytes that wait to be sent or for the rest of their message. */
@@ -96,9 +108,13 @@
     this.socket.destroy();
   }
 
+  private enqueueLong(bytes: Uint8Array): void {
+    this.lastStreamId += 1;
+    this.enqueue(this.lastStreamId, bytes);
+  }
+
   private enqueue(streamId: number, bytes: Uint8Array): void {
-    // The encoder reuses its buffer for the next message.
-    this.sendQueue.push({streamId, bytes: bytes.slice(), sentBytes: 0});
+    this.sendQueue.push({streamId, bytes, sentBytes: 0});
     this.unsentBytes += bytes.length;
     this.flushSendQueue();
   }
@@ -165,3 +181,11 @@
     this.opts.onMessage(decode(Buffer.concat(fragments)));
   }
 }
+
+/** Size of the byte fields of a message. */
+function sizeOfBytes(message: unknown): number {
+  if (!Array.isArray(message)) return 0;
+  let sizeBytes = 0;
+  for (const field of message) if (field instanceof Uint8Array) sizeBytes += field.length;
+  return sizeBytes;
+}
--- a/protocol/peer-rpc/src/peerMessages.ts
+++ b/protocol/peer-rpc/src/peerMessages.ts
@@ -29,6 +29,8 @@
   chunkEnd: 10,
   /** Number of bytes of a large response that the receiver has passed on. */
   chunkCredit: 11,
+  /** Size in bytes of the body of the next offer with the same exchange id; sent if the body is large. */
+  bodySize: 12,
 } as const;
 
 /** Bytes of a large response that may be sent before the first `chunkCredit`. */
--- a/routing/request-path/src/createPeerClient.ts
+++ b/routing/request-path/src/createPeerClient.ts
@@ -14,6 +14,7 @@
 import type {Offer, RequestFrame, RunResult} from './messages.js';
 import {ResponseStream} from './responseStream.js';
 import type {StreamFailure} from './responseStream.js';
+import {MIN_RESERVED_BODY_BYTES} from './uploadMemory.js';
 
 export interface PeerRequest {
   readonly address: string;
@@ -210,6 +211,9 @@
       };
       this.exchanges.set(id, exchange);
       signal.addEventListener('abort', onAbort, {once: true});
+      const {length: bodyBytes} = frame.body;
+      if (bodyBytes >= MIN_RESERVED_BODY_BYTES)
+        this.messages.send([PEER_OPERATION.bodySize, id, bodyBytes]);
       this.messages.send([
         PEER_OPERATION.offer,
         id,
--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -35,6 +35,8 @@
 import {unservedCauseOf} from './unservedCause.js';
 import type {UnservedCause} from './unservedCause.js';
 import {StartQueue} from './startQueue.js';
+import {MIN_RESERVED_BODY_BYTES} from './uploadMemory.js';
+import type {UploadMemory, UploadReservation} from './uploadMemory.js';
 import {toRefusedResult} from './startOfferListener.js';
 import type {AdmissionController} from './admissionController.js';
 
@@ -64,6 +66,8 @@
   readonly onResponse?: (outcome: EntryOutcome) => void;
   /** Counts the bytes of bodies; by default, the handler has a budget of its own. */
   readonly memoryBudget?: MemoryBudget;
+  /** Bounds the memory for large bodies of requests; not bounded by default. */
+  readonly uploadMemory?: UploadMemory;
   /** Time for which a caller may take no bytes of its response; 5 s by default. */
   readonly maxCallerSilenceMs?: number;
 }
@@ -116,6 +120,10 @@
   readonly pipelined: PipelinedRequest;
   /** Counts the body of the request, if there is one. */
   bodyHold?: MemoryHold;
+  /** Memory for the body, if it is large. */
+  upload?: UploadReservation | undefined;
+  /** Whether the rest of the body is read and discarded, so that the connection can be used again. */
+  isBodyDiscarded?: boolean;
   /** Time that the caller states to wait from when it sent the request. */
   readonly timeLeftMs: number | undefined;
   route?: Route;
@@ -255,12 +263,13 @@
     refusalResponse(opts, context, toMedlarlaneError(thrown)),
   );
   context.bodyHold?.close();
+  context.upload?.release();
   await pipelined.waitForTurn();
   const durationMs = clock.nowMs() - context.startedAtMs;
   const {isDisconnected} = pipelined;
   const streamEnd = isDisconnected
     ? undefined
-    : writeResponse(opts, request, response, pipelined, finalResponse);
+    : writeResponse(opts, context, response, finalResponse);
   const cause = unservedCauseOf({
     status: finalResponse.status,
     code: finalResponse.code,
@@ -641,12 +650,11 @@
 
 function writeResponse(
   opts: EntryOptions,
-  request: http.IncomingMessage,
+  {request, pipelined, isBodyDiscarded}: RequestContext,
   response: http.ServerResponse,
-  pipelined: PipelinedRequest,
   {status, headers, body}: FinalResponse,
 ): Promise<StreamEnd> | undefined {
-  const mustClose = opts.phase() !== 'open' || !request.complete;
+  const mustClose = opts.phase() !== 'open' || (!request.complete && !isBodyDiscarded);
   if (pipelined.decideClose(mustClose)) response.shouldKeepAlive = false;
   const bodiless = request.method === 'HEAD' || status === 204 || status === 304;
   const lengthBytes = body instanceof ResponseStream ? body.lengthBytes : body.length;
@@ -662,32 +670,66 @@
   return undefined;
 }
 
-async function readBody(
-  {view, memoryBudget}: EntryOptions,
-  context: RequestContext,
-): Promise<Buffer> {
+async function readBody(opts: EntryOptions, context: RequestContext): Promise<Buffer> {
   const {request} = context;
   const {headers} = request;
-  const isEmpty =
-    headers['transfer-encoding'] === undefined && (headers['content-length'] ?? '0') === '0';
-  if (isEmpty) {
+  const {maxBodyBytes} = opts.view.configuration.limits;
+  const statedBytes = Number(headers['content-length'] ?? 0);
+  if (headers['transfer-encoding'] === undefined && statedBytes === 0) {
     request.resume();
     return NO_BODY;
   }
-  const hold = memoryBudget.open({isReader: false});
-  context.bodyHold = hold;
-  request.on('data', (chunk: Buffer) => hold.add(chunk.length));
   try {
-    return await readMessageBody(request, view.configuration.limits.maxBodyBytes);
+    if (statedBytes > maxBodyBytes) throw bodyTooLarge();
+    if (statedBytes >= MIN_RESERVED_BODY_BYTES)
+      context.upload = opts.uploadMemory?.reserve(statedBytes);
+    return await Promise.race([readMessageBody(request, maxBodyBytes), countBody(opts, context)]);
   } catch (cause) {
-    const tooLarge = (cause as {code?: string}).code === 'BODY_TOO_LARGE';
-    throw new MedlarlaneError(tooLarge ? 'REQUEST_TOO_LARGE' : 'CANCELLED', undefined, {
-      cause,
-      ran: 'no',
-    });
+    if (cause instanceof MedlarlaneError && cause.code === 'OVERLOADED') {
+      // Closing the connection while the caller still sends could destroy the response on its way.
+      context.isBodyDiscarded = true;
+      request.resume();
+      throw cause;
+    }
+    if ((cause as {code?: string}).code === 'BODY_TOO_LARGE') throw bodyTooLarge(cause);
+    throw new MedlarlaneError('CANCELLED', undefined, {cause, ran: 'no'});
   }
 }
 
+function bodyTooLarge(cause?: unknown): MedlarlaneError {
+  return new MedlarlaneError('REQUEST_TOO_LARGE', undefined, {cause, ran: 'no'});
+}
+
+/**
+ * Counts the memory of a body while it is received; that of a large one is reserved. The promise rejects with
+ * MedlarlaneError `OVERLOADED` when the body does not fit, and else never settles.
+ */
+function countBody(
+  {memoryBudget, uploadMemory}: EntryOptions,
+  context: RequestContext,
+): Promise<never> {
+  const {request} = context;
+  const hold = memoryBudget.open({isReader: false});
+  context.bodyHold = hold;
+  let receivedBytes = 0;
+  return new Promise((_, reject) => {
+    request.on('data', (chunk: Buffer) => {
+      receivedBytes += chunk.length;
+      if (!uploadMemory || receivedBytes < MIN_RESERVED_BODY_BYTES) {
+        hold.add(chunk.length);
+        return;
+      }
+      try {
+        context.upload ??= uploadMemory.reserve(receivedBytes);
+        context.upload.grow(receivedBytes);
+      } catch (overload) {
+        request.removeAllListeners('data');
+        reject(overload as MedlarlaneError);
+      }
+    });
+  });
+}
+
 function logResponse(
   {logger, view}: EntryHandlerOptions,
   context: RequestContext,
--- a/routing/request-path/src/index.ts
+++ b/routing/request-path/src/index.ts
@@ -23,6 +23,8 @@
   CallerHeaderCodec,
 } from './messages.js';
 export {MemoryBudget} from './memoryBudget.js';
+export {UploadMemory} from './uploadMemory.js';
+export type {UploadMemoryOptions, UploadReservation} from './uploadMemory.js';
 export {ResponseStream} from './responseStream.js';
 export type {StreamEnd, StreamReader} from './responseStream.js';
 export {OfferPlan} from './offerPlan.js';
--- a/routing/request-path/src/memoryBudget.ts
+++ b/routing/request-path/src/memoryBudget.ts
@@ -31,6 +31,8 @@
 /** Interval between two readings of the send queues, which each take a pass over all connections. */
 const QUEUE_READING_MS = 20;
 
+/** A smaller response that is being read is not cut off for what others hold. */
+const MAX_INNOCENT_BYTES = 65_536;
 const REPORT_INTERVAL_MS = 1_000;
 
 /** Counts all bytes that a daemon holds for requests and responses, and limits them. */
@@ -57,6 +59,11 @@
     this.queues.push(read);
   }
 
+  /** Bytes in holds, without queues. */
+  get holdBytes(): number {
+    return this.countedBytes;
+  }
+
   get heldBytes(): number {
     const nowMs = performance.now();
     if (nowMs - this.queuesReadAtMs >= QUEUE_READING_MS) {
@@ -102,7 +109,8 @@
     if (bytes <= 0) return;
     this.peakBytes = Math.max(this.peakBytes, this.countedBytes);
     while (this.heldBytes > this.limitBytes) {
-      const isOwnFault = !hold.opts.isReader && hold.opts.onCut !== undefined;
+      const isOwnFault =
+        !hold.opts.isReader && hold.opts.onCut !== undefined && hold.bytes > MAX_INNOCENT_BYTES;
       const victim = isOwnFault ? hold : this.slowestReader();
       if (!victim?.opts.onCut || victim.isClosed) return;
       this.cutCount += 1;
--- a/routing/request-path/src/startOfferListener.ts
+++ b/routing/request-path/src/startOfferListener.ts
@@ -16,6 +16,7 @@
 import type {RequestFrame, RunResult} from './messages.js';
 import type {MemoryBudget} from './memoryBudget.js';
 import {ResponseStream} from './responseStream.js';
+import type {UploadMemory, UploadReservation} from './uploadMemory.js';
 import {waitForSocketPoll} from './waitForSocketPoll.js';
 import type {SlotReservation, AdmissionController} from './admissionController.js';
 
@@ -29,6 +30,8 @@
   readonly lagMs: () => number;
   /** Counts the bodies of requests. */
   readonly memoryBudget?: MemoryBudget;
+  /** Bounds the memory for large bodies of requests; not bounded by default. */
+  readonly uploadMemory?: UploadMemory;
 }
 
 export interface OfferListener {
@@ -122,6 +125,8 @@
 class OfferConnection {
   private readonly exchanges = new Map<number, Exchange>();
   private readonly messages: MessageSocket;
+  /** Stated sizes of large bodies, until their offers arrive. */
+  private readonly bodySizes = new Map<number, number>();
   private streamCount = 0;
   private readonly handlers: Readonly<Record<number, (message: PeerMessage) => void>> = {
     [PEER_OPERATION.hello]: ({exchangeId: version}) => this.checkVersion(version),
@@ -134,6 +139,10 @@
       const bytes = Number(fields[0]);
       if (bytes > 0) this.exchanges.get(exchangeId)?.sender?.addCredit(bytes);
     },
+    [PEER_OPERATION.bodySize]: ({exchangeId, fields}) => {
+      const bytes = Number(fields[0]);
+      if (bytes > 0) this.bodySizes.set(exchangeId, bytes);
+    },
     [PEER_OPERATION.ping]: () => this.messages.send([PEER_OPERATION.pong, 0]),
   };
 
@@ -189,7 +198,11 @@
     let reservation: SlotReservation | undefined;
     let result: RunResult;
     const hold = this.opts.memoryBudget?.open({isReader: false});
+    const bodyBytes = this.bodySizes.get(exchangeId);
+    this.bodySizes.delete(exchangeId);
+    let upload: UploadReservation | undefined;
     try {
+      if (bodyBytes !== undefined) upload = this.opts.uploadMemory?.reserve(bodyBytes);
       const lagMs = this.opts.lagMs();
       const offer = decodeOffer(fields, {waitedMs: lagMs});
       const includesRequest = fields.length > OFFER_FIELD_COUNT;
@@ -198,7 +211,7 @@
       const frame = includesRequest
         ? decodeFrame(fields.slice(OFFER_FIELD_COUNT))
         : await this.fetchRequest(exchangeId);
-      if (frame.body.length > 0) hold?.add(frame.body.length);
+      if (frame.body.length > 0 && !upload) hold?.add(frame.body.length);
       if (!includesRequest && this.opts.lagMs() > POLL_AGAIN_LAG_MS) await waitForSocketPoll();
       if (signal.aborted) throw cancelled();
       result = await reservation.run(frame, signal);
@@ -209,6 +222,7 @@
       result = toRefusedResult(error, admissionController);
     }
     hold?.close();
+    upload?.release();
     if (result.kind === 'answered' && result.answer.body instanceof ResponseStream) {
       this.sendStream(exchangeId, signal, result, result.answer.body);
       return;
--- a/routing/request-path/test/entryFixture.ts
+++ b/routing/request-path/test/entryFixture.ts
@@ -32,9 +32,9 @@
 /** Starts a handler with a real listener in front of peers that `run` stands in for. */
 export async function startTestEntry(
   disposables: DisposableStore,
-  opts: {run: PeerClient['run']} & Partial<EntryHandlerOptions>,
+  opts: {run: PeerClient['run']; maxBodyBytes?: number} & Partial<EntryHandlerOptions>,
 ): Promise<{readonly handler: EntryHandler; readonly port: number}> {
-  const view = createView();
+  const view = createView(opts.maxBodyBytes ?? 1_000);
   const budget = new RetryBudget({retryRatio: 1, minRetryRps: 10});
   const handler = createEntryHandler({
     view,
@@ -107,7 +107,7 @@
   }
 }
 
-function createView(): SiteView {
+function createView(maxBodyBytes: number): SiteView {
   const view = new SiteView({clock: systemClock, availabilityZone: 'a'});
   view.setConfiguration({
     version: 1,
@@ -126,7 +126,7 @@
     services: [{name: 'wallboard', maxConnections: 9, keyed: false, extras: {}}],
     limits: {
       maxHeaderBytes: 16_384,
-      maxBodyBytes: 1_000,
+      maxBodyBytes,
       headerTimeoutMs: 1_000,
       idleTimeoutMs: 1_000,
       extras: {},
--- a/routing/request-path/test/memoryBudget.test.ts
+++ b/routing/request-path/test/memoryBudget.test.ts
@@ -35,6 +35,15 @@
     assert.equal(budget.heldBytes, 1_000);
   });
 
+  // Guards against answers that are thrown away because uploads or other responses fill the budget.
+  it('does not cut off a short response while others hold more than the budget', () => {
+    const budget = new MemoryBudget({processBytes: 4 * MB});
+    budget.open({isReader: false}).add(2 * MB);
+    let isCut = false;
+    budget.open({isReader: false, onCut: () => (isCut = true)}).add(1_000);
+    assert.equal(isCut, false);
+  });
+
   it('counts send queues, which grow while a peer does not read', () => {
     const budget = new MemoryBudget({processBytes: 4 * MB});
     budget.addQueue(() => 600_000);
