Play disks that are full in turn; leave nothing running after a failed start

Report of other operators: after disks were full one after another, changes were refused or stayed unanswered.

Found on the way: a replica whose start failed after its log was open, for example because of its port, went on running beside its successor. It is closed now.

--- a/apps/site/src/startSiteControl.ts
+++ b/apps/site/src/startSiteControl.ts
@@ -5,6 +5,7 @@
 import {BackgroundTasks, DisposableStore, systemClock} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
 import {openLogStore} from '@medlarlane/log-store';
+import type {FileSystem} from '@medlarlane/log-store';
 import {createComponentLogger} from '@medlarlane/logger';
 import type {Logger} from '@medlarlane/logger';
 import {createRpcClient, startRpcServer} from '@medlarlane/rpc';
@@ -34,6 +35,8 @@
   readonly lossesTolerated: number;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** File operations of the log; those of Node.js by default. */
+  readonly files?: FileSystem;
   /** Called when the log can no longer be written; the replica must be restarted. */
   readonly onLogFailure: (failure: Error) => void;
 }
@@ -66,18 +69,31 @@
   callTimeoutMs: 500,
 };
 
-/** Starts a control replica of a deployment. */
+/** Starts a control replica of a deployment. A replica that cannot be started leaves nothing running. */
 export async function startSiteControl(
   opts: SiteControlProcessOptions,
 ): Promise<SiteControlProcess> {
-  const {host, rpcPort, clock, logger, seeds} = opts;
   const disposables = new DisposableStore();
+  try {
+    return await startParts(opts, disposables);
+  } catch (failure) {
+    await disposables.dispose();
+    throw failure;
+  }
+}
+
+async function startParts(
+  opts: SiteControlProcessOptions,
+  disposables: DisposableStore,
+): Promise<SiteControlProcess> {
+  const {host, rpcPort, clock, logger, seeds} = opts;
   const ownAddress = `${host}:${rpcPort}`;
   const isInitialMember = opts.bootstrap && seeds().includes(ownAddress);
   const store = await openLogStore(opts.dataFolder, {
     // On the platform each process has its own folder, and process ids cannot be compared.
     assumeExclusive: true,
     generateReplicaId: () => generateReplicaId(ownAddress, isInitialMember),
+    ...(opts.files ? {files: opts.files} : {}),
   });
   disposables.add(() => store.close());
   const rpc = disposables.use(createRpcClient(), (client) => client.close());
