--- a/apps/site/src/startCallerListener.ts
+++ b/apps/site/src/startCallerListener.ts
@@ -66,8 +66,9 @@
     }
   });
   const setLimits = ({headerTimeoutMs, idleTimeoutMs}: RequestLimits): void => {
-    server.headersTimeout = headerTimeoutMs;
-    server.keepAliveTimeout = idleTimeoutMs;
+    // Earlier versions accepted negative limits, for which Node.js throws once a connection is idle.
+    server.headersTimeout = Math.max(0, headerTimeoutMs);
+    server.keepAliveTimeout = Math.max(0, idleTimeoutMs);
     // The handler enforces the request's deadline, which limits the time to receive the body.
     server.requestTimeout = 0;
   };
