Answer 413 for a stated length above the limit; reserve memory for a body once it is admitted

A stated length above max_body_bytes got 503 instead of 413, because the error passed through the handler for bodies that break off. The daemon of a target reserved memory for bodies whose offers still waited for a slot, and so refused others that would have fitted; it now reserves once a slot is theirs.

--- a/routing/request-path/src/entryHandler.ts
+++ b/routing/request-path/src/entryHandler.ts
@@ -679,8 +679,8 @@
     request.resume();
     return NO_BODY;
   }
+  if (statedBytes > maxBodyBytes) throw bodyTooLarge();
   try {
-    if (statedBytes > maxBodyBytes) throw bodyTooLarge();
     if (statedBytes >= MIN_RESERVED_BODY_BYTES)
       context.upload = opts.uploadMemory?.reserve(statedBytes);
     return await Promise.race([readMessageBody(request, maxBodyBytes), countBody(opts, context)]);
--- a/routing/request-path/src/startOfferListener.ts
+++ b/routing/request-path/src/startOfferListener.ts
@@ -202,12 +202,12 @@
     this.bodySizes.delete(exchangeId);
     let upload: UploadReservation | undefined;
     try {
-      if (bodyBytes !== undefined) upload = this.opts.uploadMemory?.reserve(bodyBytes);
       const lagMs = this.opts.lagMs();
       const offer = decodeOffer(fields, {waitedMs: lagMs});
       const includesRequest = fields.length > OFFER_FIELD_COUNT;
       if (lagMs > POLL_AGAIN_LAG_MS) await waitForSocketPoll();
       reservation = await admissionController.admit(offer, signal);
+      if (bodyBytes !== undefined) upload = this.opts.uploadMemory?.reserve(bodyBytes);
       const frame = includesRequest
         ? decodeFrame(fields.slice(OFFER_FIELD_COUNT))
         : await this.fetchRequest(exchangeId);
--- a/routing/request-path/test/uploadMemory.test.ts
+++ b/routing/request-path/test/uploadMemory.test.ts
@@ -1,12 +1,25 @@
 import assert from 'node:assert/strict';
 import {after, describe, it} from 'node:test';
 import {DisposableStore} from '@medlarlane/lifecycle';
-import {UploadMemory} from '@medlarlane/request-path';
-import type {PeerClient, RunResult} from '@medlarlane/request-path';
+import {silentLogger} from '@medlarlane/logger';
+import {createPeerClient, startOfferListener, UploadMemory} from '@medlarlane/request-path';
+import type {AdmissionController, Offer, PeerClient, RunResult} from '@medlarlane/request-path';
 import {connectCaller, requestHead, startTestEntry, waitFor} from './entryFixture.js';
 
 const MB = 1024 * 1024;
 const BODY_BYTES = 700_000;
+const OFFER: Offer = {
+  requestId: 'r1',
+  service: 'wallboard',
+  life: 'a/1',
+  route: 'unsafe',
+  priority: 1,
+  targetLeftMs: 5_000,
+  deadlineLeftMs: 5_000,
+  acceptLate: true,
+  maxWaitMs: 5_000,
+  callerService: '',
+};
 
 // Guards against uploads within the limit of the configuration that take a daemon over its memory: their number
 // was not bounded, and each was held up to five times.
@@ -49,6 +62,44 @@
     return {sent, port, answerAll, uploadMemory};
   }
 
+  it('refuses an upload whose stated length is above the limit with 413, before it is read', async () => {
+    const {sent, port} = await startUploads();
+    const caller = await connectCaller(disposables, port);
+    caller.socket.write(requestHead('unsafe', 'large', `Content-Length: ${2 * MB}\r\n`));
+    await waitFor(() => caller.received !== '');
+    assert.match(caller.received, /^HTTP\/1.1 413/);
+    assert.deepEqual(sent, []);
+  });
+
+  it('refuses an offer whose body does not fit, so that the body is never sent', async () => {
+    const uploadMemory = new UploadMemory({processBytes: 5 * MB, heldBytes: () => 0});
+    let cancelled = 0;
+    const reservation = {cancel: () => (cancelled += 1)};
+    const admissionController = {load: undefined, admit: () => Promise.resolve(reservation)};
+    const listener = await startOfferListener({
+      host: '127.0.0.1',
+      port: 0,
+      admissionController: admissionController as unknown as AdmissionController,
+      logger: silentLogger,
+      lagMs: () => 0,
+      uploadMemory,
+    });
+    disposables.add(() => listener.close());
+    const peers = disposables.use(createPeerClient({logger: silentLogger}), (p) => p.close());
+    const result = await peers.run({
+      address: listener.address,
+      offer: OFFER,
+      frame: {method: 'POST', path: '/', headers: [], body: Buffer.alloc(2 * MB)},
+      idempotent: false,
+      signal: new AbortController().signal,
+    });
+    assert.deepEqual(
+      [result.kind, result.kind === 'refused' && result.code, cancelled],
+      ['refused', 'OVERLOADED', 1],
+    );
+    assert.equal(uploadMemory.usedBytes, 0);
+  });
+
   for (const [name, header, encode] of [
     ['a stated length', `Content-Length: ${BODY_BYTES}\r\n`, (body: string) => body],
     [
