--- a/review/6/play.mjs
+++ b/review/6/play.mjs
@@ -18,14 +18,29 @@
     version,
     base_version: base,
     routes: {
-      columns: ['name', 'host', 'path_prefix', 'kind', 'timeout_s', 'target_latency_s', 'priority', 'service', 'max_attempts'],
+      columns: [
+        'name',
+        'host',
+        'path_prefix',
+        'kind',
+        'timeout_s',
+        'target_latency_s',
+        'priority',
+        'service',
+        'max_attempts',
+      ],
       rows: [['walls', 'walls.example', '/walls/', 'safe', 1.2, 0.5, 2, 'wallboard', 2]],
     },
     services: {
       columns: ['name', 'health_path', 'max_connections', 'sharded'],
       rows: [['wallboard', '/health', 120, true]],
     },
-    limits: {max_header_bytes: 16384, max_body_bytes: 1000000, header_timeout_s: 3, idle_timeout_s: 15},
+    limits: {
+      max_header_bytes: 16384,
+      max_body_bytes: 1000000,
+      header_timeout_s: 3,
+      idle_timeout_s: 15,
+    },
   });
 
 async function play(record, site) {
@@ -39,7 +54,11 @@
   for (const machine of initial) machine.start({bootstrap: true});
   record.add('five core machines started');
   await sleep(LEAD_MS);
-  const before = await order(initial, {method: 'PUT', url: '/config', body: configuration(1, 0), forMs: 10_000}, record);
+  const before = await order(
+    initial,
+    {method: 'PUT', url: '/config', body: configuration(1, 0), forMs: 10_000},
+    record,
+  );
   if (before?.status !== 200) return 2;
 
   if (HAS_TROUBLE) {
@@ -62,7 +81,11 @@
   record.add(`five core machines run undisturbed for ${CALM_MS} ms`);
 
   const inUse = [first, frozen, fourth, fifth, added];
-  const after = await order(inUse, {method: 'PUT', url: '/config', body: configuration(2, 1), forMs: 10_000}, record);
+  const after = await order(
+    inUse,
+    {method: 'PUT', url: '/config', body: configuration(2, 1), forMs: 10_000},
+    record,
+  );
   if (after?.status !== 200) return 2;
 
   const lost = [first, fourth];
@@ -84,10 +107,13 @@
     }
     await sleep(250);
   }
-  record.add(`GET /config: no machine answered within ${RECOVERY_MS} ms; version 2 was acknowledged`);
+  record.add(
+    `GET /config: no machine answered within ${RECOVERY_MS} ms; version 2 was acknowledged`,
+  );
   for (const machine of machines) {
     for (const text of ['Member set changed', 'No replica can take over'])
-      for (const line of machine.logged(text)) record.add(`log of ${machine.name}: ${line.slice(0, 600)}`);
+      for (const line of machine.logged(text))
+        record.add(`log of ${machine.name}: ${line.slice(0, 600)}`);
   }
   return 1;
 }
--- a/review/common-2/site.mjs
+++ b/review/common-2/site.mjs
@@ -200,7 +200,8 @@
       method,
       path: url,
       agent: false,
-      headers: body === undefined ? headers : {...headers, 'content-length': Buffer.byteLength(body)},
+      headers:
+        body === undefined ? headers : {...headers, 'content-length': Buffer.byteLength(body)},
     });
     const timer = setTimeout(() => request.destroy(), timeoutMs);
     const finish = (answer) => {
