--- a/apps/site/src/healthChecks.ts
+++ b/apps/site/src/healthChecks.ts
@@ -3,7 +3,7 @@
 import type {RunResult, TargetClient, TargetHealth} from '@medlarlane/request-path';
 
 /** Why the health of a target is checked. */
-export type HealthCheckReason = 'zone-restored' | 'daemon-started' | 'failures';
+export type HealthCheckReason = 'zone-restored' | 'daemon-started' | 'failures' | 'identity';
 
 export interface HealthChecksOptions {
   readonly clock: Clock;
@@ -49,7 +49,7 @@
 
   /** Checks the health, at most once per interval; a check that is due soon is not repeated. */
   async check(reason: HealthCheckReason): Promise<void> {
-    const {clock, client, logger, onHealth} = this.opts;
+    const {clock, onHealth} = this.opts;
     if (this.opts.path() === undefined || this.isScheduled) return;
     this.isScheduled = true;
     const delayMs = this.checkedAtMs + MIN_INTERVAL_MS - clock.nowMs();
@@ -57,9 +57,28 @@
     this.isScheduled = false;
     const path = this.opts.path();
     if (path === undefined) return;
+    const health = await this.request(path, reason);
+    if (health) onHealth(health);
+  }
+
+  /**
+   * Returns the id of the target that listens at the address; `undefined` if it does not state one or if it was checked
+   * less than an interval ago.
+   */
+  async identify(path: string): Promise<string | undefined> {
+    const isDue = this.opts.clock.nowMs() >= this.checkedAtMs + MIN_INTERVAL_MS;
+    if (!isDue || this.isScheduled) return undefined;
+    return (await this.request(path, 'identity'))?.targetId;
+  }
+
+  private async request(
+    path: string,
+    reason: HealthCheckReason,
+  ): Promise<TargetHealth | undefined> {
+    const {clock, client, logger} = this.opts;
     this.checkedAtMs = clock.nowMs();
     const health = await client.checkHealth(path, TIMEOUT_MS);
     logger.info({reason, ...health}, 'Checked the health of the target');
-    if (health) onHealth(health);
+    return health;
   }
 }
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -1,7 +1,7 @@
 import {DemandMeter, ServiceLevels} from '@medlarlane/admission';
 import {MedlarlaneError} from '@medlarlane/errors';
 import {createGrantClient, HostedTarget} from '@medlarlane/key-holds';
-import type {GrantCodec} from '@medlarlane/key-holds';
+import type {GrantCodec, Heartbeat, HeartbeatResult} from '@medlarlane/key-holds';
 import {BackgroundTasks, DisposableStore, systemClock} from '@medlarlane/lifecycle';
 import type {Clock} from '@medlarlane/lifecycle';
 import {createComponentLogger} from '@medlarlane/logger';
@@ -91,6 +91,13 @@
   readonly metrics: SiteMetrics;
   /** Whether callers may send requests to this daemon. */
   readonly isReady: boolean;
+  /** Whether the keys of the target's service are partitioned; `undefined` before the first configuration. */
+  readonly isServiceKeyed: boolean | undefined;
+  /**
+   * Handles a heartbeat of the target. If it is from another target than the known one, asks the process at the
+   * target's address for its id, which takes 400 ms at most.
+   */
+  handleHeartbeat(heartbeat: Heartbeat): Promise<HeartbeatResult>;
   /**
    * Starts the drain of a target that announces its removal. Returns whether the control leader has recorded it,
    * so that the drain outlasts this process; otherwise the announcement must be repeated.
@@ -437,6 +444,15 @@
     get isReady() {
       return !isStopping && view.hasConfiguration;
     },
+    get isServiceKeyed() {
+      return ownService()?.keyed;
+    },
+    handleHeartbeat: async (heartbeat) => {
+      const healthPath = ownService()?.healthPath;
+      const isListenerAsked = healthPath !== undefined && hostedTarget.needsListenerId(heartbeat);
+      const listenerId = isListenerAsked ? await healthChecks.identify(healthPath) : undefined;
+      return hostedTarget.handleHeartbeat(heartbeat, {listenerId});
+    },
     removeTarget: async (targetId) => {
       const deadlineMs = clock.nowMs() + REMOVAL_CONFIRMATION_MS;
       hostedTarget.startDraining(targetId);
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -8,6 +8,7 @@
 import type {ReleasedKeyRange, RequestedTransfer} from './departingKeys.js';
 import {overlaps} from './keyRange.js';
 import type {KeyRange} from './keyRange.js';
+import {SuccessorClaim} from './successorClaim.js';
 import type {ColdBound, TargetNotice} from './targetNotice.js';
 import {TargetStatements} from './targetStatements.js';
 import type {ColdSource, RateLimit} from './targetStatements.js';
@@ -74,6 +75,14 @@
   readonly awaitsLeader?: boolean;
 }
 
+/** What became of a heartbeat. `isSuperseded` tells that a later one of the same incarnation was accepted. */
+export type HeartbeatResult =
+  | {readonly accepted: true; readonly grant: KeyGrant | undefined}
+  | {readonly accepted: false; readonly isSuperseded: boolean};
+
+/** Whether a heartbeat is used, and why not. */
+type HeartbeatVerdict = 'accepted' | 'superseded' | 'outdated' | 'disputed';
+
 export type HostedTargetState = 'ready' | 'draining' | 'silent' | 'ended';
 
 /** The directory entry of a daemon's own target. */
@@ -149,6 +158,7 @@
   private assigned: readonly AssignedRange[] = [];
   private readonly outgoingKeys = new OutgoingKeys();
   private readonly removals: AnnouncedRemovals;
+  private readonly successorClaim: SuccessorClaim;
   private endedIncarnationIds: string[] = [];
   private hasSuccessors = false;
   private hasHeardLeader = false;
@@ -168,6 +178,7 @@
   constructor(private readonly opts: HostedTargetOptions) {
     this.startedAtMs = opts.steadyClock.nowMs();
     this.removals = new AnnouncedRemovals(opts.clock);
+    this.successorClaim = new SuccessorClaim(opts.steadyClock);
     const {grantApi} = opts;
     this.pushedGrants =
       grantApi &&
@@ -294,28 +305,28 @@
   }
 
   /**
-   * Handles a heartbeat. Returns the grant for the response, or that the heartbeat was not accepted and whether
-   * a later one of the same incarnation has been.
+   * Whether the id of the process at the target's address decides about the heartbeat: it is from another target
+   * than the current one, of which nothing shows that it has ended.
    */
-  handleHeartbeat(
-    next: Heartbeat,
-  ): {accepted: true; grant: KeyGrant | undefined} | {accepted: false; isSuperseded: boolean} {
-    if (!this.isNewer(next)) {
-      const isSuperseded =
-        !this.ended &&
-        this.incarnation === incarnationOf(next) &&
-        next.sequence <= this.heartbeat!.sequence;
+  needsListenerId(next: Heartbeat): boolean {
+    const {heartbeat} = this;
+    if (!heartbeat || heartbeat.targetId === next.targetId) return false;
+    return !this.ended || next.startedAtMs <= heartbeat.startedAtMs;
+  }
+
+  /** Handles a heartbeat. `listenerId` is the id of the target at the address after the heartbeat arrived, if known. */
+  handleHeartbeat(next: Heartbeat, opts: {listenerId?: string | undefined} = {}): HeartbeatResult {
+    const verdict = this.judge(next, opts.listenerId);
+    if (verdict !== 'accepted') {
+      const {listenerId} = opts;
+      const {sequence} = next;
       this.opts.logger.info(
-        {
-          life: incarnationOf(next),
-          sequence: next.sequence,
-          current: this.incarnation,
-          isSuperseded,
-        },
-        'Ignored stale heartbeat',
+        {life: incarnationOf(next), sequence, current: this.incarnation, verdict, listenerId},
+        'Ignored heartbeat',
       );
-      return {accepted: false, isSuperseded};
+      return {accepted: false, isSuperseded: verdict === 'superseded'};
     }
+    this.successorClaim.reset();
     const previous = this.heartbeat;
     const {incarnation: incarnationBefore, state: stateBefore} = this;
     if (incarnationBefore !== incarnationOf(next)) this.startIncarnation(next, previous);
@@ -579,14 +590,37 @@
     this.minReportSentAtMs = this.opts.clock.nowMs();
   }
 
-  private isNewer(next: Heartbeat): boolean {
+  private judge(next: Heartbeat, listenerId: string | undefined): HeartbeatVerdict {
     const {heartbeat} = this;
-    if (!heartbeat) return true;
+    if (!heartbeat) return 'accepted';
+    if (incarnationOf(heartbeat) !== incarnationOf(next))
+      return this.judgeOther(next, heartbeat, listenerId);
     // One heartbeat may still be in flight when the end of its incarnation is detected.
     const lateHeartbeats = this.ended ? 1 : 0;
-    if (incarnationOf(heartbeat) === incarnationOf(next))
-      return this.isLaterSequence(next.sequence, heartbeat.sequence + lateHeartbeats);
-    return next.startedAtMs > heartbeat.startedAtMs;
+    if (this.isLaterSequence(next.sequence, heartbeat.sequence + lateHeartbeats)) return 'accepted';
+    return !this.ended && next.sequence <= heartbeat.sequence ? 'superseded' : 'outdated';
+  }
+
+  /**
+   * Judges a heartbeat of another incarnation. A later start proves nothing, because another writer can state any: to
+   * replace the current incarnation before its end was noticed, the other one must listen at the target's address or
+   * be the only one heard until the current one can no longer hold keys.
+   */
+  private judgeOther(
+    next: Heartbeat,
+    current: Heartbeat,
+    listenerId: string | undefined,
+  ): HeartbeatVerdict {
+    const isLaterStart = next.startedAtMs > current.startedAtMs;
+    if (this.ended && isLaterStart) return 'accepted';
+    if (listenerId !== undefined && next.targetId !== current.targetId) {
+      if (listenerId === next.targetId) return 'accepted';
+      if (listenerId === current.targetId) return 'disputed';
+    }
+    if (!isLaterStart) return 'outdated';
+    const claimedForMs = this.successorClaim.record(next) ?? 0;
+    const isCurrentSilent = claimedForMs > OVERDUE_AFTER_HEARTBEATS * this.opts.heartbeatIntervalMs;
+    return isCurrentSilent && !this.mayHoldKeys ? 'accepted' : 'disputed';
   }
 
   /**
@@ -615,10 +649,7 @@
     this.reportedHoldsUntilMs = this.opts.clock.nowMs() + validityMs;
   }
 
-  /**
-   * Only one process can listen at the target's address, so a new incarnation proves that the previous
-   * one has ended.
-   */
+  /** The previous incarnation has ended, because only one process can listen at the target's address. */
   private startIncarnation(next: Heartbeat, previous: Heartbeat | undefined): void {
     this.opts.logger.info(
       {life: incarnationOf(next), former: previous && incarnationOf(previous)},
--- a/targets/key-holds/src/index.ts
+++ b/targets/key-holds/src/index.ts
@@ -14,4 +14,10 @@
 } from './calledGrants.js';
 export {createGrantClient} from './createGrantClient.js';
 export type {GrantClient, GrantClientOptions, GrantCodec} from './createGrantClient.js';
-export type {Heartbeat, HostedTargetOptions, KeyGrant, GrantedRange} from './hostedTarget.js';
+export type {
+  Heartbeat,
+  HeartbeatResult,
+  HostedTargetOptions,
+  KeyGrant,
+  GrantedRange,
+} from './hostedTarget.js';
--- a/targets/key-holds/test/hostedTarget.test.ts
+++ b/targets/key-holds/test/hostedTarget.test.ts
@@ -46,9 +46,69 @@
     assert.equal(hosted.incarnation, 'i-1/2000');
   });
 
+  // Guards against the case review/11: a heartbeat of another writer, which can state any start, ended the target.
+  it('is not replaced by another incarnation while nothing shows that it has ended', async () => {
+    for (const targetId of ['i-1', 'i-other']) {
+      const {hosted, clock, sendHeartbeat, renewLease} = startHosted();
+      sendHeartbeat({sequence: 1});
+      renewLease({});
+      for (let sequence = 2; sequence < 9; sequence += 1) {
+        for (const step of [0, 1]) {
+          const claim = {targetId, startedAtMs: 2_000, sequence: 2 * sequence + step};
+          assert.equal(sendHeartbeat(claim).accepted, false);
+        }
+        await clock.advance(900);
+        renewLease({});
+        assert.ok(sendHeartbeat({sequence}).accepted);
+        assert.ok(hosted.holdsKey(10));
+      }
+      assert.deepEqual([hosted.incarnation, hosted.endedIncarnations], ['i-1/1000', []]);
+    }
+  });
+
+  it('is replaced at once by another target if that one listens at the address, and else not', () => {
+    const {hosted, sendHeartbeat} = startHosted();
+    sendHeartbeat({sequence: 1});
+    const claim = {targetId: 'i-2', startedAtMs: 2_000};
+    assert.equal(sendHeartbeat(claim, {listenerId: 'i-1'}).accepted, false);
+    assert.equal(sendHeartbeat(claim, {listenerId: 'i-3'}).accepted, false);
+    assert.equal(sendHeartbeat(claim, {listenerId: 'i-2'}).accepted, true);
+    assert.equal(hosted.incarnation, 'i-2/2000');
+  });
+
+  // Guards against an entry that a restarted daemon reads before the first heartbeat of its target.
+  it('replaces an incarnation with a later start that does not listen at the address', () => {
+    const {hosted, sendHeartbeat} = startHosted();
+    sendHeartbeat({targetId: 'i-other', startedAtMs: 90_000});
+    assert.equal(sendHeartbeat({sequence: 7}).accepted, false);
+    assert.equal(sendHeartbeat({sequence: 8}, {listenerId: 'i-1'}).accepted, true);
+    assert.equal(hosted.incarnation, 'i-1/1000');
+  });
+
+  it('is replaced by a restart under its id when it can hold no keys any more', async () => {
+    const {hosted, clock, sendHeartbeat, renewLease} = startHosted();
+    sendHeartbeat({sequence: 4});
+    renewLease({});
+    sendHeartbeat({sequence: 5});
+    for (const sequence of [1, 2, 3]) {
+      assert.equal(sendHeartbeat({sequence, startedAtMs: 2_000}).accepted, false);
+      await clock.advance(900);
+    }
+    await clock.advance(900);
+    assert.ok(sendHeartbeat({sequence: 9, startedAtMs: 2_000}).accepted);
+    assert.equal(hosted.incarnation, 'i-1/2000');
+  });
+
+  it('is replaced at once when its end was noticed', () => {
+    const {hosted, sendHeartbeat} = startHosted();
+    sendHeartbeat({sequence: 1});
+    hosted.markEnded();
+    assert.ok(sendHeartbeat({sequence: 1, startedAtMs: 2_000}).accepted);
+  });
+
   // Guards against incident target-limit-ignored: what a target states in its responses was not read.
   it('keeps the rate limit of its incarnation until a response names none', () => {
-    const {hosted, sendHeartbeat} = startHosted();
+    const {hosted, sendHeartbeat, startSuccessor} = startHosted();
     sendHeartbeat({sequence: 1, startedAtMs: 1_000});
     hosted.recordNotice('i-1/1000', {rateLimitRps: 30.1, isLeaving: false});
     sendHeartbeat({sequence: 2, startedAtMs: 1_000});
@@ -56,7 +116,7 @@
     hosted.recordNotice('i-1/1000', {rateLimitRps: undefined, isLeaving: false});
     assert.equal(hosted.rateLimit?.rps, undefined);
     hosted.recordNotice('i-1/1000', {rateLimitRps: 12, isLeaving: false});
-    sendHeartbeat({sequence: 1, startedAtMs: 2_000});
+    startSuccessor({startedAtMs: 2_000});
     assert.equal(hosted.rateLimit?.rps, undefined);
     hosted.recordNotice('i-1/1000', {rateLimitRps: 12, isLeaving: false});
     assert.equal(hosted.rateLimit?.rps, undefined);
@@ -112,7 +172,7 @@
     ];
     for (const announce of announcements) {
       const fixture = startHosted();
-      const {hosted, clock, sendHeartbeat} = fixture;
+      const {hosted, clock, sendHeartbeat, startSuccessor} = fixture;
       sendHeartbeat({sequence: 1});
       hosted.recordNotice('i-1/1000', {rateLimitRps: undefined, isLeaving: false});
       announce(fixture);
@@ -123,7 +183,7 @@
       sendHeartbeat({sequence: 3, state: 'ready'});
       await clock.advance(800);
       assert.deepEqual([hosted.state, hosted.acceptsRequests], ['draining', false]);
-      sendHeartbeat({sequence: 1, startedAtMs: 5_000});
+      startSuccessor({startedAtMs: 5_000});
       assert.deepEqual([hosted.state, hosted.acceptsRequests], ['ready', true]);
     }
   });
@@ -144,7 +204,9 @@
   // Guards against a flooded cold target: only the start of an incarnation was read as cold.
   it('is bounded while cold by its newest statement, however that came', async () => {
     const bound = {durationMs: 3_000, rps: 12, maxPerSecond: 19};
-    const {hosted, clock, sendHeartbeat, renewLease} = startHosted({coldBound: () => bound});
+    const {hosted, clock, sendHeartbeat, startSuccessor, renewLease} = startHosted({
+      coldBound: () => bound,
+    });
     sendHeartbeat({sequence: 1, coldLeftMs: 0});
     renewLease({});
     assert.deepEqual([hosted.permittedRps, hosted.coldBound], [undefined, undefined]);
@@ -159,7 +221,7 @@
     hosted.recordHealth('i-1', 900);
     sendHeartbeat({sequence: 3, coldLeftMs: 0});
     assert.equal(hosted.coldBound, undefined);
-    sendHeartbeat({sequence: 1, startedAtMs: 5_000, coldLeftMs: undefined});
+    startSuccessor({startedAtMs: 5_000, coldLeftMs: undefined});
     await clock.advance(2_900);
     assert.equal(hosted.coldBound, bound);
     await clock.advance(300);
@@ -208,28 +270,25 @@
   });
 
   it('reports its previous incarnation as ended and holds no keys in a new one', () => {
-    const {hosted, sendHeartbeat, renewLease} = startHosted();
+    const {hosted, sendHeartbeat, startSuccessor, renewLease} = startHosted();
     sendHeartbeat({sequence: 1, startedAtMs: 1_000});
     renewLease({leaseMs: 2_000});
     sendHeartbeat({sequence: 2, startedAtMs: 1_000});
-    sendHeartbeat({sequence: 1, startedAtMs: 2_000});
+    startSuccessor({startedAtMs: 2_000});
     assert.deepEqual(hosted.endedIncarnations, ['i-1/1000']);
     assert.equal(hosted.holdsKey(10), false);
   });
 
   it('gets no grant in a new incarnation from a response to a report of the previous one', async () => {
-    const {clock, sendHeartbeat, renewLease} = startHosted();
+    const {clock, sendHeartbeat, startSuccessor, renewLease} = startHosted();
     sendHeartbeat({sequence: 1, startedAtMs: 1_000});
     const reportedAtMs = clock.nowMs();
     await clock.advance(100);
-    sendHeartbeat({sequence: 1, startedAtMs: 2_000});
+    const successor = startSuccessor({startedAtMs: 2_000});
     renewLease({leaseMs: 2_000, sentAtMs: reportedAtMs});
-    assert.equal(acceptedGrantOf(sendHeartbeat({sequence: 2, startedAtMs: 2_000})), undefined);
+    assert.equal(acceptedGrantOf(sendHeartbeat({...successor, sequence: 2})), undefined);
     renewLease({leaseMs: 2_000});
-    assert.equal(
-      acceptedGrantOf(sendHeartbeat({sequence: 3, startedAtMs: 2_000}))?.ranges.length,
-      1,
-    );
+    assert.equal(acceptedGrantOf(sendHeartbeat({...successor, sequence: 3}))?.ranges.length, 1);
   });
 
   it('keeps serving the keys that it reports as held while a restarted daemon has no lease', async () => {
@@ -249,9 +308,9 @@
   });
 
   it('does not use reported holds of an incarnation that starts while the daemon runs', () => {
-    const {hosted, sendHeartbeat} = startHosted();
+    const {hosted, sendHeartbeat, startSuccessor} = startHosted();
     sendHeartbeat({sequence: 1, startedAtMs: 1_000});
-    sendHeartbeat({sequence: 1, startedAtMs: 2_000, holds: [{fromKey: 0, toKey: 99, epoch: 3}]});
+    startSuccessor({startedAtMs: 2_000, holds: [{fromKey: 0, toKey: 99, epoch: 3}]});
     assert.equal(hosted.holdsKey(10), false);
   });
 
@@ -314,18 +373,18 @@
 
   // Guards against the quarantine of harmless requests when the power of an evacuated zone is cut.
   it('does not count as crashed when it ends during an evacuation', () => {
-    const {hosted, sendHeartbeat} = startHosted();
+    const {hosted, sendHeartbeat, startSuccessor} = startHosted();
     const crashes: string[] = [];
     hosted.onCrash = (incarnation) => crashes.push(incarnation);
     sendHeartbeat({sequence: 1});
     hosted.setEvacuated(true);
     hosted.markEnded();
     sendHeartbeat({sequence: 1, startedAtMs: 2_000});
-    sendHeartbeat({sequence: 1, startedAtMs: 3_000});
+    startSuccessor({startedAtMs: 3_000});
     assert.deepEqual([crashes, hosted.acceptsRequests], [[], false]);
     hosted.setEvacuated(false);
     hosted.markEnded();
-    assert.deepEqual(crashes, ['i-1/3000']);
+    assert.deepEqual(crashes, ['i-2/3000']);
   });
 
   // Guards against requests to an evacuated target between a restart of its daemon and the first response
@@ -440,7 +499,10 @@
       assert.deepEqual([hosted.state, hosted.acceptsRequests, changes], ['draining', true, 1]);
       await clock.advance(800);
       assert.equal(hosted.acceptsRequests, false, 'the drain has lasted since the announcement');
-      sendHeartbeat({sequence: 1, startedAtMs: clock.wallMs()});
+      const startedAtMs = clock.wallMs();
+      sendHeartbeat({sequence: 1, startedAtMs});
+      await clock.advance(4_000);
+      sendHeartbeat({sequence: 2, startedAtMs});
       assert.equal(
         hosted.state,
         'ready',
@@ -487,19 +549,31 @@
     keyCount: KEY_COUNT,
     ...opts,
   });
-  const sendHeartbeat = (fields: Partial<Heartbeat>) =>
-    hosted.handleHeartbeat({
-      targetId: 'i-1',
-      startedAtMs: STARTED_AT_MS,
-      service: 'wallboard',
-      state: 'ready',
-      slots: 8,
-      coldLeftMs: 0,
-      sequence: 1,
-      holds: [],
-      freed: [],
-      ...fields,
-    });
+  const sendHeartbeat = (
+    fields: Partial<Heartbeat>,
+    opts: Parameters<HostedTarget['handleHeartbeat']>[1] = {},
+  ) =>
+    hosted.handleHeartbeat(
+      {
+        targetId: 'i-1',
+        startedAtMs: STARTED_AT_MS,
+        service: 'wallboard',
+        state: 'ready',
+        slots: 8,
+        coldLeftMs: 0,
+        sequence: 1,
+        holds: [],
+        freed: [],
+        ...fields,
+      },
+      opts,
+    );
+  /** Sends the first heartbeat of another target, which now listens at the address. */
+  const startSuccessor = (fields: Partial<Heartbeat>): Partial<Heartbeat> => {
+    const successor = {targetId: 'i-2', ...fields};
+    assert.ok(sendHeartbeat(successor, {listenerId: 'i-2'}).accepted);
+    return successor;
+  };
   const renewLease = (fields: Partial<Parameters<HostedTarget['applyReportResponse']>[0]>): void =>
     hosted.applyReportResponse({
       sentAtMs: clock.nowMs(),
@@ -517,5 +591,5 @@
       hasSuccessors: true,
       ...fields,
     });
-  return {clock, clockOffset, hosted, sendHeartbeat, renewLease};
+  return {clock, clockOffset, hosted, sendHeartbeat, startSuccessor, renewLease};
 }
--- a/targets/key-holds/test/pushedGrants.test.ts
+++ b/targets/key-holds/test/pushedGrants.test.ts
@@ -194,7 +194,7 @@
     const {hosted, target, sendHeartbeat, renewLease} = startHosted();
     sendHeartbeat({sequence: 1});
     await renewLease({});
-    sendHeartbeat({sequence: 1, startedAtMs: 2_000});
+    sendHeartbeat({sequence: 1, targetId: 'i-2', startedAtMs: 2_000}, 'i-2');
     await settle();
     assert.equal(target.granted.length, 1);
     assert.equal(hosted.holdsKey(10), false);
@@ -236,22 +236,18 @@
     keyCount: 1_000,
     grantApi: target.api,
   });
-  const sendHeartbeat = (next: {
-    sequence: number;
-    startedAtMs?: number;
-    state?: 'ready' | 'draining';
-  }): void => {
-    hosted.handleHeartbeat({
-      targetId: 'i-1',
-      startedAtMs: 1_000,
-      service: 's',
-      state: 'ready',
-      slots: 4,
-      coldLeftMs: 0,
-      holds: [],
-      freed: [],
-      ...next,
-    });
+  const sendHeartbeat = (
+    next: {
+      sequence: number;
+      targetId?: string;
+      startedAtMs?: number;
+      state?: 'ready' | 'draining';
+    },
+    listenerId?: string,
+  ): void => {
+    const defaults = {targetId: 'i-1', startedAtMs: 1_000, state: 'ready'} as const;
+    const fields = {service: 's', slots: 4, coldLeftMs: 0, holds: [], freed: []};
+    hosted.handleHeartbeat({...defaults, ...fields, ...next}, {listenerId});
   };
   const renewLease = async ({hasSuccessors = false}: {hasSuccessors?: boolean}): Promise<void> => {
     const ranges = [{...RANGE, ownerLife: 'i-1/1000'}];
