--- a/apps/site/src/configurationService.ts
+++ b/apps/site/src/configurationService.ts
@@ -1,4 +1,6 @@
 import {randomUUID} from 'node:crypto';
+import {setImmediate as nextLoopTurn} from 'node:timers/promises';
+import {z} from 'zod';
 import type {Replica} from '@medlarlane/consensus';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import type {ErrorCode} from '@medlarlane/errors';
@@ -24,6 +26,11 @@
 /** Operators time out after 1 s and call another replica. */
 const RESPONSE_TIMEOUT_MS = 900;
 const RETRY_DELAY_MS = 60;
+/**
+ * Time until the close of a connection has been read if the caller closed it before its request was read: after a
+ * pause of this machine or a cut, the close can follow the request by a round trip.
+ */
+const CALLER_CLOSE_MS = 50;
 /**
  * A leader that does not respond to a forwarded call within this time has probably failed; the call
  * is retried at its successor.
@@ -39,6 +46,12 @@
   'COMMIT_UNKNOWN',
 ]);
 
+const callIndexSchema = z.int();
+
+/** An operator's call as it arrives; the service identifies it. */
+export type RequestedEvacuation = Omit<EvacuationChange, 'digest' | 'expectedCallIndex'>;
+export type DecidedEvacuation = Exclude<EvacuationOutcome, {kind: 'conflict'}>;
+
 /**
  * Executes operators' calls at any replica: locally on the leader, else by forwarding them to the
  * leader.
@@ -60,19 +73,41 @@
   }
 
   /**
-   * Evacuates or restores an availability zone. All attempts have the same digest, so that one that the
-   * log commits late does not undo a later call.
-   * @throws MedlarlaneError when the outcome is unknown or no leader was found in time.
+   * Evacuates or restores an availability zone while the signal of the operator's call is not aborted. An operator that
+   * has given up may have sent a newer call elsewhere: the operator is still waiting after the latest accepted call was
+   * read, and the log applies this one only if no other has been accepted since. All attempts have the same digest, so
+   * that copies take effect once.
+   * @throws MedlarlaneError `CANCELLED` when the operator has given up; others when the outcome is unknown or no leader
+   *     was found in time.
    */
-  changeEvacuation(change: Omit<EvacuationChange, 'digest'>): Promise<EvacuationOutcome> {
-    const identifiedChange = {...change, digest: randomUUID()};
-    return this.executeAtLeader(
-      () => this.opts.control.changeEvacuation(identifiedChange),
-      async (address, timeoutMs) =>
-        (await this.opts.rpc.call(address, 'changeEvacuation', identifiedChange, {
-          timeoutMs,
-        })) as EvacuationOutcome,
-    );
+  async changeEvacuation(
+    change: RequestedEvacuation,
+    {signal}: {signal: AbortSignal},
+  ): Promise<DecidedEvacuation> {
+    const {control, rpc, clock, logger} = this.opts;
+    const deadlineMs = clock.nowMs() + RESPONSE_TIMEOUT_MS;
+    const digest = randomUUID();
+    for (;;) {
+      const [expectedCallIndex] = await Promise.all([
+        this.readEvacuationCallIndex(deadlineMs),
+        clock.sleep(CALLER_CLOSE_MS),
+      ]);
+      // A close that arrived together with the response of the leader is read in this turn.
+      await nextLoopTurn();
+      if (signal.aborted)
+        throw new MedlarlaneError('CANCELLED', 'Operator has closed the connection');
+      const identified = {...change, digest, expectedCallIndex};
+      const outcome = await this.executeAtLeader(
+        () => control.changeEvacuation(identified),
+        async (address, timeoutMs) =>
+          (await rpc.call(address, 'changeEvacuation', identified, {
+            timeoutMs,
+          })) as EvacuationOutcome,
+        deadlineMs,
+      );
+      logger.info({...identified, outcome}, 'Evacuation call executed');
+      if (outcome.kind !== 'conflict') return outcome;
+    }
   }
 
   /** @throws MedlarlaneError when no leader confirmed the latest configuration in time. */
@@ -86,6 +121,17 @@
     );
   }
 
+  private readEvacuationCallIndex(deadlineMs: number): Promise<number> {
+    return this.executeAtLeader(
+      () => this.opts.control.readEvacuationCallIndex(),
+      async (address, timeoutMs) =>
+        callIndexSchema.parse(
+          await this.opts.rpc.call(address, 'readEvacuationCallIndex', {}, {timeoutMs}),
+        ),
+      deadlineMs,
+    );
+  }
+
   /** Handlers of the calls that other replicas forward. */
   get handlers(): Record<string, RpcHandler> {
     const {control} = this.opts;
@@ -94,6 +140,7 @@
         control.changeConfiguration(configurationChangeSchema.parse(payload)),
       changeEvacuation: (payload) =>
         control.changeEvacuation(evacuationChangeSchema.parse(payload)),
+      readEvacuationCallIndex: () => control.readEvacuationCallIndex(),
       readConfiguration: () => control.readConfiguration(),
     };
   }
@@ -102,9 +149,9 @@
   private async executeAtLeader<T>(
     executeLocally: () => Promise<T>,
     forwardToLeader: (address: string, timeoutMs: number) => Promise<T>,
+    deadlineMs = this.opts.clock.nowMs() + RESPONSE_TIMEOUT_MS,
   ): Promise<T> {
     const {replica, clock, logger} = this.opts;
-    const deadlineMs = clock.nowMs() + RESPONSE_TIMEOUT_MS;
     for (;;) {
       const remainingMs = deadlineMs - clock.nowMs();
       if (remainingMs <= 0) throw new MedlarlaneError('NO_LEADER');
--- a/apps/site/src/index.ts
+++ b/apps/site/src/index.ts
@@ -9,3 +9,4 @@
 export {ZoneEvacuation} from './zoneEvacuation.js';
 export type {EvacuatedZones, ZoneEvacuationOptions} from './zoneEvacuation.js';
 export {ConfigurationService} from './configurationService.js';
+export type {DecidedEvacuation, RequestedEvacuation} from './configurationService.js';
--- a/apps/site/src/superviseSiteControl.ts
+++ b/apps/site/src/superviseSiteControl.ts
@@ -92,7 +92,8 @@
   return {
     configurationService: {
       changeConfiguration: async (change) => getConfigurationService().changeConfiguration(change),
-      changeEvacuation: async (change) => getConfigurationService().changeEvacuation(change),
+      changeEvacuation: async (change, opts) =>
+        getConfigurationService().changeEvacuation(change, opts),
       readConfiguration: async () => getConfigurationService().readConfiguration(),
     },
     get current() {
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -149,6 +149,12 @@
     return result as EvacuationOutcome;
   }
 
+  /** Returns the log index of the latest accepted evacuation call. @throws MedlarlaneError `NOT_LEADER`. */
+  async readEvacuationCallIndex(): Promise<number> {
+    await this.opts.replica.readBarrier({confirm: 'quorum'});
+    return this.opts.state.evacuationCallIndex;
+  }
+
   /** Returns the current configuration. @throws MedlarlaneError `NOT_LEADER`. */
   async readConfiguration(): Promise<SiteConfiguration> {
     await this.opts.replica.readBarrier({confirm: 'quorum'});
--- a/control/site-state/src/siteState.ts
+++ b/control/site-state/src/siteState.ts
@@ -83,6 +83,11 @@
     return this.evacuations.index;
   }
 
+  /** Log index of the latest accepted evacuation call; 0 before the first one. */
+  get evacuationCallIndex(): number {
+    return this.evacuations.callIndex;
+  }
+
   /** Calls the listener after each applied command. */
   onChange(listener: () => void): void {
     this.listeners.add(listener);
--- a/control/site-state/src/zoneEvacuations.ts
+++ b/control/site-state/src/zoneEvacuations.ts
@@ -6,11 +6,20 @@
   isEvacuated: z.boolean(),
   /** Identifies the call, so that copies of it in the log take effect only once. */
   digest: z.string(),
+  /**
+   * Log index of the latest accepted call that the operator can have known of. After another call was accepted, this
+   * one is outdated and not applied. Absent in the log of earlier versions.
+   */
+  expectedCallIndex: z.int().optional(),
 });
 
-/** Result of an operator's call. `index` is the log index at which it was decided first. */
+/**
+ * Result of an operator's call. `index` is the log index at which it was decided first, `callIndex` that of the latest
+ * accepted call.
+ */
 export type EvacuationOutcome =
   | {readonly kind: 'accepted'; readonly index: number}
+  | {readonly kind: 'conflict'; readonly callIndex: number}
   | {readonly kind: 'invalid'; readonly reason: string};
 
 export type EvacuationChange = z.infer<typeof evacuationChangeSchema>;
@@ -40,16 +49,24 @@
     return this.latestIndex;
   }
 
+  /** Log index of the latest accepted call, also of one that set what was already set; 0 before the first one. */
+  get callIndex(): number {
+    return [...this.decided.values()].at(-1) ?? 0;
+  }
+
   /** Log index at which each evacuated zone was evacuated. */
   get zones(): ReadonlyMap<string, number> {
     return this.zoneIndexes;
   }
 
-  /** Applies a call. Setting what is already set is accepted and changes nothing. */
+  /** Applies a call unless another one has overtaken it. Setting what is already set is accepted and changes nothing. */
   apply(change: EvacuationChange, index: number): EvacuationOutcome {
-    const {availabilityZone, isEvacuated, digest} = change;
+    const {availabilityZone, isEvacuated, digest, expectedCallIndex} = change;
     const decidedIndex = this.decided.get(digest);
     if (decidedIndex !== undefined) return {kind: 'accepted', index: decidedIndex};
+    const {callIndex} = this;
+    if (expectedCallIndex !== undefined && expectedCallIndex !== callIndex)
+      return {kind: 'conflict', callIndex};
     if (isEvacuated !== this.zoneIndexes.has(availabilityZone)) {
       if (isEvacuated && this.zoneIndexes.size >= MAX_EVACUATED_ZONES)
         return {kind: 'invalid', reason: `${MAX_EVACUATED_ZONES} zones are evacuated already`};
--- a/control/site-state/test/siteState.test.ts
+++ b/control/site-state/test/siteState.test.ts
@@ -106,6 +106,26 @@
     restored.setEvacuation('east', true, 'c');
     assert.deepEqual([...restored.state.evacuatedZones], [['east', 4]]);
   });
+
+  // Guards against the case review/13: a call whose sender had given it up undid a newer, acknowledged one.
+  it('does not apply an evacuation call that another one has overtaken, whatever that one changed', () => {
+    const site = startSite();
+    site.setEvacuation('east', true, 'a');
+    const knownIndex = site.state.evacuationCallIndex;
+    // The newer call sets what is already set.
+    site.setEvacuation('east', true, 'b');
+    const restored = startSite(2);
+    restored.state.restore(site.state.snapshot());
+    for (const {state, setEvacuation} of [site, restored]) {
+      const late = setEvacuation('east', false, 'late', knownIndex);
+      assert.deepEqual(late, {kind: 'conflict', callIndex: 2});
+      assert.deepEqual([...state.evacuatedZones], [['east', 1]]);
+      assert.equal(setEvacuation('east', false, 'next', 2).kind, 'accepted');
+      // A copy of a decided call gets its outcome, although its index is outdated now.
+      assert.equal(setEvacuation('east', false, 'next', 2).kind, 'accepted');
+      assert.equal(state.evacuatedZones.size, 0);
+    }
+  });
 });
 
 function startSite(appliedIndex = 0) {
@@ -179,12 +199,14 @@
     availabilityZone: string,
     isEvacuated: boolean,
     digest: string,
+    expectedCallIndex?: number,
   ): EvacuationOutcome =>
     apply({
       kind: 'setEvacuation',
       availabilityZone,
       isEvacuated,
       digest,
+      ...(expectedCallIndex === undefined ? {} : {expectedCallIndex}),
     }) as EvacuationOutcome;
   return {state, change, patch, assign, setEvacuation};
 }
