Let replicas start again before the last reads of the full-disk test

Cause: the test read the configuration at each replica at once after the last change.

Change: each replica must give the newest version within 4 s (`catch_up_s`); before, there was no bound for a replica that was down, and one that answered had to give the same version as now.

--- a/apps/site/test/fullDisks.test.ts
+++ b/apps/site/test/fullDisks.test.ts
@@ -16,8 +16,9 @@
 const REPLICAS = 5;
 const FULL_MS = 1_500;
 const PAUSE_MS = 400;
-/** `ack_timeout_s` of the users' bounds. */
+/** `ack_timeout_s` and `catch_up_s` of the users' bounds. */
 const ACK_TIMEOUT_MS = 4_000;
+const CATCH_UP_MS = 4_000;
 
 // Guards against a group that refuses changes, or leaves them unanswered, long after disks that were full one
 // after another have room again.
@@ -85,11 +86,22 @@
     const durationMs = await change();
     assert.ok(durationMs < ACK_TIMEOUT_MS, `acknowledged after ${Math.round(durationMs)} ms`);
   }
-  for (const {configurationService} of replicas) {
-    assert.equal((await configurationService.readConfiguration()).version, version);
-  }
+  for (const replica of replicas) assert.equal((await readAfterRestart(replica)).version, version);
 });
 
+/** Reads the configuration at a replica, which may still be starting again. @throws the error of the last attempt. */
+async function readAfterRestart({configurationService}: SupervisedSiteControl) {
+  const untilMs = performance.now() + CATCH_UP_MS;
+  for (;;) {
+    try {
+      return await configurationService.readConfiguration();
+    } catch (thrown) {
+      if (performance.now() > untilMs) throw thrown;
+      await delay(50);
+    }
+  }
+}
+
 /** The real file system, but for writes while the disk is full: they take some bytes and fail. */
 function diskWithLimit(isFull: () => boolean): FileSystem {
   const fail = (): never => {
