Carry out no call that its sender has given up; let a single entry end no owner of keys

A process that was suspended carried out calls whose senders had left as if they had just been sent; and the control leader took the first incarnation that a restarted daemon heard for the end of the owner before it, although one entry of another writer is enough for that.

Change: a removal of a target, an announcement of a target of the product and an admin operation that changes state are not carried out once their sender has closed the connection; the event loop first reads a close that came with the call. A daemon states whether its target's incarnation is established (proved, known to the leader, or no other one heard for an interval), and until then the leader waits for the lease of the former owner. An entry under the target's own id, with a later start, is replaced when it is not heard again.

--- a/apps/daemon/src/adminListener.ts
+++ b/apps/daemon/src/adminListener.ts
@@ -6,6 +6,7 @@
 import {MedlarlaneError} from '@medlarlane/errors';
 import {startListener} from '@medlarlane/forwarder';
 import type {Listener, ListenerOptions} from '@medlarlane/forwarder';
+import {abortWhenCallerLeaves, hasCallerLeft} from '@medlarlane/rpc';
 
 export interface AdminListenerOptions extends ListenerOptions {
   readonly controlClient: ControlClient;
@@ -48,7 +49,12 @@
     throw new MedlarlaneError('REQUEST_INVALID', `Unknown operation: ${request.method} ${path}`);
   }
   authorize(operation, request, opts.token);
-  const result = await opts.controlClient.execute(operation, await readJson(request));
+  const signal = abortWhenCallerLeaves(request, response);
+  const args = await readJson(request);
+  // A suspended daemon reads operations late, which could then end what was started since, for example by a drain.
+  if (ADMIN_OPERATIONS[operation].changesState && (await hasCallerLeft(signal)))
+    throw new MedlarlaneError('CANCELLED');
+  const result = await opts.controlClient.execute(operation, args);
   sendText(response, 200, JSON.stringify(result), 'application/json');
 }
 
--- a/apps/site/src/configurationService.ts
+++ b/apps/site/src/configurationService.ts
@@ -1,11 +1,11 @@
 import {randomUUID} from 'node:crypto';
-import {setImmediate as nextLoopTurn} from 'node:timers/promises';
 import {z} from 'zod';
 import type {Replica} from '@medlarlane/consensus';
 import {MedlarlaneError, toMedlarlaneError} from '@medlarlane/errors';
 import type {ErrorCode} from '@medlarlane/errors';
 import type {Clock} from '@medlarlane/lifecycle';
 import type {Logger} from '@medlarlane/logger';
+import {hasCallerLeft} from '@medlarlane/rpc';
 import type {RpcClient, RpcHandler} from '@medlarlane/rpc';
 import {configurationChangeSchema, siteConfigurationSchema} from '@medlarlane/site-config';
 import type {ConfigurationChange, SiteConfiguration} from '@medlarlane/site-config';
@@ -92,9 +92,7 @@
         this.readEvacuationCallIndex(deadlineMs),
         clock.sleep(CALLER_CLOSE_MS),
       ]);
-      // A close that arrived together with the response of the leader is read in this turn.
-      await nextLoopTurn();
-      if (signal.aborted)
+      if (await hasCallerLeft(signal))
         throw new MedlarlaneError('CANCELLED', 'Operator has closed the connection');
       const identified = {...change, digest, expectedCallIndex};
       const outcome = await this.executeAtLeader(
--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -539,6 +539,7 @@
       meanMs: admissionController.load.meanMs,
       ...(rateLimit ? {rateLimit} : {}),
       isRateLimitKnown: hostedTarget.hasNotice,
+      ...(hostedTarget.isEstablished ? {} : {isEstablished: false}),
       ...(isEvacuated ? {isEvacuated} : {}),
     },
   };
--- a/kernel/rpc/src/index.ts
+++ b/kernel/rpc/src/index.ts
@@ -1,4 +1,4 @@
-export {abortWhenCallerLeaves} from './abortWhenCallerLeaves.js';
+export {abortWhenCallerLeaves, hasCallerLeft} from './abortWhenCallerLeaves.js';
 export {createRpcClient} from './createRpcClient.js';
 export type {RpcCallOptions, RpcClient, RpcClientOptions} from './createRpcClient.js';
 export {HOP_BY_HOP_HEADERS} from './hopByHopHeaders.js';
--- a/targets/announce/src/startTargetListener.ts
+++ b/targets/announce/src/startTargetListener.ts
@@ -8,6 +8,7 @@
 import type {Clock} from '@medlarlane/lifecycle';
 import {createComponentLogger, silentLogger} from '@medlarlane/logger';
 import type {Logger} from '@medlarlane/logger';
+import {abortWhenCallerLeaves, hasCallerLeft} from '@medlarlane/rpc';
 import {announcementSchema, withdrawalSchema} from './announcement.js';
 import type {Announcement} from './announcement.js';
 
@@ -144,12 +145,17 @@
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const signal = abortWhenCallerLeaves(request, response);
     try {
       const {pathname, searchParams} = new URL(request.url ?? '', 'http://daemon');
       if (pathname !== '/v1/target')
         throw new HttpProblem(404, `Resource ${pathname} does not exist`);
       if (request.method === 'PUT') {
-        this.announce(await readBody(request, announcementSchema));
+        const announcement = await readBody(request, announcementSchema);
+        // A target repeats what it has given up; by now, its successor may have announced itself.
+        if (await hasCallerLeft(signal))
+          return this.logger.info({...announcement}, 'Ignored an announcement that was given up');
+        this.announce(announcement);
       } else if (request.method === 'DELETE') {
         // Some HTTP clients cannot send a body with DELETE, so the query is accepted as well.
         const incarnation = searchParams.get('incarnation');
--- a/targets/announce/test/startTargetListener.test.ts
+++ b/targets/announce/test/startTargetListener.test.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import net from 'node:net';
 import {test} from 'node:test';
 import type {TestContext} from 'node:test';
 import {request} from 'undici';
@@ -24,6 +26,19 @@
   assert.equal(listener.current, undefined);
 });
 
+// Guards against a suspended daemon that reads the announcement of an ended incarnation after that of its successor.
+test('An announcement whose sender has closed the connection is ignored', async (t) => {
+  const {listener, kinds} = await start(t);
+  await send(listener, 'PUT', {...FIRST, incarnation: 'second'});
+  const [host, port] = listener.address.split(':');
+  const body = JSON.stringify(FIRST);
+  const socket = net.connect(Number(port), host).on('error', () => undefined);
+  socket.end(`PUT /v1/target HTTP/1.1\r\nHost: d\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+  await once(socket.resume(), 'close');
+  await send(listener, 'PUT', {...FIRST, incarnation: 'second'});
+  assert.deepEqual(kinds(), ['announced']);
+});
+
 test('A late announcement of a withdrawn incarnation is refused', async (t) => {
   const {listener, kinds} = await start(t);
   await send(listener, 'PUT', FIRST);
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -120,6 +120,11 @@
  * intervals after it.
  */
 const OVERDUE_AFTER_HEARTBEATS = 1.3;
+/**
+ * Time of the heartbeats of an incarnation after which another one at the address would have been heard, in heartbeat
+ * intervals. Slightly below the second heartbeat.
+ */
+const ESTABLISHED_AFTER_HEARTBEATS = 0.9;
 /** The reported holds are used until the next heartbeat, which may be slightly late. */
 const REPORT_VALID_HEARTBEATS = 1.5;
 /** Rate of requests to a target until its first response tells whether it names a limit. */
@@ -159,6 +164,9 @@
   private readonly outgoingKeys = new OutgoingKeys();
   private readonly removals: AnnouncedRemovals;
   private readonly successorClaim: SuccessorClaim;
+  private established = false;
+  /** When the first heartbeat of the current incarnation arrived, on the steady clock. */
+  private firstHeartbeatAtMs = Infinity;
   private endedIncarnationIds: string[] = [];
   private hasSuccessors = false;
   private hasHeardLeader = false;
@@ -211,6 +219,14 @@
     return silentMs > SILENT_AFTER_HEARTBEATS * this.opts.heartbeatIntervalMs ? 'silent' : 'ready';
   }
 
+  /**
+   * Whether the current incarnation is certainly the one beside this daemon. The first one that a restarted daemon hears
+   * may be an entry of another writer, which the target's own heartbeat contradicts within an interval.
+   */
+  get isEstablished(): boolean {
+    return this.established;
+  }
+
   /** Whether the next heartbeat is overdue, so that the target is to be checked for its end. */
   get isHeartbeatOverdue(): boolean {
     const silentMs = this.opts.steadyClock.nowMs() - this.heartbeatAtMs;
@@ -334,16 +350,26 @@
     this.assumedUntilMs = -Infinity;
     this.updateReportedHolds(next, previous);
     this.heartbeatAtMs = this.opts.steadyClock.nowMs();
+    const hasBeenEstablished = this.recordEstablished();
     this.ended = false;
     this.recordDrainOf(next, previous);
     this.recordColdOf(next);
     this.addFreed(next);
     const hasChanged = this.incarnation !== incarnationBefore || this.state !== stateBefore;
-    if (hasChanged || next.freed.length > 0) this.onChange();
+    if (hasChanged || hasBeenEstablished || next.freed.length > 0) this.onChange();
     this.applyGrantPlan();
     return {accepted: true, grant: this.pushedGrants ? undefined : this.createGrant()};
   }
 
+  /** Returns whether the heartbeat that was just recorded has established its incarnation. */
+  private recordEstablished(): boolean {
+    const heardForMs = this.heartbeatAtMs - this.firstHeartbeatAtMs;
+    const minHeardMs = ESTABLISHED_AFTER_HEARTBEATS * this.opts.heartbeatIntervalMs;
+    if (this.established || heardForMs < minHeardMs) return false;
+    this.established = true;
+    return true;
+  }
+
   private recordDrainOf(next: Heartbeat, previous: Heartbeat | undefined): void {
     if (next.state !== 'draining') return;
     // A previous daemon process may have acknowledged the drain long ago.
@@ -502,6 +528,7 @@
       ...noHeartbeat,
     };
     this.statements = this.createStatements(this.heartbeat);
+    this.established = true;
     this.assumeCold('restored');
     this.heartbeatAtMs = this.opts.steadyClock.nowMs();
     this.assumedUntilMs = this.opts.clock.nowMs() + MAX_GRANT_MS;
@@ -604,7 +631,8 @@
   /**
    * Judges a heartbeat of another incarnation. A later start proves nothing, because another writer can state any: to
    * replace the current incarnation before its end was noticed, the other one must listen at the target's address or
-   * be the only one heard until the current one can no longer hold keys.
+   * be the only one heard until the current one can no longer hold keys. One with an earlier start may be late heartbeats
+   * of a predecessor and must be heard for longer.
    */
   private judgeOther(
     next: Heartbeat,
@@ -617,10 +645,12 @@
       if (listenerId === next.targetId) return 'accepted';
       if (listenerId === current.targetId) return 'disputed';
     }
-    if (!isLaterStart) return 'outdated';
+    if (this.ended) return 'outdated';
     const claimedForMs = this.successorClaim.record(next) ?? 0;
-    const isCurrentSilent = claimedForMs > OVERDUE_AFTER_HEARTBEATS * this.opts.heartbeatIntervalMs;
-    return isCurrentSilent && !this.mayHoldKeys ? 'accepted' : 'disputed';
+    const silentHeartbeats = isLaterStart ? OVERDUE_AFTER_HEARTBEATS : SILENT_AFTER_HEARTBEATS;
+    const isCurrentSilent = claimedForMs > silentHeartbeats * this.opts.heartbeatIntervalMs;
+    if (isCurrentSilent && !this.mayHoldKeys) return 'accepted';
+    return isLaterStart ? 'disputed' : 'outdated';
   }
 
   /**
@@ -655,6 +685,8 @@
       {life: incarnationOf(next), former: previous && incarnationOf(previous)},
       'Target started a new incarnation',
     );
+    this.established = previous !== undefined;
+    this.firstHeartbeatAtMs = this.opts.steadyClock.nowMs();
     if (previous && !this.ended && !this.isLeavingService) this.onCrash(incarnationOf(previous));
     if (previous)
       this.endedIncarnationIds = [...this.endedIncarnationIds, incarnationOf(previous)].slice(
