--- a/apps/site/test/healthChecks.test.ts
+++ b/apps/site/test/healthChecks.test.ts
@@ -35,6 +35,16 @@
     assert.deepEqual(reported, [700, 700]);
   });
 
+  // Guards against entries of another writer that make the daemon ask its target again and again.
+  it('tell the id of the target at the address, at most once per interval', async () => {
+    const {checks, clock, checkedAtMs, reported} = startChecks({path: undefined});
+    assert.equal(await checks.identify('/health'), 'a');
+    assert.equal(await checks.identify('/health'), undefined);
+    await clock.advance(1_200);
+    assert.equal(await checks.identify('/health'), 'a');
+    assert.deepEqual([checkedAtMs.length, reported], [2, []]);
+  });
+
   it('do not run for a service without a health path', async () => {
     const {checks, checkedAtMs} = startChecks({path: undefined});
     await checks.check('daemon-started');
