--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -645,7 +645,6 @@
       if (listenerId === next.targetId) return 'accepted';
       if (listenerId === current.targetId) return 'disputed';
     }
-    if (this.ended) return 'outdated';
     const claimedForMs = this.successorClaim.record(next) ?? 0;
     const silentHeartbeats = isLaterStart ? OVERDUE_AFTER_HEARTBEATS : SILENT_AFTER_HEARTBEATS;
     const isCurrentSilent = claimedForMs > silentHeartbeats * this.opts.heartbeatIntervalMs;
