Let the leader end a former owner at the first heartbeat of its successor again

After a loss of power, when daemons and targets start together, that kept the keys of all targets unowned for 0.9 s longer.

Change: the wait is gone, with the report field, the state in the daemon and its two tests, which had come with it.

--- a/apps/site/src/startSiteDaemon.ts
+++ b/apps/site/src/startSiteDaemon.ts
@@ -539,7 +539,6 @@
       meanMs: admissionController.load.meanMs,
       ...(rateLimit ? {rateLimit} : {}),
       isRateLimitKnown: hostedTarget.hasNotice,
-      ...(hostedTarget.isEstablished ? {} : {isEstablished: false}),
       ...(isEvacuated ? {isEvacuated} : {}),
     },
   };
--- a/control/site-control/src/reports.ts
+++ b/control/site-control/src/reports.ts
@@ -31,8 +31,6 @@
   rateLimit: z.object({rps: z.number(), ageMs: z.number()}).optional(),
   /** False until the daemon has heard from the target whether it names a limit. */
   isRateLimitKnown: z.boolean().optional(),
-  /** False until the daemon can tell that no other incarnation runs beside it; absent afterwards. */
-  isEstablished: z.boolean().optional(),
   /** Whether the daemon refuses requests for the target because of an evacuation of its zone. */
   isEvacuated: z.boolean().optional(),
 });
--- a/control/site-control/src/siteControl.ts
+++ b/control/site-control/src/siteControl.ts
@@ -274,15 +274,13 @@
 
   /**
    * Only one target at a time runs at a daemon, so a later incarnation proves that an earlier owner at
-   * the same daemon has ended, even when the daemon restarted and no longer knows of it. A daemon that has heard
-   * of the later one just once cannot tell yet that it exists.
+   * the same daemon has ended, even when the daemon restarted and no longer knows of it.
    */
   private endFormerIncarnations(
     term: LeadershipTerm,
     forwardAddress: string,
-    {life, isEstablished}: ReportedTarget,
+    {life}: ReportedTarget,
   ): void {
-    if (isEstablished === false) return;
     for (const [owner, ownerAddress] of this.opts.state.ownerAddresses) {
       if (ownerAddress !== forwardAddress || startTimeMsOf(owner) >= startTimeMsOf(life)) continue;
       if (term.leases.hasEnded(owner)) continue;
--- a/targets/key-holds/src/hostedTarget.ts
+++ b/targets/key-holds/src/hostedTarget.ts
@@ -120,11 +120,6 @@
  * intervals after it.
  */
 const OVERDUE_AFTER_HEARTBEATS = 1.3;
-/**
- * Time of the heartbeats of an incarnation after which another one at the address would have been heard, in heartbeat
- * intervals. Slightly below the second heartbeat.
- */
-const ESTABLISHED_AFTER_HEARTBEATS = 0.9;
 /** The reported holds are used until the next heartbeat, which may be slightly late. */
 const REPORT_VALID_HEARTBEATS = 1.5;
 /** Rate of requests to a target until its first response tells whether it names a limit. */
@@ -164,9 +159,6 @@
   private readonly outgoingKeys = new OutgoingKeys();
   private readonly removals: AnnouncedRemovals;
   private readonly successorClaim: SuccessorClaim;
-  private established = false;
-  /** When the first heartbeat of the current incarnation arrived, on the steady clock. */
-  private firstHeartbeatAtMs = Infinity;
   private endedIncarnationIds: string[] = [];
   private hasSuccessors = false;
   private hasHeardLeader = false;
@@ -219,14 +211,6 @@
     return silentMs > SILENT_AFTER_HEARTBEATS * this.opts.heartbeatIntervalMs ? 'silent' : 'ready';
   }
 
-  /**
-   * Whether the current incarnation is certainly the one beside this daemon. The first one that a restarted daemon hears
-   * may be an entry of another writer, which the target's own heartbeat contradicts within an interval.
-   */
-  get isEstablished(): boolean {
-    return this.established;
-  }
-
   /** Whether the next heartbeat is overdue, so that the target is to be checked for its end. */
   get isHeartbeatOverdue(): boolean {
     const silentMs = this.opts.steadyClock.nowMs() - this.heartbeatAtMs;
@@ -350,26 +334,16 @@
     this.assumedUntilMs = -Infinity;
     this.updateReportedHolds(next, previous);
     this.heartbeatAtMs = this.opts.steadyClock.nowMs();
-    const hasBeenEstablished = this.recordEstablished();
     this.ended = false;
     this.recordDrainOf(next, previous);
     this.recordColdOf(next);
     this.addFreed(next);
     const hasChanged = this.incarnation !== incarnationBefore || this.state !== stateBefore;
-    if (hasChanged || hasBeenEstablished || next.freed.length > 0) this.onChange();
+    if (hasChanged || next.freed.length > 0) this.onChange();
     this.applyGrantPlan();
     return {accepted: true, grant: this.pushedGrants ? undefined : this.createGrant()};
   }
 
-  /** Returns whether the heartbeat that was just recorded has established its incarnation. */
-  private recordEstablished(): boolean {
-    const heardForMs = this.heartbeatAtMs - this.firstHeartbeatAtMs;
-    const minHeardMs = ESTABLISHED_AFTER_HEARTBEATS * this.opts.heartbeatIntervalMs;
-    if (this.established || heardForMs < minHeardMs) return false;
-    this.established = true;
-    return true;
-  }
-
   private recordDrainOf(next: Heartbeat, previous: Heartbeat | undefined): void {
     if (next.state !== 'draining') return;
     // A previous daemon process may have acknowledged the drain long ago.
@@ -528,7 +502,6 @@
       ...noHeartbeat,
     };
     this.statements = this.createStatements(this.heartbeat);
-    this.established = true;
     this.assumeCold('restored');
     this.heartbeatAtMs = this.opts.steadyClock.nowMs();
     this.assumedUntilMs = this.opts.clock.nowMs() + MAX_GRANT_MS;
@@ -684,8 +657,6 @@
       {life: incarnationOf(next), former: previous && incarnationOf(previous)},
       'Target started a new incarnation',
     );
-    this.established = previous !== undefined;
-    this.firstHeartbeatAtMs = this.opts.steadyClock.nowMs();
     if (previous && !this.ended && !this.isLeavingService) this.onCrash(incarnationOf(previous));
     if (previous)
       this.endedIncarnationIds = [...this.endedIncarnationIds, incarnationOf(previous)].slice(
